--- /dev/null
+++ b/internal/relay/notices.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// The ends of a message that was taken on and not delivered.
+const (
+	undeliverable = "undeliverable" // final: the client does not come again
+	deferred      = "deferred"      // the client may come again
+)
+
+const (
+	// postTime bounds one post of notices: the platform answers at once, and a notice has to be there 300 ms
+	// after its message's time is up.
+	postTime = time.Second
+	// postAgain is the wait after a post that failed.
+	postAgain = 50 * time.Millisecond
+)
+
+// Notice tells the platform that a message ended undelivered.
+type Notice struct {
+	ID      string `json:"id"`
+	Status  string `json:"status"`
+	AgainMS int64  `json:"again_ms,omitempty"`
+}
+
+// notifier posts notices to the platform until it has them.
+type notifier struct {
+	url      string
+	client   *http.Client
+	received func(ids []string)
+	wanted   chan struct{} // something is owed
+
+	mu   sync.Mutex
+	owed []Notice
+}
+
+// newNotifier posts to discovery's address, and reports what arrived there to received.
+func newNotifier(discovery string, received func(ids []string)) *notifier {
+	return &notifier{url: "http://" + discovery + "/v1/outcomes", received: received, wanted: make(chan struct{}, 1),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: postTime}}
+}
+
+// owe wants a notice posted; it never blocks, since run may be waiting for the caller.
+func (n *notifier) owe(notice Notice) {
+	n.mu.Lock()
+	n.owed = append(n.owed, notice)
+	n.mu.Unlock()
+	select {
+	case n.wanted <- struct{}{}:
+	default:
+	}
+}
+
+// run posts what is owed until ctx ends.
+func (n *notifier) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.wanted:
+		}
+		for batch, body := n.next(); len(batch) > 0; batch, body = n.next() {
+			if err := n.post(ctx, body); err != nil {
+				slog.Warn("notices not received", "notices", len(batch), "first", batch[0], "err", err)
+				if !sleep(ctx, postAgain) {
+					return
+				}
+				continue
+			}
+			n.mu.Lock()
+			n.owed = n.owed[len(batch):]
+			n.mu.Unlock()
+			n.received(batch)
+		}
+	}
+}
+
+// next gives the ids and the text of the oldest notices owed, as many as a body may hold.
+func (n *notifier) next() (ids []string, body []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, notice := range n.owed {
+		line, err := json.Marshal(notice)
+		if err != nil {
+			panic(err) // two strings and a number always have a form
+		}
+		if len(ids) > 0 && len(body)+len(line)+1 > maxBody {
+			break
+		}
+		ids, body = append(ids, notice.ID), append(append(body, line...), '\n')
+	}
+	return ids, body
+}
+
+// post makes one attempt to hand notices over.
+func (n *notifier) post(ctx context.Context, body []byte) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := n.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxBody))
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("the platform answered %s", resp.Status)
+	}
+	return nil
+}
