--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -236,6 +236,10 @@
 func (l *loop) answered(e answered) {
 	m := l.messages[e.id] // stays as long as a call is out
 	m.cancel = nil
+	if e.outcome != policy.OK {
+		slog.Info("call without delivery", "id", e.id, "dest", m.Dest, "host", e.host, "attempt", e.attempt,
+			"outcome", e.outcome, "took", e.took, "wait", e.wait)
+	}
 	unrun := e.outcome == policy.QueueFull || e.outcome == policy.ConnectError || e.outcome == policy.Ignored
 	if l.journal.Get(m.ID) == m.Entry {
 		l.journal.End(m.Entry, unrun)
@@ -336,6 +340,8 @@
 	if m == nil || m.over {
 		return
 	}
+	slog.Info("undelivered", "id", m.ID, "dest", m.Dest, "class", m.Class, "status", status, "attempts", len(m.Attempts),
+		"taken", m.verdict == nil, "left", time.Until(m.Expires), "after", v.after)
 	if reply := m.verdict; reply != nil {
 		m.verdict = nil
 		l.effects = append(l.effects, func() { reply <- v })
--- a/policy/api.go
+++ b/policy/api.go
@@ -27,6 +27,11 @@
 	Ignored                     // never sent: no slot, no time or no attempts left
 )
 
+var outcomeNames = [...]string{"ok", "failed", "full", "timed out", "no connection", "reset", "canceled", "not sent"}
+
+// String names an outcome for logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Weights says what an endpoint's weight holds.
 type Weights int
 
