Send the messages of one call together, to /inbox/bulk

Cause: the module puts up to 10 messages into a call and counts one slot for it; the relay made a call for each. Those past the slots came back with X-No-Slot and were queued again at once, until their attempts were used up.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -30,15 +33,27 @@
 	mostInterim = 8
 )
 
-// request is one call to a host.
+// request is one call to a host, with one message or with several.
 type request struct {
 	addr    string
-	id, key string
-	body    []byte
+	parcels []parcel
 	timeout time.Duration
 }
 
-// result is how a call ended.
+// parcel is one message of a call, as it goes on the wire where there are several.
+type parcel struct {
+	ID   string `json:"id"`
+	Key  string `json:"key,omitempty"`
+	Body []byte `json:"body"`
+}
+
+// end is what became of one message of a call with several.
+type end struct {
+	ID    string `json:"id"`
+	State string `json:"state"`
+}
+
+// result is how a call ended for a message.
 type result struct {
 	outcome policy.Outcome
 	wait    time.Duration
@@ -75,13 +90,14 @@
 		keep: time.Duration(idleShare * float64(hostIdle))}
 }
 
-// call makes one call. When it returns, the call is off the wire: answered, or its connection closed.
-func (p *pool) call(ctx context.Context, r request) result {
+// call makes one call and tells how it ended for each message. When it returns, the call is off the wire:
+// answered, or its connection closed.
+func (p *pool) call(ctx context.Context, r request) []result {
 	ctx, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	c, err := p.get(ctx, r.addr)
 	if err != nil {
-		return result{outcome: policy.ConnectError}
+		return r.all(result{outcome: policy.ConnectError})
 	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	res, reuse := p.exchange(ctx, c, r)
@@ -94,42 +110,104 @@
 }
 
 // exchange writes a request and reads its answer; reuse tells whether the connection may carry another.
-func (p *pool) exchange(ctx context.Context, c *conn, r request) (res result, reuse bool) {
+func (p *pool) exchange(ctx context.Context, c *conn, r request) (res []result, reuse bool) {
 	deadline, _ := ctx.Deadline()
 	out, err := r.encode(time.Until(deadline))
 	if err != nil {
-		return result{outcome: policy.ConnectError}, false
+		return r.all(result{outcome: policy.ConnectError}), false
 	}
 	if n, _ := c.Write(out); n < len(out) {
-		return result{outcome: policy.ConnectError}, false // the last byte never left: it can't have run
+		return r.all(result{outcome: policy.ConnectError}), false // the last byte never left: it can't have run
 	}
 	resp, err := c.answer()
 	if err != nil {
-		switch ctx.Err() {
-		case nil:
-			return result{outcome: policy.Reset}, false
-		case context.DeadlineExceeded:
-			return result{outcome: policy.TimedOut}, false
+		return r.all(result{outcome: broken(ctx)}), false
+	}
+	switch {
+	case len(r.parcels) == 1 || resp.StatusCode != http.StatusOK:
+		common := classify(resp)
+		if len(r.parcels) > 1 && (resp.StatusCode == http.StatusBadRequest || resp.StatusCode == http.StatusRequestEntityTooLarge) {
+			common.outcome = policy.Ignored // what the host could not take in never ran
+		}
+		res = r.all(common)
+	default:
+		// Only the whole body tells the messages' ends.
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return r.all(result{outcome: broken(ctx)}), false
 		}
-		return result{outcome: policy.Canceled}, false
+		res = r.ends(resp, body)
 	}
-	res = classify(resp)
 	_ = c.SetDeadline(time.Now().Add(drainTime))
 	_, err = io.Copy(io.Discard, resp.Body)
 	reuse = err == nil && !resp.Close && c.in.Buffered() == 0 && c.SetDeadline(time.Time{}) == nil
 	return res, reuse
 }
 
+// broken is the outcome of a call whose last byte was written and whose answer did not come whole.
+func broken(ctx context.Context) policy.Outcome {
+	switch ctx.Err() {
+	case nil:
+		return policy.Reset
+	case context.DeadlineExceeded:
+		return policy.TimedOut
+	}
+	return policy.Canceled
+}
+
+// all gives every message of a call the same end.
+func (r request) all(res result) []result { return slices.Repeat([]result{res}, len(r.parcels)) }
+
+// ends reads the messages' ends from the body of an answer. A message that it does not name, or names with an
+// unknown state, may have run.
+func (r request) ends(resp *http.Response, body []byte) []result {
+	failed := classify(resp)
+	failed.outcome, failed.over = policy.Failed, false
+	res := r.all(failed)
+	var ends []end
+	if err := json.Unmarshal(body, &ends); err != nil {
+		slog.Warn("unreadable answer", "host", r.addr, "messages", len(r.parcels), "err", err)
+		return res
+	}
+	for _, e := range ends {
+		i := slices.IndexFunc(r.parcels, func(p parcel) bool { return p.ID == e.ID })
+		if i < 0 {
+			continue
+		}
+		switch e.State {
+		case "delivered":
+			res[i].outcome, res[i].over = policy.OK, true
+		case "refused":
+			res[i].outcome = policy.QueueFull
+		case "over":
+			res[i].outcome, res[i].over = policy.Ignored, true
+		case "spent":
+			res[i].outcome, res[i].spent = policy.Ignored, true
+		}
+	}
+	return res
+}
+
 // encode writes the request as it goes on the wire.
 func (r request) encode(wait time.Duration) ([]byte, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+r.addr+"/inbox", bytes.NewReader(r.body))
+	path, body := "/inbox", r.parcels[0].Body
+	if len(r.parcels) > 1 {
+		var err error
+		if body, err = json.Marshal(r.parcels); err != nil {
+			return nil, err
+		}
+		path = "/inbox/bulk"
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+r.addr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, err
 	}
 	req.Header.Set("User-Agent", "frostlink")
-	req.Header.Set("Request-Id", r.id)
-	if r.key != "" {
-		req.Header.Set("Idempotency-Key", r.key)
+	if len(r.parcels) == 1 {
+		req.Header.Set("Request-Id", r.parcels[0].ID)
+		if key := r.parcels[0].Key; key != "" {
+			req.Header.Set("Idempotency-Key", key)
+		}
 	}
 	req.Header.Set("Request-Timeout", strconv.FormatFloat(max(wait, time.Millisecond).Seconds(), 'f', 3, 64))
 	var out bytes.Buffer
@@ -152,14 +230,14 @@
 // classify reads an outcome from an answer, as the protocol has them.
 func classify(resp *http.Response) result {
 	res := result{outcome: policy.Failed, report: parseReport(resp.Header.Get("Server-Load"))}
+	if ms, err := strconv.ParseFloat(resp.Header.Get("X-Retry-In-Ms"), 64); err == nil && ms > 0 {
+		res.wait = time.Duration(min(ms, float64(time.Hour.Milliseconds())) * float64(time.Millisecond))
+	}
 	switch resp.StatusCode {
 	case http.StatusOK:
 		res.outcome, res.over = policy.OK, true
 	case http.StatusTooManyRequests:
 		res.outcome = policy.QueueFull
-		if ms, err := strconv.ParseFloat(resp.Header.Get("X-Retry-In-Ms"), 64); err == nil && ms > 0 {
-			res.wait = time.Duration(min(ms, float64(time.Hour.Milliseconds())) * float64(time.Millisecond))
-		}
 	case http.StatusServiceUnavailable:
 		res.outcome = policy.QueueFull
 		if resp.Header.Get("X-No-Slot") == "1" {
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -67,7 +70,7 @@
 func testPool() *pool { return newPool(time.Second, 10*time.Second, 4) }
 
 func testCall(addr string) request {
-	return request{addr: addr, id: "m1", key: "k1", body: []byte("a\x00b"), timeout: long}
+	return request{addr: addr, parcels: []parcel{{ID: "m1", Key: "k1", Body: []byte("a\x00b")}}, timeout: long}
 }
 
 func TestOutcomes(t *testing.T) {
@@ -117,12 +120,68 @@
 		{"no HTTP", readThen(func(c net.Conn) { _, _ = io.WriteString(c, "what?\r\n\r\n") }), result{outcome: policy.Reset}},
 	}
 	for _, tt := range tests {
-		if got := testPool().call(t.Context(), testCall(tt.addr)); got != tt.want {
+		if got := testPool().call(t.Context(), testCall(tt.addr))[0]; got != tt.want {
 			t.Errorf("%s: got %+v, want %+v", tt.name, got, tt.want)
 		}
 	}
 }
 
+// A call with several messages tells each one's end, or one for all.
+func TestBulkOutcomes(t *testing.T) {
+	reply := func(head, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Length: %d\r\n\r\n%s", head, len(body), body)
+	}
+	wait := 250 * time.Millisecond
+	failed := result{outcome: policy.Failed}
+	tests := []struct {
+		name, answer string
+		want         []result
+	}{
+		{"each its end", reply("200 OK\r\nX-Retry-In-Ms: 250", `[{"id":"e","state":"spent"},{"id":"a","state":"delivered"},
+		 {"id":"b","state":"failed"},{"id":"c","state":"refused"},{"id":"d","state":"over"},{"id":"z","state":"delivered"}]`),
+			[]result{{outcome: policy.OK, over: true, wait: wait}, {outcome: policy.Failed, wait: wait},
+				{outcome: policy.QueueFull, wait: wait}, {outcome: policy.Ignored, over: true, wait: wait},
+				{outcome: policy.Ignored, spent: true, wait: wait}}},
+		{"one is missing", reply("200 OK", `[{"id":"a","state":"delivered"},{"id":"b","state":"odd"}]`),
+			[]result{{outcome: policy.OK, over: true}, failed, failed, failed, failed}},
+		{"unreadable", reply("200 OK", `delivered`), slices.Repeat([]result{failed}, 5)},
+		{"cut off", "HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n[{", slices.Repeat([]result{{outcome: policy.Reset}}, 5)},
+		{"error", reply("500 No", ""), slices.Repeat([]result{failed}, 5)},
+		{"told to wait", reply("429 No\r\nX-Retry-In-Ms: 250", ""),
+			slices.Repeat([]result{{outcome: policy.QueueFull, wait: wait}}, 5)},
+		{"too many", reply("413 No", ""), slices.Repeat([]result{{outcome: policy.Ignored}}, 5)},
+		{"not understood", reply("400 No", ""), slices.Repeat([]result{{outcome: policy.Ignored}}, 5)},
+	}
+	for _, tt := range tests {
+		paths, bodies := make(chan string, 1), make(chan []byte, 1)
+		addr := rawHost(t, func(c net.Conn) {
+			r, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				return
+			}
+			body, _ := io.ReadAll(r.Body)
+			paths <- r.URL.Path
+			bodies <- body
+			_, _ = io.WriteString(c, tt.answer)
+		})
+		call := request{addr: addr, timeout: long}
+		for _, id := range []string{"a", "b", "c", "d", "e"} {
+			call.parcels = append(call.parcels, parcel{ID: id, Key: "k" + id, Body: []byte("hello")})
+		}
+		if got := testPool().call(t.Context(), call); !slices.Equal(got, tt.want) {
+			t.Errorf("%s: got %+v, want %+v", tt.name, got, tt.want)
+		}
+		var sent []map[string]string
+		if err := json.Unmarshal(<-bodies, &sent); err != nil || len(sent) != 5 || sent[1]["id"] != "b" ||
+			sent[1]["key"] != "kb" || sent[1]["body"] != "aGVsbG8=" {
+			t.Errorf("%s: sent %v (%v)", tt.name, sent, err)
+		}
+		if path := <-paths; path != "/inbox/bulk" {
+			t.Errorf("%s: path %s", tt.name, path)
+		}
+	}
+}
+
 func TestReport(t *testing.T) {
 	for text, want := range map[string]*policy.Report{
 		"x0=0.4,x1=25": {Left: 0.4, Limit: 25}, "x1=3, x0=0": {Limit: 3}, "": nil, "x0=0.4": nil, "x0=NaN,x1=1": nil,
@@ -188,7 +247,7 @@
 		} else {
 			call.timeout = 50 * time.Millisecond
 		}
-		if got := testPool().call(ctx, call); got.outcome != want {
+		if got := testPool().call(ctx, call)[0]; got.outcome != want {
 			t.Errorf("cancelled %v: outcome %v, want %v", cancelled, got.outcome, want)
 		}
 		select {
@@ -233,7 +292,7 @@
 	step := func(m string, want policy.Outcome, wantConns, wantCalls int32) {
 		t.Helper()
 		mode.Store(m)
-		if got := p.call(t.Context(), testCall(addr)); got.outcome != want {
+		if got := p.call(t.Context(), testCall(addr))[0]; got.outcome != want {
 			t.Errorf("%s: outcome %v, want %v", m, got.outcome, want)
 		}
 		if conns.Load() != wantConns || calls.Load() != wantCalls {
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -74,6 +74,7 @@
 	if c.policy, err = c.Settings.Policy(); err != nil {
 		return err
 	}
+	c.policy.CallSize = maxBody - len("[]")
 	_, err = policy.New(c.policy, c.seed) // its own check of the settings
 	return err
 }
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/base64"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -14,6 +15,9 @@
 // inboxSize events wait for the loop without holding up the goroutines that bring them.
 const inboxSize = 1024
 
+// jsonGrowth is how much longer a byte of an id or a key can become in JSON.
+const jsonGrowth = 6
+
 // The events that goroutines send the loop.
 type (
 	// arrival is a message that a client hands in.
@@ -23,7 +27,9 @@
 	}
 	// departure says that a client left before its message was answered.
 	departure struct{ id string }
-	// answered is the end of a call.
+	// ended is the end of a call, for each of its messages.
+	ended []answered
+	// answered is the end of a call for one message.
 	answered struct {
 		id      string
 		attempt int
@@ -47,7 +53,7 @@
 type message struct {
 	*Entry
 	verdict chan verdict       // until it is answered
-	cancel  context.CancelFunc // of the call out; nil while there is none
+	cancel  context.CancelFunc // ends the wait for the call out; nil while there is none
 	over    bool               // ended, but a call is still out
 }
 
@@ -74,12 +80,14 @@
 	effects  []func()   // of this batch, once its records are written
 }
 
-// send is a call that the module wants made.
+// send is a message of a call that the module wants made.
 type send struct {
 	m       *message
+	call    int
 	attempt int
 	host    Member
 	timeout time.Duration
+	left    time.Duration // until the message is given up
 }
 
 // now is the module's clock: the time since 1970 as of the start, and steady from there on, so that the
@@ -120,7 +128,7 @@
 			continue
 		}
 		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true,
-			Left: l.clock(e.Expires) - l.now()}
+			Left: l.clock(e.Expires) - l.now(), Size: bundled(e)}
 		for _, t := range e.Attempts {
 			// An attempt that was out when the process ended may have run.
 			a.Tried = append(a.Tried, policy.Tried{Endpoint: t.Host, Sent: l.clock(t.Begun), Unrun: t.Ended && t.Unrun})
@@ -182,8 +190,13 @@
 			l.events = append(l.events, policy.Withdrawn{ID: e.id})
 			l.end(m)
 		}
-	case answered:
-		l.answered(e)
+	case ended:
+		for _, a := range e {
+			// A message may have had its end before the call that it was part of.
+			if m := l.messages[a.id]; m != nil && m.cancel != nil && a.attempt == len(m.Attempts)-1 {
+				l.answered(a)
+			}
+		}
 	case told:
 		l.told(e.Members)
 		if e.Whole {
@@ -229,10 +242,15 @@
 	l.messages[m.ID] = m
 	l.fresh = append(l.fresh, m)
 	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest,
-		Left: l.clock(m.Expires) - l.now()})
+		Left: l.clock(m.Expires) - l.now(), Size: bundled(m.Entry)})
+}
+
+// bundled is the room that a message takes up in the body of a call with several.
+func bundled(e *Entry) int {
+	return len(`{"id":"","key":"","body":""},`) + jsonGrowth*(len(e.ID)+len(e.Key)) + base64.StdEncoding.EncodedLen(len(e.Body))
 }
 
-// answered takes in the end of a call.
+// answered takes in the end of a call for a message.
 func (l *loop) answered(e answered) {
 	m := l.messages[e.id] // stays as long as a call is out
 	m.cancel = nil
@@ -386,7 +404,7 @@
 	}
 	h, ok := l.hosts[a.Endpoint]
 	left := l.clock(m.Expires) - now
-	s := send{m: m, attempt: len(m.Attempts), host: h, timeout: left}
+	s := send{m: m, call: a.Call, attempt: len(m.Attempts), host: h, timeout: left, left: left}
 	if a.Timeout > 0 {
 		s.timeout = min(left, a.Timeout)
 	}
@@ -427,12 +445,19 @@
 			reply <- verdict{status: http.StatusAccepted}
 		}
 	}
-	for _, s := range sends {
-		if err != nil {
-			l.unsent(s)
-			continue
+	for i := 0; i < len(sends); {
+		n := i + 1
+		for n < len(sends) && sends[n].call == sends[i].call {
+			n++
+		}
+		if err == nil {
+			l.call(sends[i:n])
+		} else {
+			for _, s := range sends[i:n] {
+				l.unsent(s)
+			}
 		}
-		l.call(s)
+		i = n
 	}
 	for _, m := range fresh {
 		if m.verdict != nil { // not taken on after all
@@ -444,15 +469,44 @@
 	}
 }
 
-// call makes a call in a goroutine of its own.
-func (l *loop) call(s send) {
+// call makes a call in a goroutine of its own. Its messages share its fate, and it is out for as long as any of
+// them is waited for; one whose time is up before that ends alone.
+func (l *loop) call(sends []send) {
 	ctx, cancel := context.WithCancel(l.calls)
-	s.m.cancel = cancel
-	r := request{addr: s.host.Dial, id: s.m.ID, key: s.m.Key, body: s.m.Body, timeout: s.timeout}
+	r := request{addr: sends[0].host.Dial}
+	end := func(s send, took time.Duration, res result) answered {
+		return answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: took, result: res}
+	}
+	waiting := len(sends)
+	for _, s := range sends {
+		r.parcels = append(r.parcels, parcel{ID: s.m.ID, Key: s.m.Key, Body: s.m.Body})
+		r.timeout = max(r.timeout, s.timeout)
+		called := false
+		s.m.cancel = func() {
+			if !called {
+				called = true
+				if waiting--; waiting == 0 {
+					cancel()
+				}
+			}
+		}
+	}
 	go func() {
 		defer cancel()
 		begun := time.Now()
-		res := l.pool.call(ctx, r)
-		l.put(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: time.Since(begun), result: res})
+		for _, s := range sends {
+			if s.left < r.timeout {
+				over := time.AfterFunc(s.left, func() {
+					l.put(ended{end(s, time.Since(begun), result{outcome: policy.TimedOut})})
+				})
+				defer over.Stop()
+			}
+		}
+		results := l.pool.call(ctx, r)
+		all := make(ended, len(sends))
+		for i, s := range sends {
+			all[i] = end(s, time.Since(begun), results[i])
+		}
+		l.put(all)
 	}()
 }
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -42,7 +42,7 @@
 }
 
 // testSettings has a class of each effect; memory is that of the keyed one, in seconds.
-func testSettings(memory float64) string {
+func testSettings(memory float64, bundle int) string {
 	return fmt.Sprintf(`{"az":0,"categories":[
 	 {"name":"status","aim_s":2,"deadline_s":30,"idempotency":"retryable","group":"all","points":1},
 	 {"name":"payment","aim_s":2,"deadline_s":30,"idempotency":"dedup","group":"all","memory_span_s":%v,"points":2},
@@ -50,8 +50,8 @@
 	 "discovery":"subscribe","limits":{"cancel":true,"conn_idle_s":10,"connect_timeout_s":1,"max_attempts":12,
 	 "max_open":50,"max_retry_after_s":3,"retry_after":true},"localities":["a"],"n_instances":1,"quantum_s":0.002,
 	 "rules":{"cold_share":0.2,"overload_factor":2.5,"overload_for_s":1.5,"ramp_time_s":10},"shapes":["m2"],
-	 "specifics":{"bundle_max":[1],"loses_worth":"linear","max_calls":8,"separate_routes":[false]},
-	 "tenants":[{"name":"acme"}],"weights":"nominal"}`, memory)
+	 "specifics":{"bundle_max":[%v],"loses_worth":"linear","max_calls":8,"separate_routes":[false]},
+	 "tenants":[{"name":"acme"}],"weights":"nominal"}`, memory, bundle)
 }
 
 // platform stands for what a relay has round it: discovery, the hosts of destination 7, and its disk.
@@ -61,6 +61,7 @@
 	addr      string // the relay's
 	dir       string
 	memory    float64
+	bundle    int  // messages in a call at most
 	unknown   bool // the configuration lists no host
 	down      bool // watches fail
 
@@ -78,7 +79,7 @@
 
 func newPlatform(t *testing.T) *platform {
 	t.Helper()
-	p := &platform{t: t, dir: t.TempDir(), memory: 15, began: make(chan string, 1000), lines: make(chan string, 10),
+	p := &platform{t: t, dir: t.TempDir(), memory: 15, bundle: 1, began: make(chan string, 1000), lines: make(chan string, 10),
 		released: make(chan bool), answer: func(*http.Request) int { return http.StatusOK }}
 	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
 	t.Cleanup(func() {
@@ -111,8 +112,17 @@
 }
 
 func (p *platform) serveHost(w http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body)
 	id := r.Header.Get("Request-Id")
+	var ends []end
+	if r.URL.Path == "/inbox/bulk" {
+		var parcels []parcel
+		_ = json.Unmarshal(body, &parcels)
+		for _, m := range parcels {
+			id += m.ID + " "
+			ends = append(ends, end{ID: m.ID, State: "delivered"})
+		}
+	}
 	p.mu.Lock()
 	p.calls = append(p.calls, id)
 	answer := p.answer
@@ -127,6 +137,9 @@
 		return
 	}
 	w.WriteHeader(status)
+	if ends != nil {
+		_ = json.NewEncoder(w).Encode(ends)
+	}
 }
 
 func (p *platform) serveDiscovery(w http.ResponseWriter, r *http.Request) {
@@ -193,7 +206,7 @@
 	}
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 	 "limits":{"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":3},"known":%s,"settings":%s}`,
-		p.addr, strings.TrimPrefix(p.discovery.URL, "http://"), known, testSettings(p.memory))
+		p.addr, strings.TrimPrefix(p.discovery.URL, "http://"), known, testSettings(p.memory, p.bundle))
 	path := filepath.Join(p.t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -396,3 +396,57 @@
 	p := newPlatform(t)
 	return p.addr
 }
+
+// leave notes messages in the journal as an earlier process would have.
+func leave(t *testing.T, p *platform, ids ...string) {
+	t.Helper()
+	j := openJournal(t, p.dir, 3)
+	for _, id := range ids {
+		j.Take(&Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute), Body: []byte(id)})
+	}
+	commit(t, j)
+}
+
+// Messages that wait for one host travel in calls of as many as its kind takes: a call for each would need slots
+// that the relay does not have.
+func TestMessagesTravelTogether(t *testing.T) {
+	p := newPlatform(t)
+	p.bundle = 3
+	p.addHost("h1", 7)
+	leave(t, p, "a", "b", "c", "d")
+	p.start()
+	if got := []string{p.called(), p.called()}; !slices.Contains(got, "a b c ") || !slices.Contains(got, "d") {
+		t.Errorf("calls %q", got)
+	}
+	p.until("nothing is left in the journal", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	if n := p.told(); len(n) != 0 {
+		t.Errorf("notices for delivered messages: %v", n)
+	}
+}
+
+// A message of a call whose time is up ends alone; the call stays out for the others.
+func TestExpiryInACall(t *testing.T) {
+	p := newPlatform(t)
+	p.bundle = 3
+	p.addHost("h1", 7)
+	answer := make(chan bool)
+	p.answer = func(*http.Request) int {
+		<-answer
+		return http.StatusOK
+	}
+	j := openJournal(t, p.dir, 3)
+	for id, left := range map[string]time.Duration{"short": time.Second, "other": time.Minute} {
+		j.Take(&Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(left)})
+	}
+	commit(t, j)
+	p.start()
+	p.until("the short one's notice is received", func() bool { return len(p.told()) == 1 })
+	close(answer)
+	p.until("nothing is left in the journal", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	if n := p.told(); len(n) != 1 || n[0].ID != "short" {
+		t.Errorf("notices %v", n)
+	}
+	if c := p.sent(); len(c) != 1 {
+		t.Errorf("calls %v", c)
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -71,6 +71,7 @@
 	ZoneFee        []float64 // by zone: points of the result for all messages sent by such routes
 	Slots          int       // calls out at once
 	HoldRoom       int       // messages held, sent or not
+	CallSize       int       // bytes that a call with several messages holds at most; 0 for any number
 	MaxAttempts    int
 	SecondCopies   bool // two attempts of a message may be out at once
 	CanCancel      bool
@@ -121,6 +122,7 @@
 		Class       int
 		Destination int
 		Left        time.Duration // until it is given up
+		Size        int           // bytes that it takes up in a call with others
 		Key         string        // of ordered classes, or empty
 		// Resumed says that an earlier process of this relay took the message on: it is not up for
 		// admission again. Tried are that process's attempts, which count as this one's.
@@ -170,11 +172,13 @@
 
 // The actions.
 type (
-	// Send starts the next attempt of a message; Timeout 0 leaves it out until the deadline.
+	// Send starts the next attempt of a message; Timeout 0 leaves it out until the deadline. Messages sent
+	// with the same Call travel together.
 	Send struct {
 		ID       string
 		Endpoint string
 		Timeout  time.Duration
+		Call     int
 	}
 	// Refuse ends a message undelivered; the client may safely come again.
 	Refuse struct {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -484,9 +484,9 @@
 
 // send starts a call with a message and, where the kind allows it, others of the queue.
 func (d *Dispatcher) send(q *queue, ep *endpoint, first *message) {
-	c := &call{ep: ep, sent: d.now}
 	d.turn++
 	q.served = d.turn
+	c := &call{ep: ep, no: d.turn, sent: d.now}
 	d.out++
 	d.wake(q)
 	q.out, ep.out = append(q.out, c), append(ep.out, c)
@@ -499,7 +499,7 @@
 	d.attempt(first, c)
 	for i := 0; i < len(q.held) && c.open < q.bundle && !ep.sick; {
 		m := q.held[i]
-		if d.sendable(m) && d.repeatable(m, ep) {
+		if d.sendable(m) && d.repeatable(m, ep) && (d.s.CallSize == 0 || c.size+m.Size <= d.s.CallSize) {
 			d.attempt(m, c)
 			continue
 		}
@@ -513,8 +513,9 @@
 	m.attempts = append(m.attempts, attempt{call: c, sent: d.now, open: true})
 	m.open++
 	c.open++
+	c.size += m.Size
 	c.msgs = append(c.msgs, m)
-	d.act(Send{ID: m.ID, Endpoint: c.ep.ID, Timeout: d.timeout(m, c)})
+	d.act(Send{ID: m.ID, Endpoint: c.ep.ID, Timeout: d.timeout(m, c), Call: c.no})
 }
 
 // timeout is how long an answer is waited for; an unsafe message waits to its end, since after a
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -61,6 +63,27 @@
 	}
 }
 
+// Messages of one call are marked as such, and a call holds no more than its number and its size allow.
+func TestMessagesOfACall(t *testing.T) {
+	s := plain()
+	s.CallSize = 100
+	d := start(t, s, Endpoint{ID: "a", Kind: 1})
+	var events []Event
+	for i, size := range []int{30, 30, 30, 30, 90} {
+		events = append(events, Arrived{ID: fmt.Sprint(i), Left: 10 * time.Second, Size: size})
+	}
+	calls := map[int]string{}
+	for _, a := range d.Handle(ms, events) {
+		if a, ok := a.(Send); ok {
+			calls[a.Call] += a.ID
+		}
+	}
+	got := slices.Sorted(maps.Values(calls))
+	if want := []string{"012", "3"}; !slices.Equal(got, want) {
+		t.Errorf("calls %q, want %q", got, want)
+	}
+}
+
 func TestRefusing(t *testing.T) {
 	tests := []struct {
 		name         string
--- a/policy/state.go
+++ b/policy/state.go
@@ -133,8 +133,10 @@
 // call is one call out: one message, or a bundle.
 type call struct {
 	ep       *endpoint
+	no       int
 	sent     time.Duration
 	open     int // messages without an outcome
+	size     int // of its messages
 	msgs     []*message
 	canceled bool // to take its slot back
 }
