Refuse chunked and odd requests, close malformed and silent peers within 3 s

Cause: a request with both Content-Length and chunks was read as two, and the one inside was taken on; time-outs of 23 digits were taken as numbers; a silent peer was closed after 5 s, and a malformed one not.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"math"
 	"net"
 	"net/http"
 	"regexp"
@@ -25,9 +24,10 @@
 	maxBody = 64 << 10
 	// maxName bounds an id or a key that a client sends.
 	maxName = 256
-	// maxHead bounds a request's head, and readTime the time to read a request: clients send at once.
+	// maxHead bounds a request's head, and readTime the time to read a request: clients send at once, and a peer
+	// that sends nothing or no proper request is owed a close or an error within 3 s.
 	maxHead  = 16 << 10
-	readTime = 5 * time.Second
+	readTime = 2500 * time.Millisecond
 	// idleTime is how long a client may keep a connection without a request.
 	idleTime = 2 * time.Minute
 	// clientShare of the descriptors is for clients' connections; hosts' get hostShare.
@@ -37,6 +37,9 @@
 // envelope finds the destination in the X-Envelope header.
 var envelope = regexp.MustCompile(`(?:^|[,;\s])dest=(\d{1,9})(?:$|[,;\s])`)
 
+// seconds is the form of a time-out.
+var seconds = regexp.MustCompile(`^\d{1,9}(?:\.\d+)?$`)
+
 // verdict is the answer to a message that was handed in.
 type verdict struct {
 	status int
@@ -104,6 +107,8 @@
 	a, status, err := s.parse(w, r)
 	if err != nil {
 		slog.Debug("request rejected", "err", err)
+		// Where one request ended and the next began may be in doubt as well.
+		w.Header().Set("Connection", "close")
 		s.finish(w, verdict{status: status})
 		return
 	}
@@ -128,6 +133,11 @@
 	if t := r.Header.Get("Tenant"); len(s.tenants) > 0 && !s.tenants[t] {
 		return nil, http.StatusBadRequest, fmt.Errorf("unknown tenant %q", t)
 	}
+	if len(r.TransferEncoding) > 0 {
+		// net/http hides a Content-Length that contradicts the chunks, and what follows them may then be a body
+		// made to look like a further request.
+		return nil, http.StatusLengthRequired, errors.New("no plain Content-Length")
+	}
 	id, key := r.Header.Get("Request-Id"), r.Header.Get("Idempotency-Key")
 	if id == "" || len(id) > maxName || len(key) > maxName {
 		return nil, http.StatusBadRequest, errors.New("no id, or an id or key too long")
@@ -144,7 +154,7 @@
 		return nil, http.StatusBadRequest, fmt.Errorf("destination: %w", err)
 	}
 	left, err := strconv.ParseFloat(r.Header.Get("Request-Timeout"), 64)
-	if err != nil || !(left > 0) || math.IsInf(left, 0) {
+	if err != nil || !(left > 0) || !seconds.MatchString(r.Header.Get("Request-Timeout")) {
 		return nil, http.StatusBadRequest, fmt.Errorf("time-out %q", r.Header.Get("Request-Timeout"))
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
