Close idle client connections after 2 s, so that hoarders do not fill the limit

Cause: connections without a request could stand for two minutes; peers that open many filled the 192 that the relay accepts, and all others waited unaccepted.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -468,6 +468,7 @@
 		{"two requests, the first malformed", strings.Replace(inner, "dest=7", "dest=", 1) + inner, "HTTP/1.1 400 "},
 		{"nothing", "", ""},
 		{"half a head", inner[:60], ""},
+		{"idle after a request", "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP/1.1 200 "},
 	}
 	var conns []net.Conn
 	for _, tt := range tests {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -28,8 +28,9 @@
 	// that sends nothing or no proper request is owed a close or an error within 3 s.
 	maxHead  = 16 << 10
 	readTime = 2500 * time.Millisecond
-	// idleTime is how long a client may keep a connection without a request.
-	idleTime = 2 * time.Minute
+	// idleTime is how long a client may keep a connection without a request: as short as the platform allows, so
+	// that peers that open connections and leave them idle do not take those of clients.
+	idleTime = 2 * time.Second
 	// clientShare of the descriptors is for clients' connections; hosts' get hostShare.
 	clientShare, hostShare = 0.5, 0.25
 )
