Move to discovery's new address on SIGHUP instead of dying

Cause: SIGHUP was not handled, so a reload ended the process, and neither the watch nor the notices could change their address.

--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -30,6 +30,8 @@
 }
 
 func run(config, state string) error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP) // first of all: unhandled it ends the process
 	if state == "" {
 		return fmt.Errorf("no folder for the journal: set NODE_STATE or -state")
 	}
@@ -41,5 +43,5 @@
 	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return relay.Run(ctx, cfg, state)
+	return relay.Run(ctx, cfg, state, relay.Reloads(ctx, config, hup))
 }
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -3,9 +3,11 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"strconv"
 
@@ -51,6 +53,32 @@
 	return c, nil
 }
 
+// Reloads reads the configuration file again for each signal, and gives the address of discovery that it then
+// names. A file that can't be used changes nothing.
+func Reloads(ctx context.Context, path string, signals <-chan os.Signal) <-chan string {
+	addresses := make(chan string)
+	go func() {
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-signals:
+			}
+			c, err := ReadConfig(path)
+			if err != nil {
+				slog.Error("configuration not reloaded", "err", err)
+				continue
+			}
+			select {
+			case <-ctx.Done():
+				return
+			case addresses <- c.Discovery:
+			}
+		}
+	}()
+	return addresses
+}
+
 func (c *Config) check() error {
 	switch {
 	case c.Listen == "":
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -12,6 +12,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"mallowlead/internal/settings"
@@ -67,18 +68,45 @@
 // watcher keeps a watch on discovery's list. It starts one each time that it is asked, and reports when it
 // ends; whether and when to ask again is the module's decision, a back-off while discovery is down ours.
 type watcher struct {
-	base    string
 	client  *http.Client
 	silence time.Duration // watchSilence, but in tests
 	asked   chan struct{}
 	seq     int64 // of the list as it stands; set before run
 	told    func(Members)
 	failed  func()
+
+	mu    sync.Mutex
+	base  string
+	moved context.CancelCauseFunc // ends the watch that is on; nil for none
 }
 
+// errMoved is why a watch ends when discovery has another address.
+var errMoved = errors.New("discovery has moved")
+
 func newWatcher(discovery string, told func(Members), failed func()) *watcher {
-	return &watcher{base: "http://" + discovery + "/catalog/members", told: told, failed: failed, silence: watchSilence,
+	w := &watcher{told: told, failed: failed, silence: watchSilence,
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1)}
+	w.redirect(discovery)
+	return w
+}
+
+// redirect has the list watched at another address of discovery: a watch that is on, or a wait for the next one,
+// ends, and a new watch begins at once.
+func (w *watcher) redirect(discovery string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.base = "http://" + discovery + "/catalog/members"
+	if w.moved != nil {
+		w.moved(errMoved)
+	}
+}
+
+// begin gives the address to watch, and a context that ends when discovery moves.
+func (w *watcher) begin(ctx context.Context) (context.Context, string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	ctx, w.moved = context.WithCancelCause(ctx)
+	return ctx, w.base
 }
 
 // ask wants a watch; it never blocks.
@@ -98,13 +126,21 @@
 			return
 		case <-w.asked:
 		}
-		if !sleep(ctx, backOff) {
-			return
+		here, base := w.begin(ctx)
+		var lines int
+		var err error
+		if sleep(here, backOff) {
+			lines, err = w.watch(here, base)
 		}
-		lines, err := w.watch(ctx)
 		if ctx.Err() != nil {
 			return
 		}
+		if context.Cause(here) == errMoved {
+			backOff = 0
+			w.ask()
+			continue
+		}
+		w.moved(nil)
 		slog.Warn("watch ended", "lines", lines, "err", err)
 		if backOff = min(askAgainMost, 2*backOff+askAgain); lines > 0 {
 			backOff = 0
@@ -114,14 +150,14 @@
 }
 
 // watch follows one watch to its end and returns how many lists it brought.
-func (w *watcher) watch(ctx context.Context) (lines int, err error) {
+func (w *watcher) watch(ctx context.Context, base string) (lines int, err error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// Guards against a watch that has gone silent: a cut link ends no connection.
 	dead := time.AfterFunc(w.silence, cancel)
 	defer dead.Stop()
 	query := url.Values{"stream": {"1"}, "index": {strconv.FormatInt(w.seq, 10)}}
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, w.base+"?"+query.Encode(), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"?"+query.Encode(), nil)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -5,7 +5,9 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -168,3 +170,49 @@
 		t.Errorf("then after %v", gap)
 	}
 }
+
+// A reload moves the watch and the notices to the new address, and what is held stays.
+func TestReload(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	c := p.start()
+	next := newPlatform(t)
+	next.addr = p.addr
+	fresh := next.addHost("h2", 8)
+	text, err := os.ReadFile(next.config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	reload := func(text []byte) {
+		t.Helper()
+		if err := os.WriteFile(c.config, text, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := c.Process.Signal(syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	reload([]byte("{")) // changes nothing
+	p.take("status", "a", "20")
+	p.called()
+	reload(text)
+	p.until("the new list is in force", func() bool {
+		list := readJournal(t, p.dir).Listed()
+		return list != nil && len(list.Hosts) == 1 && list.Hosts[0].Host == fresh.Host
+	})
+	next.answer = func(*http.Request) int { return 0 }
+	r := p.handIn("order", "b", "0.4", func(r *http.Request) { r.Header.Set("X-Envelope", "dest=8") })
+	if r.StatusCode != http.StatusAccepted {
+		t.Errorf("b: %s", r.Status)
+	}
+	p.until("the notice comes to the new address", func() bool { return len(next.told()) == 1 })
+	if n := p.told(); len(n) != 0 {
+		t.Errorf("notices at the old address: %v", n)
+	}
+	if err := c.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := receive(t, c.exited); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+}
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -35,19 +35,28 @@
 
 // notifier posts notices to the platform until it has them.
 type notifier struct {
-	url      string
 	client   *http.Client
 	received func(ids []string)
 	wanted   chan struct{} // something is owed
 
 	mu   sync.Mutex
+	url  string
 	owed []Notice
 }
 
 // newNotifier posts to discovery's address, and reports what arrived there to received.
 func newNotifier(discovery string, received func(ids []string)) *notifier {
-	return &notifier{url: "http://" + discovery + "/v1/outcomes", received: received, wanted: make(chan struct{}, 1),
+	n := &notifier{received: received, wanted: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: postTime}}
+	n.redirect(discovery)
+	return n
+}
+
+// redirect has notices posted to another address of discovery from now on.
+func (n *notifier) redirect(discovery string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.url = "http://" + discovery + "/v1/outcomes"
 }
 
 // owe wants a notice posted; it never blocks, since run may be waiting for the caller.
@@ -104,7 +113,10 @@
 
 // post makes one attempt to hand notices over.
 func (n *notifier) post(ctx context.Context, body []byte) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.url, bytes.NewReader(body))
+	n.mu.Lock()
+	url := n.url
+	n.mu.Unlock()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -33,7 +33,9 @@
 	if err == nil {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 		defer stop()
-		err = Run(ctx, cfg, os.Getenv(childState))
+		hup := make(chan os.Signal, 1)
+		signal.Notify(hup, syscall.SIGHUP)
+		err = Run(ctx, cfg, os.Getenv(childState), Reloads(ctx, path, hup))
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -218,13 +220,14 @@
 type child struct {
 	*exec.Cmd
 	exited chan error
+	config string
 }
 
 // start starts a relay and waits until it is ready.
 func (p *platform) start() *child {
 	p.t.Helper()
-	c := &child{Cmd: exec.Command(os.Args[0]), exited: make(chan error, 1)}
-	c.Env = append(os.Environ(), childConfig+"="+p.config(), childState+"="+p.dir)
+	c := &child{Cmd: exec.Command(os.Args[0]), exited: make(chan error, 1), config: p.config()}
+	c.Env = append(os.Environ(), childConfig+"="+c.config, childState+"="+p.dir)
 	c.Stderr = &bytes.Buffer{}
 	if err := c.Start(); err != nil {
 		p.t.Fatal(err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -24,8 +24,9 @@
 )
 
 // Run runs a relay until ctx ends, and then brings it to an orderly end: it goes on serving for as long as
-// clients may still come, and leaves what is not delivered by then to the journal in dir.
-func Run(ctx context.Context, cfg *Config, dir string) error {
+// clients may still come, and leaves what is not delivered by then to the journal in dir. Each address that
+// comes on discovery takes the place of the one in cfg.
+func Run(ctx context.Context, cfg *Config, dir string, discovery <-chan string) error {
 	d, err := policy.New(cfg.policy, cfg.seed)
 	if err != nil {
 		return err
@@ -59,10 +60,18 @@
 	served := make(chan error, 1)
 	go func() { served <- srv.http.Serve(listener) }()
 
-	select {
-	case err = <-served:
-	case <-ctx.Done():
-		l.drain(srv, func() { _ = listener.Close() })
+	for running := true; running; {
+		select {
+		case err = <-served:
+			running = false
+		case address := <-discovery:
+			slog.Info("discovery moved", "address", address)
+			l.watch.redirect(address)
+			l.notices.redirect(address)
+		case <-ctx.Done():
+			l.drain(srv, func() { _ = listener.Close() })
+			running = false
+		}
 	}
 	stop()
 	work.Wait()
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -386,7 +386,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := Run(t.Context(), cfg, p.dir); err == nil || !strings.Contains(err.Error(), "listen") {
+	if err := Run(t.Context(), cfg, p.dir, nil); err == nil || !strings.Contains(err.Error(), "listen") {
 		t.Errorf("error %v", err)
 	}
 	if e := readEntries(t, p.dir); len(e) != 1 || len(e[0].Attempts) != 0 {
