Watch discovery in automatic mode too

Cause: the relay starts a watch when the module asks for one, and where the settings say that changes come unasked the module never does. No change of the list was ever told.

--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -102,6 +102,8 @@
 	if c.policy, err = c.Settings.Policy(); err != nil {
 		return err
 	}
+	// In the simulator some deployments are told of changes unasked; on sockets they come to a watch alone.
+	c.policy.Subscribe = true
 	c.policy.CallSize = maxBody - len("[]")
 	_, err = policy.New(c.policy, c.seed) // its own check of the settings
 	return err
--- a/internal/relay/config_test.go
+++ b/internal/relay/config_test.go
@@ -9,7 +9,7 @@
 
 func TestConfig(t *testing.T) {
 	good := `{"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964","limits":
-	 {"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":3},"settings":` + testSettings(15, 1) + `}`
+	 {"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":3},"settings":` + testSettings(15, 1, "subscribe") + `}`
 	tests := []struct{ name, old, new, want string }{
 		{"as it should be", "", "", ""},
 		{"no JSON", `{"name"`, `["name"`, "invalid"},
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -22,9 +22,17 @@
 	return string(line)
 }
 
-// A host that drains gets nothing new, and one that is not of a destination nothing at all.
+// A host that drains gets nothing new, and one that is not of a destination nothing at all. That holds as well
+// where the settings say that changes come unasked.
 func TestDrainedHost(t *testing.T) {
+	for _, mode := range []string{"subscribe", "automatic"} {
+		t.Run(mode, func(t *testing.T) { testDrainedHost(t, mode) })
+	}
+}
+
+func testDrainedHost(t *testing.T, mode string) {
 	p := newPlatform(t)
+	p.mode = mode
 	old := p.addHost("h1", 7)
 	p.start()
 	p.take("status", "a", "20")
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -274,6 +274,9 @@
 	named := map[string]bool{}
 	var recalled []policy.Event
 	for _, h := range m.Hosts {
+		if !m.Whole {
+			slog.Info("told", "seq", m.Seq, "host", h.Host, "dest", h.Block, "health", h.Health, "dial", h.Dial)
+		}
 		named[h.Host] = true
 		old, had := l.hosts[h.Host]
 		if had && (old.Dial != h.Dial || h.Health == deleted) {
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -44,16 +44,16 @@
 }
 
 // testSettings has a class of each effect; memory is that of the keyed one, in seconds.
-func testSettings(memory float64, bundle int) string {
+func testSettings(memory float64, bundle int, discovery string) string {
 	return fmt.Sprintf(`{"az":0,"categories":[
 	 {"name":"status","aim_s":2,"deadline_s":30,"idempotency":"retryable","group":"all","points":1},
 	 {"name":"payment","aim_s":2,"deadline_s":30,"idempotency":"dedup","group":"all","memory_span_s":%v,"points":2},
 	 {"name":"order","aim_s":2,"deadline_s":30,"idempotency":"fragile","group":"all","points":1}],
-	 "discovery":"subscribe","limits":{"cancel":true,"conn_idle_s":10,"connect_timeout_s":1,"max_attempts":12,
+	 "discovery":%q,"limits":{"cancel":true,"conn_idle_s":10,"connect_timeout_s":1,"max_attempts":12,
 	 "max_open":50,"max_retry_after_s":3,"retry_after":true},"localities":["a"],"n_instances":1,"quantum_s":0.002,
 	 "rules":{"cold_share":0.2,"overload_factor":2.5,"overload_for_s":1.5,"ramp_time_s":10},"shapes":["m2"],
 	 "specifics":{"bundle_max":[%v],"loses_worth":"linear","max_calls":8,"separate_routes":[false]},
-	 "tenants":[{"name":"acme"}],"weights":"nominal"}`, memory, bundle)
+	 "tenants":[{"name":"acme"}],"weights":"nominal"}`, memory, discovery, bundle)
 }
 
 // platform stands for what a relay has round it: discovery, the hosts of destination 7, and its disk.
@@ -63,9 +63,10 @@
 	addr      string // the relay's
 	dir       string
 	memory    float64
-	bundle    int  // messages in a call at most
-	unknown   bool // the configuration lists no host
-	down      bool // watches fail
+	bundle    int    // messages in a call at most
+	mode      string // of discovery, in the settings
+	unknown   bool   // the configuration lists no host
+	down      bool   // watches fail
 
 	mu      sync.Mutex
 	hosts   []Member
@@ -81,7 +82,7 @@
 
 func newPlatform(t *testing.T) *platform {
 	t.Helper()
-	p := &platform{t: t, dir: t.TempDir(), memory: 15, bundle: 1, began: make(chan string, 1000), lines: make(chan string, 10),
+	p := &platform{t: t, dir: t.TempDir(), memory: 15, bundle: 1, mode: "subscribe", began: make(chan string, 1000), lines: make(chan string, 10),
 		released: make(chan bool), answer: func(*http.Request) int { return http.StatusOK }}
 	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
 	t.Cleanup(func() {
@@ -208,7 +209,7 @@
 	}
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 	 "limits":{"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":3},"known":%s,"settings":%s}`,
-		p.addr, strings.TrimPrefix(p.discovery.URL, "http://"), known, testSettings(p.memory, p.bundle))
+		p.addr, strings.TrimPrefix(p.discovery.URL, "http://"), known, testSettings(p.memory, p.bundle, p.mode))
 	path := filepath.Join(p.t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
