Count the calls that held messages travel in, not a call for each, in the backlog

Cause: the backlog and the time between messages took a call's latency for each message held, though up to ten travel in one call to a bundling destination; its messages were refused with seconds to spare.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -168,9 +168,12 @@
 	return age
 }
 
+// calls is how many calls n messages of a queue travel in.
+func (q *queue) calls(n int) float64 { return float64(n) / float64(q.bundle) }
+
 // pitch is the time between messages that a queue sends one after another.
 func (q *queue) pitch() float64 {
-	pitch := q.mean / math.Max(1, float64(len(q.out)))
+	pitch := q.calls(1) * q.mean / math.Max(1, float64(len(q.out)))
 	if q.pace > 0 {
 		pitch = math.Max(pitch, 1/(q.pace*float64(q.bundle)))
 	}
@@ -186,10 +189,10 @@
 	return net > 0 && held && u > 0 && (net*(u+x-τ) >= 1 || x >= τ+1/net)
 }
 
-// backlog is u: messages held ahead × mean latency ÷ calls out, and at least what a wait, a pace or a
-// ramp implies; zero with a slot free and nothing held.
+// backlog is u: the calls that the messages held ahead travel in × mean latency ÷ calls out, and at least what
+// a wait, a pace or a ramp implies; zero with a slot free and nothing held.
 func (d *Dispatcher) backlog(q *queue) float64 {
-	u := float64(len(q.held)) * d.latency(q) / math.Max(1, float64(len(q.out)))
+	u := q.calls(len(q.held)) * d.latency(q) / math.Max(1, float64(len(q.out)))
 	return math.Max(u, d.opens(q, len(q.held)))
 }
 
@@ -220,7 +223,7 @@
 // waits, pace and health tell.
 func (d *Dispatcher) opens(q *queue, n int) float64 {
 	wait := math.Max(0, (max(q.waitUntil, q.holdUntil) - d.now).Seconds())
-	calls := float64(n) / float64(q.bundle)
+	calls := q.calls(n)
 	if q.pace > 0 {
 		wait = math.Max(wait, (calls+1-d.tokens(q))/q.pace)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -84,6 +84,26 @@
 	}
 }
 
+// Held messages that travel together take the time of their calls, not a call's time each.
+func TestBacklogCountsCalls(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a", Kind: 1})
+	d.Handle(ms, []Event{arrive("first", 0)})
+	d.Handle(time.Second, []Event{Ended{ID: "first", Endpoint: "a", Outcome: OK, Took: time.Second, Over: true}})
+	d.Handle(2*time.Second, []Event{arrive("refused", 0)})
+	d.Handle(2100*ms, []Event{Ended{ID: "refused", Endpoint: "a", Outcome: QueueFull, Wait: time.Second, Took: 100 * ms}})
+	var events []Event
+	for i := range 14 { // 15 held are three calls of a second
+		events = append(events, arrive(fmt.Sprint("m", i), 0))
+	}
+	expect(t, "three calls ahead in ten seconds", d.Handle(2200*ms, events), "")
+	for i := range 100 {
+		events = append(events, arrive(fmt.Sprint("n", i), 0))
+	}
+	if got := said(d.Handle(2300*ms, events)); !strings.Contains(got, "refuse") {
+		t.Error("twenty calls ahead in ten seconds: nothing refused")
+	}
+}
+
 func TestRefusing(t *testing.T) {
 	tests := []struct {
 		name         string
