--- a/policy/policy.go
+++ b/policy/policy.go
@@ -189,7 +189,7 @@
 	return net > 0 && held && u > 0 && (net*(u+x-τ) >= 1 || x >= τ+1/net)
 }
 
-// backlog is u: the calls that the messages held ahead travel in × mean latency ÷ calls out, and at least what
+// backlog is u: calls that the messages held ahead travel in × mean latency ÷ calls out, and at least what
 // a wait, a pace or a ramp implies; zero with a slot free and nothing held.
 func (d *Dispatcher) backlog(q *queue) float64 {
 	u := q.calls(len(q.held)) * d.latency(q) / math.Max(1, float64(len(q.out)))
