Let only the one who handed a message in withdraw it by leaving

Cause: a peer that handed in the id of a message already taken on, and left before its answer, withdrew that message; and a copy of an undecided message was told 202 at once, whatever was decided then. The new log line names each withdrawal.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -26,7 +26,7 @@
 		verdict chan verdict // room for one
 	}
 	// departure says that a client left before its message was answered.
-	departure struct{ id string }
+	departure struct{ arrival *arrival }
 	// ended is the end of a call, for each of its messages.
 	ended []answered
 	// answered is the end of a call for one message.
@@ -52,7 +52,8 @@
 // message is what the loop holds of a message taken on.
 type message struct {
 	*Entry
-	verdict chan verdict       // until it is answered
+	replies []chan verdict     // of those that handed it in, until they are answered
+	copied  bool               // a further copy of it was answered 202
 	cancel  context.CancelFunc // ends the wait for the call out; nil while there is none
 	over    bool               // ended, but a call is still out
 }
@@ -186,10 +187,7 @@
 	case *arrival:
 		l.arrive(e)
 	case departure:
-		if m := l.messages[e.id]; m != nil && !m.over {
-			l.events = append(l.events, policy.Withdrawn{ID: e.id})
-			l.end(m)
-		}
+		l.departed(e.arrival)
 	case ended:
 		for _, a := range e {
 			// A message may have had its end before the call that it was part of.
@@ -225,10 +223,15 @@
 // arrive takes in a message that is handed in.
 func (l *loop) arrive(a *arrival) {
 	if m := l.messages[a.entry.ID]; m != nil {
-		// The same message once more, as after a connection that broke: it is ours already, unless it is over.
-		if m.over {
+		// The same message once more, as after a connection that broke: it is ours already, unless it is over or
+		// still undecided.
+		switch {
+		case m.over:
 			a.verdict <- verdict{status: http.StatusServiceUnavailable}
-		} else {
+		case m.replies != nil:
+			m.replies = append(m.replies, a.verdict)
+		default:
+			m.copied = true
 			a.verdict <- verdict{status: http.StatusAccepted}
 		}
 		return
@@ -238,13 +241,25 @@
 		a.verdict <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
 		return
 	}
-	m := &message{Entry: a.entry, verdict: a.verdict}
+	m := &message{Entry: a.entry, replies: []chan verdict{a.verdict}}
 	l.messages[m.ID] = m
 	l.fresh = append(l.fresh, m)
 	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest,
 		Left: l.clock(m.Expires) - l.now(), Size: bundled(m.Entry)})
 }
 
+// departed withdraws a message whose client left without an answer. Others may have handed in the same id, by
+// chance or on purpose: their leaving takes back nothing, and what one of them was told is owed to it.
+func (l *loop) departed(a *arrival) {
+	m := l.messages[a.entry.ID]
+	if m == nil || m.over || m.Entry != a.entry || m.copied || len(m.replies) > 1 {
+		return
+	}
+	slog.Info("withdrawn", "id", m.ID, "dest", m.Dest, "attempts", len(m.Attempts))
+	l.events = append(l.events, policy.Withdrawn{ID: m.ID})
+	l.end(m)
+}
+
 // bundled is the room that a message takes up in the body of a call with several.
 func bundled(e *Entry) int {
 	return len(`{"id":"","key":"","body":""},`) + jsonGrowth*(len(e.ID)+len(e.Key)) + base64.StdEncoding.EncodedLen(len(e.Body))
@@ -362,10 +377,10 @@
 		return
 	}
 	slog.Info("undelivered", "id", m.ID, "dest", m.Dest, "class", m.Class, "status", status, "attempts", len(m.Attempts),
-		"taken", m.verdict == nil, "left", time.Until(m.Expires), "after", v.after)
-	if reply := m.verdict; reply != nil {
-		m.verdict = nil
-		l.effects = append(l.effects, func() { reply <- v })
+		"taken", m.replies == nil, "left", time.Until(m.Expires), "after", v.after)
+	if replies := m.replies; replies != nil {
+		m.replies = nil
+		l.effects = append(l.effects, func() { answer(replies, v) })
 		l.end(m)
 		return
 	}
@@ -437,15 +452,16 @@
 		slog.Error("nothing taken on or sent", "err", err)
 	}
 	for _, m := range fresh {
-		switch reply := m.verdict; {
-		case reply == nil: // refused
+		switch {
+		case m.replies == nil: // refused
 		case err != nil:
-			reply <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
+			answer(m.replies, verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway})
 			l.events = append(l.events, policy.Withdrawn{ID: m.ID})
 			l.wakeAt = 0 // the module has an event to act on
 		default:
-			m.verdict = nil
-			reply <- verdict{status: http.StatusAccepted}
+			m.copied = len(m.replies) > 1
+			answer(m.replies, verdict{status: http.StatusAccepted})
+			m.replies = nil
 		}
 	}
 	for i := 0; i < len(sends); {
@@ -463,7 +479,7 @@
 		i = n
 	}
 	for _, m := range fresh {
-		if m.verdict != nil { // not taken on after all
+		if m.replies != nil { // not taken on after all
 			l.end(m)
 		}
 	}
@@ -472,6 +488,13 @@
 	}
 }
 
+// answer gives all that handed a message in the same verdict.
+func answer(replies []chan verdict, v verdict) {
+	for _, reply := range replies {
+		reply <- v
+	}
+}
+
 // call makes a call in a goroutine of its own. Its messages share its fate, and it is out for as long as any of
 // them is waited for; one whose time is up before that ends alone.
 func (l *loop) call(sends []send) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -47,7 +47,7 @@
 	l.watch = newWatcher(cfg.Discovery, func(m Members) { l.put(told{m}) },
 		func() { l.put(watchEnded{}) })
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
-	srv := newServer(cfg, func(a *arrival) { l.put(a) }, func(id string) { l.put(departure{id}) })
+	srv := newServer(cfg, func(a *arrival) { l.put(a) }, func(a *arrival) { l.put(departure{a}) })
 	listener, err := srv.listen(cfg)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -13,6 +13,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"mallowlead/policy"
 )
 
 func TestDelivery(t *testing.T) {
@@ -502,3 +504,53 @@
 		t.Errorf("%q was sent on", id)
 	}
 }
+
+// A peer that hands in the id of a message that was taken on, and leaves, takes nothing back; two that hand in the
+// same id at once get the same answer.
+func TestCopiesOfAMessage(t *testing.T) {
+	d, err := policy.New(policy.Settings{Instances: 1, Slots: 1, HoldRoom: 9, MaxAttempts: 1,
+		Classes: []policy.Class{{Name: "status", Aim: time.Second, Deadline: time.Minute, Worth: 1}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &loop{cfg: &Config{}, d: d, journal: openJournal(t, t.TempDir(), 3), start: time.Now(), inbox: make(chan any, 1),
+		messages: map[string]*message{}, dests: map[int]bool{7: true}}
+	l.cfg.policy.Classes = []policy.Class{{Name: "status"}}
+	copyOf := func(id string) *arrival {
+		return &arrival{verdict: make(chan verdict, 1),
+			entry: &Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)}}
+	}
+	status := func(a *arrival) int {
+		select {
+		case v := <-a.verdict:
+			return v.status
+		default:
+			return 0
+		}
+	}
+	first, second, late := copyOf("m"), copyOf("m"), copyOf("m")
+	l.accept(first)
+	l.accept(second)
+	if s := status(second); s != 0 {
+		t.Errorf("a copy of an undecided message was answered %d", s)
+	}
+	l.step()
+	if a, b := status(first), status(second); a != http.StatusAccepted || b != a {
+		t.Errorf("answers %d and %d", a, b)
+	}
+	l.accept(late)
+	for _, a := range []*arrival{late, second, first} {
+		l.accept(departure{a})
+	}
+	l.step()
+	if l.messages["m"] == nil || l.journal.Get("m") == nil {
+		t.Error("a message that others were told is taken on was withdrawn")
+	}
+	alone := copyOf("n")
+	l.accept(alone)
+	l.accept(departure{alone})
+	l.step()
+	if l.messages["n"] != nil || l.journal.Get("n") != nil {
+		t.Error("a message whose client left unanswered was kept")
+	}
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -52,12 +52,12 @@
 	classes map[string]*policy.Class
 	tenants map[string]bool
 	admit   func(*arrival)
-	gone    func(id string)
+	gone    func(*arrival)
 	closing atomic.Bool // answer with Connection: close
 	http    *http.Server
 }
 
-func newServer(c *Config, admit func(*arrival), gone func(string)) *server {
+func newServer(c *Config, admit, gone func(*arrival)) *server {
 	s := &server{classes: map[string]*policy.Class{}, tenants: map[string]bool{}, admit: admit, gone: gone}
 	for i := range c.policy.Classes {
 		s.classes[c.policy.Classes[i].Name] = &c.policy.Classes[i]
@@ -119,7 +119,7 @@
 		s.finish(w, v)
 	case <-r.Context().Done():
 		// The client left before an answer: it may hand the message in again, and this copy counts for nothing.
-		s.gone(a.entry.ID)
+		s.gone(a)
 	}
 }
 
