Keep a told wait whatever became of the message that it came with

Cause: a wait that came with any outcome but a refusal was dropped; the answer to several messages may carry one beside deliveries, and it binds alike. Evidence: the protocol; found by reading.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -589,7 +589,7 @@
 	m.open--
 	a.unrun = e.Outcome == QueueFull || e.Outcome == ConnectError || e.Outcome == Ignored
 	c := a.call
-	if e.Outcome == QueueFull && e.Wait > 0 {
+	if e.Wait > 0 { // it binds whatever became of the message
 		c.ep.q.waitUntil = max(c.ep.q.waitUntil, d.now+min(e.Wait, never-d.now))
 	}
 	if c.open--; c.open == 0 {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -104,6 +104,15 @@
 	}
 }
 
+// A wait that comes with a delivery binds as one that comes with a refusal.
+func TestWaitWithDelivery(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	d.Handle(ms, []Event{arrive("m", 0)})
+	d.Handle(100*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true, Wait: time.Second}})
+	expect(t, "while it waits", d.Handle(200*ms, []Event{arrive("n", 0)}), "")
+	expect(t, "after it", d.Handle(1100*ms, []Event{Woken{}}), "n>a")
+}
+
 func TestRefusing(t *testing.T) {
 	tests := []struct {
 		name         string
