Tell the client of a message given up when its destination may be sent to again

Cause: a message given up was refused without a time to come back, so its client came back into the same wait or outage.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -809,10 +809,12 @@
 	return m.expires - max(2*d.s.Tick, x)
 }
 
-// giveUp ends a message: a refusal where trying again is harmless, else a failure.
+// giveUp ends a message: a refusal where trying again is harmless, which tells when its queue may send next,
+// else a failure.
 func (d *Dispatcher) giveUp(m *message) {
 	if m.firstRun() == nil || m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.ByZone {
-		d.refuse(m, 0)
+		q := d.route(m)
+		d.refuse(m, d.opens(q, len(q.held)))
 		return
 	}
 	d.act(Fail{ID: m.ID})
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -113,6 +113,22 @@
 	expect(t, "after it", d.Handle(1100*ms, []Event{Woken{}}), "n>a")
 }
 
+// The client of a message that is given up learns when its destination may get messages again.
+func TestGivenUpToldWhenToComeBack(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	d.Handle(ms, []Event{arrive("m", 0)})
+	d.Handle(time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: 11 * time.Second}})
+	for _, a := range d.Handle(10*time.Second, []Event{Woken{}}) {
+		if a, ok := a.(Refuse); ok {
+			if a.StayAway != 2*time.Second {
+				t.Errorf("told to come again after %v, want the rest of the wait", a.StayAway)
+			}
+			return
+		}
+	}
+	t.Error("not given up")
+}
+
 func TestRefusing(t *testing.T) {
 	tests := []struct {
 		name         string
