Judge a stopped queue's backlog by its calls before, and keep room beside outages

Cause: the backlog divides by the calls out, at least 1; in an outage or a told wait none is out, so messages were refused as if they would be sent one after another.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -144,11 +144,12 @@
 	u, x := d.backlog(q), q.class[m.Class]
 	λ, r := q.arrivals.rate(d.now), q.misses.rate(d.now)
 	d.virtual(q, left-x)
-	if λ*q.pitch() > 1 {
+	if λ*q.pitch(d.now) > 1 {
 		left = math.Min(left, d.lateAge(m.class).Seconds()) // little time left need not be age
 	}
 	room := roomShare * float64(d.s.HoldRoom)
-	crowded := float64(len(d.live)) > room && float64(len(q.held)) > room/2 || len(d.live) > d.s.HoldRoom
+	much := float64(len(q.held)) > room/2 || q.down() // those that are out leave room for the others
+	crowded := float64(len(d.live)) > room && much || len(d.live) > d.s.HoldRoom
 	if refusing(u, x, left-x, λ-r, len(q.held) > 0) || crowded {
 		d.refuse(m, u+2*x-left)
 		return
@@ -168,12 +169,18 @@
 	return age
 }
 
-// calls is how many calls n messages of a queue travel in.
-func (q *queue) calls(n int) float64 { return float64(n) / float64(q.bundle) }
+// abreast is how many calls of a queue are out at once: in a wait or an outage, as many as there were before.
+func (q *queue) abreast(now time.Duration) float64 {
+	n := math.Max(1, float64(len(q.out)))
+	if now < max(q.waitUntil, q.holdUntil) || q.down() {
+		return math.Max(n, q.width)
+	}
+	return n
+}
 
 // pitch is the time between messages that a queue sends one after another.
-func (q *queue) pitch() float64 {
-	pitch := q.calls(1) * q.mean / math.Max(1, float64(len(q.out)))
+func (q *queue) pitch(now time.Duration) float64 {
+	pitch := q.calls(1) * q.mean / q.abreast(now)
 	if q.pace > 0 {
 		pitch = math.Max(pitch, 1/(q.pace*float64(q.bundle)))
 	}
@@ -192,7 +199,7 @@
 // backlog is u: calls that the messages held ahead travel in × mean latency ÷ calls out, and at least what
 // a wait, a pace or a ramp implies; zero with a slot free and nothing held.
 func (d *Dispatcher) backlog(q *queue) float64 {
-	u := q.calls(len(q.held)) * d.latency(q) / math.Max(1, float64(len(q.out)))
+	u := q.calls(len(q.held)) * d.latency(q) / q.abreast(d.now)
 	return math.Max(u, d.opens(q, len(q.held)))
 }
 
@@ -216,7 +223,7 @@
 		q.misses.add(d.now, 1)
 		return
 	}
-	q.copyWork += q.pitch()
+	q.copyWork += q.pitch(d.now)
 }
 
 // opens is the time until the next call of a queue may leave with n messages ahead of it, as far as
@@ -641,6 +648,7 @@
 	case OK:
 		ep.lastBegun, ep.lastTook = max(ep.lastBegun, c.sent), took
 		q.observe(m.Class, took)
+		q.width += latencyGain * (float64(len(q.out)+1) - q.width)
 		d.pool(q.kind).observe(m.Class, took)
 		ep.strikes[m.Class] = 0
 		d.succeeded(ep, e.Report == nil || e.Report.Left >= roomLeft)
@@ -827,9 +835,6 @@
 	d.finish(m)
 }
 
-// even is this relay's even share of a queue's limit, in calls a second.
-func (d *Dispatcher) even(q *queue) float64 { return q.weight / float64(d.s.Instances) }
-
 // sparse tells whether a second knock is more than this relay's part of what a cold destination takes.
 func (d *Dispatcher) sparse(q *queue) bool {
 	return q.weight > 0 && d.even(q)*burstSpan.Seconds() < pacedCalls
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -129,6 +129,51 @@
 	t.Error("not given up")
 }
 
+// A wait stops the calls that a backlog is worked off with, but they all come back after it: what is held is not
+// taken for work of one call after another.
+func TestBacklogInAWait(t *testing.T) {
+	s := plain()
+	s.Slots = 20
+	d := start(t, s, Endpoint{ID: "a"})
+	now := time.Duration(0)
+	round := func(n int, e Ended) []Event { // n calls out at once, all ended after a second
+		var in, out []Event
+		for i := range n {
+			id := fmt.Sprint(now, "/", i)
+			in = append(in, arrive(id, 0))
+			e.ID, e.Endpoint = id, "a"
+			out = append(out, e)
+		}
+		d.Handle(now, in)
+		now += time.Second
+		return out
+	}
+	for range 10 {
+		d.Handle(now, round(8, Ended{Outcome: OK, Took: time.Second, Over: true}))
+		now += 9 * time.Second
+	}
+	d.Handle(now, round(10, Ended{Outcome: QueueFull, Wait: 2 * time.Second, Took: time.Second}))
+	expect(t, "10 held, 2 s to wait, some calls of a second at once", d.Handle(now+ms, []Event{arrive("m", 0)}), "")
+}
+
+// Messages for destinations that are out leave a part of the holding room to those for others.
+func TestRoomBesideAnOutage(t *testing.T) {
+	s := plain()
+	s.HoldRoom = 8
+	d := start(t, s, Endpoint{ID: "a"}, Endpoint{ID: "b", Destination: 1}, Endpoint{ID: "c", Destination: 2})
+	for _, id := range []string{"a", "b", "c"} {
+		d.sicken(d.endpoints[id])
+		d.endpoints[id].tokens = -100 // no trial is due
+	}
+	d.Handle(0, []Event{Listed{Endpoints: []Endpoint{{ID: "d", Destination: 3}}}})
+	var all []Action
+	for i := range 9 {
+		all = append(all, d.Handle(ms, []Event{Arrived{ID: fmt.Sprint(i), Destination: i % 3, Left: time.Hour}})...)
+	}
+	all = append(all, d.Handle(ms, []Event{Arrived{ID: "other", Destination: 3, Left: time.Hour}})...)
+	expect(t, "the last quarter is for the other", all, "refuse 6 refuse 7 refuse 8 other>d")
+}
+
 func TestRefusing(t *testing.T) {
 	tests := []struct {
 		name         string
--- a/policy/state.go
+++ b/policy/state.go
@@ -53,7 +53,8 @@
 	eps    []*endpoint
 	held   []*message
 	out    []*call
-	served int // the turn in which it was last served
+	width  float64 // mean number of calls out at a success
+	served int     // the turn in which it was last served
 	latencies
 	kind      int
 	waitUntil time.Duration
@@ -348,6 +349,17 @@
 	return false
 }
 
+// down tells whether all endpoints of a queue are out.
+func (q *queue) down() bool {
+	return len(q.eps) > 0 && !slices.ContainsFunc(q.eps, func(ep *endpoint) bool { return !ep.sick })
+}
+
+// calls is how many calls n messages of a queue travel in.
+func (q *queue) calls(n int) float64 { return float64(n) / float64(q.bundle) }
+
+// even is this relay's even share of a queue's limit, in calls a second.
+func (d *Dispatcher) even(q *queue) float64 { return q.weight / float64(d.s.Instances) }
+
 // check names the first setting that makes no sense.
 func (s *Settings) check() error {
 	for i, c := range s.Classes {
