Leave the module's timer as it was after a call that could not be made

Cause: to have the module act on such a call at once its timer was set to now; the step then dropped it, and the module, which counts it as asked for, did not ask again. What was due by time alone waited for another event. Evidence: found by reading; the test shows the lost timer.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -156,7 +156,7 @@
 	sweep := time.NewTicker(time.Second)
 	defer sweep.Stop()
 	for {
-		timer.Reset(max(0, l.wakeAt-l.now()))
+		timer.Reset(l.due())
 		select {
 		case <-ctx.Done():
 			return
@@ -181,6 +181,15 @@
 	}
 }
 
+// due is the time until the module has something to act on: at once where a batch left events of its own. The
+// module's timer stays as it is then, since the module does not ask for it twice.
+func (l *loop) due() time.Duration {
+	if len(l.events) > 0 {
+		return 0
+	}
+	return max(0, l.wakeAt-l.now())
+}
+
 // accept turns one event into the module's terms.
 func (l *loop) accept(e any) {
 	switch e := e.(type) {
@@ -439,7 +448,6 @@
 // unsent reports an attempt that was not made.
 func (l *loop) unsent(s send) {
 	l.answered(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, result: result{outcome: policy.Ignored}})
-	l.wakeAt = 0 // the module has an event to act on
 }
 
 // commit writes the batch's records, and only then answers clients and makes calls: what was answered with
@@ -457,7 +465,6 @@
 		case err != nil:
 			answer(m.replies, verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway})
 			l.events = append(l.events, policy.Withdrawn{ID: m.ID})
-			l.wakeAt = 0 // the module has an event to act on
 		default:
 			m.copied = len(m.replies) > 1
 			answer(m.replies, verdict{status: http.StatusAccepted})
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -554,3 +554,25 @@
 		t.Error("a message whose client left unanswered was kept")
 	}
 }
+
+// A send that could not be made is reported to the module at once, and leaves the module's timer as it was.
+func TestTimerAfterUnsentCall(t *testing.T) {
+	d, err := policy.New(policy.Settings{Instances: 1, Slots: 1, HoldRoom: 9, MaxAttempts: 1,
+		Classes: []policy.Class{{Name: "status", Deadline: time.Minute}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &loop{cfg: &Config{}, d: d, journal: openJournal(t, t.TempDir(), 3), start: time.Now(), messages: map[string]*message{}}
+	timer := l.now() + time.Minute
+	l.wakeAt = timer
+	m := &message{Entry: &Entry{ID: "m"}}
+	l.messages["m"] = m
+	l.unsent(send{m: m})
+	if due := l.due(); due != 0 {
+		t.Errorf("the module hears of it in %v", due)
+	}
+	l.step()
+	if l.wakeAt != timer {
+		t.Errorf("the timer moved by %v", l.wakeAt-timer)
+	}
+}
