--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -16,6 +16,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -74,6 +75,8 @@
 	dialer net.Dialer
 	keep   time.Duration
 	room   int // idle connections kept at most
+	// written counts the messages whose last byte was written.
+	written *atomic.Int64
 
 	mu    sync.Mutex
 	idle  map[string][]*conn // by address, used last at the end
@@ -89,9 +92,9 @@
 }
 
 // newPool keeps at most room idle connections, each for less than hostIdle.
-func newPool(connect, hostIdle time.Duration, room int) *pool {
+func newPool(connect, hostIdle time.Duration, room int, written *atomic.Int64) *pool {
 	return &pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, idle: map[string][]*conn{},
-		keep: time.Duration(idleShare * float64(hostIdle))}
+		written: written, keep: time.Duration(idleShare * float64(hostIdle))}
 }
 
 // call makes one call and tells how it ended for each message. When it returns, the call is off the wire:
@@ -123,6 +126,7 @@
 	if n, _ := c.Write(out); n < len(out) {
 		return r.all(result{outcome: policy.ConnectError}), false // the last byte never left: it can't have run
 	}
+	p.written.Add(int64(len(r.parcels)))
 	resp, err := c.answer()
 	if err != nil && resp != nil && len(r.parcels) == 1 {
 		return r.all(classify(resp)), false // its first line is true, whatever else it lacks
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -67,7 +67,7 @@
 	}
 }
 
-func testPool() *pool { return newPool(time.Second, 10*time.Second, 4) }
+func testPool() *pool { return newPool(time.Second, 10*time.Second, 4, &atomic.Int64{}) }
 
 func testCall(addr string) request {
 	return request{addr: addr, parcels: []parcel{{ID: "m1", Key: "k1", Body: []byte("a\x00b")}}, timeout: long}
@@ -315,7 +315,7 @@
 }
 
 func TestPoolBounds(t *testing.T) {
-	p := newPool(time.Second, 10*time.Second, 2)
+	p := newPool(time.Second, 10*time.Second, 2, &atomic.Int64{})
 	var addrs []string
 	for range 3 {
 		addrs = append(addrs, rawHost(t, answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")))
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -19,6 +19,7 @@
 type Config struct {
 	Name      string            `json:"name"`
 	Listen    string            `json:"listen"`
+	Admin     string            `json:"admin"` // the operators' door; empty for none
 	Discovery string            `json:"discovery"`
 	Seed      string            `json:"seed"` // hexadecimal
 	Limits    Limits            `json:"limits"`
@@ -47,6 +48,9 @@
 	if err := json.Unmarshal(raw, c); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
+	if admin := os.Getenv("NODE_ADMIN"); admin != "" {
+		c.Admin = admin // two processes of an upgrade may share the file, but not the address
+	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -56,6 +56,7 @@
 	copied  bool               // a further copy of it was answered 202
 	cancel  context.CancelFunc // ends the wait for the call out; nil while there is none
 	over    bool               // ended, but a call is still out
+	pending bool               // taken on and not ended, as the figures have it
 }
 
 // loop owns the dispatcher and the journal: nothing else touches their state. It batches events by tick,
@@ -68,6 +69,7 @@
 	pool     *pool
 	watch    *watcher
 	notices  *notifier
+	figures  *figures
 	start    time.Time
 	messages map[string]*message
 	hosts    map[string]Member
@@ -118,8 +120,10 @@
 	for _, e := range l.journal.Entries() {
 		m := &message{Entry: e}
 		l.messages[e.ID] = m
+		l.pend(m)
 		if e.Owed != nil {
 			m.over = true
+			l.settle(m)
 			l.notices.owe(*e.Owed)
 			continue
 		}
@@ -247,6 +251,7 @@
 	}
 	if !l.dests[a.entry.Dest] || !l.journal.Reserve(a.entry) {
 		// Guards the module against destinations that no list has named, and the disk against overflow.
+		l.figures.end(l.class(a.entry.Class), rejected)
 		a.verdict <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
 		return
 	}
@@ -288,6 +293,11 @@
 	}
 	l.events = append(l.events, policy.Ended{ID: e.id, Endpoint: e.host, Attempt: e.attempt, Outcome: e.outcome,
 		Wait: e.wait, Took: e.took, Over: e.over, Spent: e.spent, Report: e.report})
+	if !m.over && e.outcome == policy.OK {
+		l.figures.end(l.class(m.Class), completed)
+	} else if !m.over && e.over { // its end came without us
+		l.figures.end(l.class(m.Class), failed)
+	}
 	if e.over || m.over && m.Owed == nil {
 		l.end(m)
 	}
@@ -336,6 +346,7 @@
 // end notes that nothing more is owed for a message.
 func (l *loop) end(m *message) {
 	m.over = true
+	l.settle(m)
 	if l.journal.Get(m.ID) == m.Entry {
 		l.journal.Over(m.Entry)
 	}
@@ -345,6 +356,20 @@
 	}
 }
 
+// pend counts a message as taken on until it is settled.
+func (l *loop) pend(m *message) {
+	m.pending = true
+	l.figures.pending.Add(1)
+}
+
+// settle notes that a message taken on has its end.
+func (l *loop) settle(m *message) {
+	if m.pending {
+		m.pending = false
+		l.figures.pending.Add(-1)
+	}
+}
+
 // step lets the module act on a batch, and carries its actions out once what they need is in the journal.
 func (l *loop) step() {
 	now := l.now()
@@ -369,6 +394,8 @@
 		l.act(now, a)
 	}
 	l.commit()
+	l.figures.members.Store(int64(len(l.hosts)))
+	l.figures.avoided.Store(int64(l.d.Avoided()))
 }
 
 // admitted takes on the arrivals of this batch that were not refused.
@@ -387,6 +414,11 @@
 	}
 	slog.Info("undelivered", "id", m.ID, "dest", m.Dest, "class", m.Class, "status", status, "attempts", len(m.Attempts),
 		"taken", m.replies == nil, "left", time.Until(m.Expires), "after", v.after)
+	how := failed
+	if status == deferred {
+		how = rejected
+	}
+	l.figures.end(l.class(m.Class), how)
 	if replies := m.replies; replies != nil {
 		m.replies = nil
 		l.effects = append(l.effects, func() { answer(replies, v) })
@@ -394,6 +426,7 @@
 		return
 	}
 	m.over = true
+	l.settle(m)
 	n := Notice{ID: m.ID, Status: status, AgainMS: v.after.Milliseconds()}
 	l.journal.Owe(m.Entry, n)
 	l.effects = append(l.effects, func() { l.notices.owe(n) })
@@ -463,10 +496,12 @@
 		switch {
 		case m.replies == nil: // refused
 		case err != nil:
+			l.figures.end(l.class(m.Class), rejected)
 			answer(m.replies, verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway})
 			l.events = append(l.events, policy.Withdrawn{ID: m.ID})
 		default:
 			m.copied = len(m.replies) > 1
+			l.pend(m)
 			answer(m.replies, verdict{status: http.StatusAccepted})
 			m.replies = nil
 		}
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -61,6 +61,7 @@
 	t         *testing.T
 	discovery *httptest.Server
 	addr      string // the relay's
+	admin     string // its door for operators; empty for none
 	dir       string
 	memory    float64
 	bundle    int    // messages in a call at most
@@ -207,9 +208,9 @@
 	if err != nil {
 		p.t.Fatal(err)
 	}
-	text := fmt.Sprintf(`{"name":"n1","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
+	text := fmt.Sprintf(`{"name":"n1","listen":%q,"admin":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
 	 "limits":{"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":3},"known":%s,"settings":%s}`,
-		p.addr, strings.TrimPrefix(p.discovery.URL, "http://"), known, testSettings(p.memory, p.bundle, p.mode))
+		p.addr, p.admin, strings.TrimPrefix(p.discovery.URL, "http://"), known, testSettings(p.memory, p.bundle, p.mode))
 	path := filepath.Join(p.t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -31,6 +31,15 @@
 	if err != nil {
 		return err
 	}
+	figures := newFigures(cfg.policy.Classes)
+	if cfg.Admin != "" {
+		door, err := openDoor(cfg.Admin, figures)
+		if err != nil {
+			return err
+		}
+		defer door.listener.Close()
+		go door.serve()
+	}
 	journal, err := OpenJournal(dir, cfg.Limits.DiskMB)
 	if err != nil {
 		return err
@@ -40,10 +49,10 @@
 	live, stop := context.WithCancel(context.Background())
 	defer stop()
 	s := cfg.Settings
-	l := &loop{cfg: cfg, d: d, journal: journal, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
+	l := &loop{cfg: cfg, d: d, journal: journal, figures: figures, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
 		messages: map[string]*message{}, hosts: map[string]Member{}, dests: map[int]bool{},
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle,
-			max(1, int(hostShare*float64(cfg.Limits.Sockets))))}
+			max(1, int(hostShare*float64(cfg.Limits.Sockets))), &figures.written)}
 	l.watch = newWatcher(cfg.Discovery, func(m Members) { l.put(told{m}) },
 		func() { l.put(watchEnded{}) })
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
@@ -59,6 +68,7 @@
 	work.Go(func() { l.notices.run(live) })
 	served := make(chan error, 1)
 	go func() { served <- srv.http.Serve(listener) }()
+	figures.taking.Store(true)
 
 	for running := true; running; {
 		select {
@@ -69,6 +79,7 @@
 			l.watch.redirect(address)
 			l.notices.redirect(address)
 		case <-ctx.Done():
+			figures.taking.Store(false)
 			l.drain(srv, func() { _ = listener.Close() })
 			running = false
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -942,3 +942,16 @@
 		}
 	}
 }
+
+// Endpoints that are out or on their way out count as avoided, the others do not.
+func TestAvoided(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a", Destination: 1}, Endpoint{ID: "b", Destination: 2}, Endpoint{ID: "c", Destination: 2})
+	if n := d.Avoided(); n != 0 {
+		t.Errorf("%d avoided at the start", n)
+	}
+	d.Handle(0, []Event{Listed{Endpoints: []Endpoint{{ID: "b", Destination: 2, Draining: true}}}})
+	d.sicken(d.endpoints["a"])
+	if n := d.Avoided(); n != 2 {
+		t.Errorf("%d avoided, want the one that is out and the one that drains", n)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -354,6 +354,16 @@
 	return len(q.eps) > 0 && !slices.ContainsFunc(q.eps, func(ep *endpoint) bool { return !ep.sick })
 }
 
+// Avoided is how many listed endpoints get nothing now but trials: out, silent, or on their way out.
+func (d *Dispatcher) Avoided() (n int) {
+	for _, ep := range d.endpoints {
+		if ep.sick || ep.Draining || d.silent(ep) {
+			n++
+		}
+	}
+	return n
+}
+
 // calls is how many calls n messages of a queue travel in.
 func (q *queue) calls(n int) float64 { return float64(n) / float64(q.bundle) }
 
