Let a new version take over the folder, messages and calls from the old process

A told wait, calls out, paces and latencies come over with the handover; tests with real processes kill either side at each step, stop the old one, and follow a call that outlives the handover.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -337,6 +337,14 @@
 	p.count--
 }
 
+// retire closes the idle connections and keeps none from now on.
+func (p *pool) retire() {
+	p.mu.Lock()
+	p.room = 0
+	p.mu.Unlock()
+	p.closeIf(func(string, *conn) bool { return true })
+}
+
 // closeIdle closes the idle connections to an address.
 func (p *pool) closeIdle(addr string) {
 	p.closeIf(func(a string, _ *conn) bool { return a == addr })
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -26,6 +26,8 @@
 	Known     Members           `json:"known"`
 	Settings  settings.Settings `json:"settings"`
 
+	inherited string // number of the descriptor on which clients are taken; empty to listen
+
 	policy policy.Settings
 	seed   int64
 }
@@ -51,6 +53,7 @@
 	if admin := os.Getenv("NODE_ADMIN"); admin != "" {
 		c.Admin = admin // two processes of an upgrade may share the file, but not the address
 	}
+	c.inherited = os.Getenv("NODE_FD")
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
--- a/internal/relay/door_test.go
+++ b/internal/relay/door_test.go
@@ -108,7 +108,7 @@
 	p.admin = closedAddress(t)
 	p.bundle = 10
 	hold := make(chan bool)
-	p.answer = func(*http.Request) int { <-hold; return http.StatusOK }
+	p.answer = p.held(hold)
 	p.start()
 	if got := ask(t, p.admin, "health\n"); got != "OK\n" {
 		t.Errorf("health: %q", got)
--- /dev/null
+++ b/internal/relay/handover.go
@@ -0,0 +1,479 @@
+package relay
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"mallowlead/policy"
+)
+
+// A new version is started beside the old process. The old one serves until the new one asks for the folder; then
+// it brings its batch to its end, offers what the journal does not hold, and gives up the journal and every
+// decision once the new one is ready. From there on it keeps only what can't be passed on, its open connections and
+// the calls that are out, and the two exchange over a link what concerns them.
+
+const (
+	// socketName is the old process's socket in the folder.
+	socketName = "handover"
+	// socketPath is how long a socket's path may be.
+	socketPath = 100
+	// askTime bounds the asking, from the first try to the right to the folder; offerTime what the old process waits
+	// for each step of the new one, since it decides nothing meanwhile.
+	askTime, offerTime = 1500 * time.Millisecond, 400 * time.Millisecond
+	// deposeTime is what a process that was killed gets to be gone.
+	deposeTime = time.Second
+	// askAgainOwn is the wait between tries for the folder.
+	askAgainOwn = 10 * time.Millisecond
+	// linkTime bounds a write to the other process, linkRoom the lines that wait for it.
+	linkTime, linkRoom = time.Second, 4096
+	// closeTime is what the system gets to close the connections of a process that died, whose calls are else
+	// still out beside the next attempts.
+	closeTime = 20 * time.Millisecond
+)
+
+// The steps of a handover, in order: the new process asks, is ready for what it was offered, and owns the folder.
+const (
+	stepAsk   = "ask"
+	stepReady = "ready"
+	stepYours = "yours"
+)
+
+// line is one line of the link, with one of its fields.
+type line struct {
+	Step     string      `json:"step,omitempty"`
+	Offer    *offer      `json:"offer,omitempty"`
+	Arrival  *handedOver `json:"arrival,omitempty"`
+	Left     int         `json:"left,omitempty"`     // number of an arrival whose client left
+	Answered int         `json:"answered,omitempty"` // number of one that got its answer
+	Ends     []callEnd   `json:"ends,omitempty"`
+	Clients  *int        `json:"clients,omitempty"` // connections of clients that the old process still has
+	Verdict  *ruling     `json:"verdict,omitempty"`
+	Cancel   *attemptOut `json:"cancel,omitempty"`
+}
+
+// offer is what a new process has to know beside the journal.
+type offer struct {
+	Out     []attemptOut     `json:"out"`
+	Learned []policy.Learned `json:"learned"`
+	Clients int              `json:"clients"`
+}
+
+// attemptOut is an attempt that the old process has out.
+type attemptOut struct {
+	ID      string    `json:"id"`
+	Attempt int       `json:"attempt"`
+	Call    int       `json:"call,omitempty"`
+	Class   string    `json:"class,omitempty"`
+	Dest    int       `json:"dest,omitempty"`
+	Host    string    `json:"host,omitempty"`
+	Begun   time.Time `json:"begun,omitzero"`
+}
+
+// handedOver is a message that a client handed in to the old process after the handover.
+type handedOver struct {
+	No    int    `json:"no"`
+	Entry *Entry `json:"entry"`
+	Body  []byte `json:"body"`
+}
+
+// ruling is the answer to such a message.
+type ruling struct {
+	No     int           `json:"no"`
+	Status int           `json:"status"`
+	After  time.Duration `json:"after,omitempty"`
+}
+
+// callEnd is how a call of the old process ended for a message.
+type callEnd struct {
+	ID      string         `json:"id"`
+	Attempt int            `json:"attempt"`
+	Host    string         `json:"host"`
+	Took    time.Duration  `json:"took"`
+	Outcome policy.Outcome `json:"outcome"`
+	Wait    time.Duration  `json:"wait,omitempty"`
+	Over    bool           `json:"over,omitempty"`
+	Spent   bool           `json:"spent,omitempty"`
+	Report  *policy.Report `json:"report,omitempty"`
+}
+
+// link joins the old and the new process.
+type link struct {
+	conn net.Conn
+	in   *json.Decoder
+	out  chan line
+	done chan bool // closed once the link is down
+	down sync.Once
+}
+
+func newLink(c net.Conn) *link {
+	return &link{conn: c, in: json.NewDecoder(c), out: make(chan line, linkRoom), done: make(chan bool)}
+}
+
+// put sends a line in turn; it never waits. A peer that takes no lines is as good as dead.
+func (k *link) put(l line) {
+	select {
+	case k.out <- l:
+	default:
+		k.close()
+	}
+}
+
+func (k *link) close() {
+	k.down.Do(func() {
+		close(k.done)
+		_ = k.conn.Close()
+	})
+}
+
+// write sends lines until the link is down.
+func (k *link) write() {
+	out := json.NewEncoder(k.conn)
+	for {
+		select {
+		case <-k.done:
+			return
+		case l := <-k.out:
+			_ = k.conn.SetWriteDeadline(time.Now().Add(linkTime))
+			if err := out.Encode(l); err != nil {
+				slog.Warn("link", "err", err)
+				k.close()
+			}
+		}
+	}
+}
+
+// step sends one line of the handover itself.
+func (k *link) step(l line, by time.Time) error {
+	_ = k.conn.SetDeadline(by)
+	return json.NewEncoder(k.conn).Encode(l)
+}
+
+// await reads one line of the handover itself.
+func (k *link) await(by time.Time) (l line, err error) {
+	_ = k.conn.SetDeadline(by)
+	err = k.in.Decode(&l)
+	return l, err
+}
+
+// folderSocket gives the path of the handover's socket. A path that is too long for a socket goes by way of the
+// open folder, which close closes.
+func folderSocket(dir string) (path string, closeDir func(), err error) {
+	if path = filepath.Join(dir, socketName); len(path) <= socketPath {
+		return path, func() {}, nil
+	}
+	d, err := os.Open(dir)
+	if err != nil {
+		return "", nil, err
+	}
+	return fmt.Sprintf("/proc/self/fd/%d/%s", d.Fd(), socketName), func() { _ = d.Close() }, nil
+}
+
+// takeOver gets the right to the folder: at once where no process has it, else from the one that does, by a
+// handover or, where that can't be had in time, by that process's end. Link and offer are nil without a handover: then
+// the journal tells all that is known.
+func takeOver(ctx context.Context, dir string) (*ownership, *link, *offer, error) {
+	for by := time.Now().Add(askTime); ; {
+		if o, err := own(dir); o != nil || err != nil {
+			return o, nil, nil, err
+		}
+		k, off, err := askFor(dir, by)
+		if err == nil {
+			if o, err := ownBy(ctx, dir, by); err == nil {
+				return o, k, off, nil
+			}
+			k.close()
+		}
+		if time.Now().After(by) {
+			slog.Warn("the process before does not hand over: it is ended", "err", err)
+			if err := depose(dir); err != nil {
+				slog.Error("it can't be ended", "err", err)
+			}
+			o, err := ownBy(ctx, dir, time.Now().Add(deposeTime))
+			return o, nil, nil, err
+		}
+		if !sleep(ctx, askAgainOwn) {
+			return nil, nil, nil, ctx.Err()
+		}
+	}
+}
+
+// ownBy waits for the right to the folder.
+func ownBy(ctx context.Context, dir string, by time.Time) (*ownership, error) {
+	for {
+		if o, err := own(dir); o != nil || err != nil {
+			return o, err
+		}
+		if time.Now().After(by) {
+			return nil, errors.New("another process owns the folder")
+		}
+		if !sleep(ctx, askAgainOwn) {
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// askFor asks the process that owns the folder for it.
+func askFor(dir string, by time.Time) (*link, *offer, error) {
+	path, closeDir, err := folderSocket(dir)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer closeDir()
+	c, err := net.DialTimeout("unix", path, time.Until(by))
+	if err != nil {
+		return nil, nil, err
+	}
+	k := newLink(c)
+	off, err := k.ask(by)
+	if err != nil {
+		k.close()
+		return nil, nil, err
+	}
+	return k, off, nil
+}
+
+// ask goes through the new process's steps of the handover.
+func (k *link) ask(by time.Time) (*offer, error) {
+	if err := k.step(line{Step: stepAsk}, by); err != nil {
+		return nil, err
+	}
+	l, err := k.await(by)
+	if err != nil || l.Offer == nil {
+		return nil, fmt.Errorf("no offer: %w", err)
+	}
+	if err := k.step(line{Step: stepReady}, by); err != nil {
+		return nil, err
+	}
+	if yours, err := k.await(by); err != nil || yours.Step != stepYours {
+		return nil, fmt.Errorf("offer taken back: %w", err)
+	}
+	return l.Offer, k.conn.SetDeadline(time.Time{})
+}
+
+// heir waits in the folder for newer processes until ctx ends, and brings the loop each one that asks.
+func heir(ctx context.Context, dir string, asks func(*link)) error {
+	path, closeDir, err := folderSocket(dir)
+	if err != nil {
+		return err
+	}
+	defer closeDir()
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err // left by a process before
+	}
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return err
+	}
+	l.SetUnlinkOnClose(false) // by then it may be the newer process's
+	go func() {
+		defer context.AfterFunc(ctx, func() { _ = l.Close() })()
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			k := newLink(c)
+			if ask, err := k.await(time.Now().Add(offerTime)); err != nil || ask.Step != stepAsk {
+				k.close()
+				continue
+			}
+			asks(k)
+		}
+	}()
+	return nil
+}
+
+// cede hands the journal and all decisions to a newer process. It gives false, and has changed nothing, where the
+// newer one does not come as far as being ready. The loop stands still meanwhile: nothing may change under an offer.
+func (l *loop) cede(k *link) bool {
+	for l.step(); len(l.events) > 0; {
+		l.step()
+	}
+	off := &offer{Learned: l.d.Learned(), Clients: l.gate.clients()}
+	for _, m := range l.messages {
+		if m.cancel != nil {
+			a := m.Attempts[len(m.Attempts)-1]
+			off.Out = append(off.Out, attemptOut{ID: m.ID, Attempt: len(m.Attempts) - 1, Call: m.call, Class: m.Class, Dest: m.Dest,
+				Host: a.Host, Begun: a.Begun})
+		}
+	}
+	err := k.step(line{Offer: off}, time.Now().Add(offerTime))
+	if err == nil {
+		var l line
+		if l, err = k.await(time.Now().Add(offerTime)); err == nil && l.Step != stepReady {
+			err = fmt.Errorf("step %q", l.Step)
+		}
+	}
+	if err != nil {
+		slog.Warn("handover broken off", "err", err)
+		k.close()
+		return false
+	}
+	_ = l.journal.Close()
+	l.owner.release()
+	// Past this point the newer process owns the folder, whether or not the line reaches it.
+	if err := k.step(line{Step: stepYours}, time.Now().Add(offerTime)); err != nil {
+		slog.Warn("handover: last step", "err", err)
+	}
+	_ = k.conn.SetDeadline(time.Time{})
+	slog.Info("handed over", "out", len(off.Out), "clients", off.Clients)
+	l.heir, l.asked = k, map[int]*arrival{}
+	go k.write()
+	go func() { // what the newer process wants
+		for {
+			var in line
+			if err := k.in.Decode(&in); err != nil {
+				k.close()
+				l.put(heirGone{})
+				return
+			}
+			l.put(in)
+		}
+	}()
+	return true
+}
+
+// pass does with an event what is left to do after a handover.
+func (l *loop) pass(e any) {
+	switch e := e.(type) {
+	case *arrival:
+		l.arrivals++
+		if l.orphaned {
+			e.verdict <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
+			return
+		}
+		l.asked[l.arrivals] = e
+		l.heir.put(line{Arrival: &handedOver{No: l.arrivals, Entry: e.entry, Body: e.entry.Body}})
+	case departure:
+		for no, a := range l.asked {
+			if a == e.arrival {
+				delete(l.asked, no)
+				l.heir.put(line{Left: no})
+			}
+		}
+	case ended:
+		var ends []callEnd
+		for _, a := range e {
+			if m := l.messages[a.id]; m != nil && m.cancel != nil && a.attempt == len(m.Attempts)-1 {
+				m.cancel = nil
+				ends = append(ends, callEnd{ID: a.id, Attempt: a.attempt, Host: a.host, Took: a.took, Outcome: a.outcome,
+					Wait: a.wait, Over: a.over, Spent: a.spent, Report: a.report})
+			}
+		}
+		if len(ends) > 0 {
+			l.heir.put(line{Ends: ends})
+		}
+	case line:
+		if v := e.Verdict; v != nil && l.asked[v.No] != nil {
+			l.asked[v.No].verdict <- verdict{status: v.Status, after: v.After}
+			delete(l.asked, v.No)
+			l.heir.put(line{Answered: v.No})
+		}
+		if c := e.Cancel; c != nil {
+			if m := l.messages[c.ID]; m != nil && m.cancel != nil && c.Attempt == len(m.Attempts)-1 {
+				m.cancel()
+			}
+		}
+	case heirGone:
+		// The newer process is dead. Nobody hears any more what becomes of the calls: they end, so that none is out
+		// beside those that the next process makes.
+		l.orphaned = true
+		for no, a := range l.asked {
+			delete(l.asked, no)
+			a.verdict <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
+		}
+		for _, m := range l.messages {
+			if m.cancel != nil {
+				m.cancel()
+			}
+		}
+	case question:
+		busy := len(l.asked) > 0
+		for _, m := range l.messages {
+			busy = busy || m.cancel != nil && !l.orphaned
+		}
+		e.idle <- !busy
+	case takeover:
+		e.link.close()
+	}
+	if n := l.gate.clients(); l.heir != nil && n != l.reported {
+		l.reported = n
+		l.heir.put(line{Clients: &n})
+	}
+}
+
+// follow takes in what the process before tells after its handover, until it is gone.
+func (l *loop) follow(k *link, off *offer) {
+	go k.write()
+	out := map[string]int{} // attempts that it still has out
+	for _, a := range off.Out {
+		out[a.ID] = a.Attempt
+	}
+	asked := map[int]*arrival{} // handed in there
+	for {
+		var in line
+		if err := k.in.Decode(&in); err != nil {
+			break
+		}
+		switch {
+		case in.Arrival != nil && in.Arrival.Entry != nil:
+			a := &arrival{entry: in.Arrival.Entry, verdict: make(chan verdict, 1), left: make(chan bool)}
+			a.entry.Body = in.Arrival.Body
+			asked[in.Arrival.No] = a
+			l.put(a)
+			go l.reply(a, k, in.Arrival.No)
+		case in.Left != 0:
+			if a := asked[in.Left]; a != nil {
+				close(a.left)
+			}
+			delete(asked, in.Left)
+		case in.Answered != 0:
+			delete(asked, in.Answered)
+		case in.Ends != nil:
+			var all ended
+			for _, e := range in.Ends {
+				if n, ok := out[e.ID]; ok && n == e.Attempt {
+					delete(out, e.ID)
+				}
+				all = append(all, answered{id: e.ID, attempt: e.Attempt, host: e.Host, took: e.Took, result: result{
+					outcome: e.Outcome, wait: e.Wait, over: e.Over, spent: e.Spent, report: e.Report}})
+			}
+			l.put(all)
+		case in.Clients != nil:
+			l.gate.lend(*in.Clients)
+		}
+	}
+	k.close()
+	time.Sleep(closeTime)
+	var all ended
+	for id, n := range out {
+		all = append(all, answered{id: id, attempt: n, result: result{outcome: policy.Reset}})
+	}
+	if len(all) > 0 {
+		l.put(all)
+	}
+	for _, a := range asked {
+		close(a.left)
+	}
+	l.gate.lend(0)
+	slog.Info("the process before is gone", "calls", len(out))
+}
+
+// reply gives the process before the answer to a message that was handed in there.
+func (l *loop) reply(a *arrival, k *link, no int) {
+	select {
+	case v := <-a.verdict:
+		k.put(line{Verdict: &ruling{No: no, Status: v.status, After: v.after}})
+	case <-a.left:
+		l.put(departure{a})
+	}
+}
--- /dev/null
+++ b/internal/relay/handover_test.go
@@ -0,0 +1,344 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// inherits has the platform hold the clients' socket.
+func (p *platform) inherits() {
+	p.t.Helper()
+	l, err := net.Listen("tcp", p.addr)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	defer l.Close()
+	if p.shared, err = l.(*net.TCPListener).File(); err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { _ = p.shared.Close() })
+}
+
+// upgrade starts a process beside the one that runs, and waits until it takes clients.
+func (p *platform) upgrade() *child {
+	p.t.Helper()
+	p.admin = closedAddress(p.t)
+	c := p.start()
+	p.until("the new process takes clients", func() bool {
+		conn, err := net.Dial("tcp", p.admin)
+		if err != nil {
+			return false
+		}
+		defer conn.Close()
+		_, _ = io.WriteString(conn, "health\n")
+		reply, _ := io.ReadAll(conn)
+		return string(reply) == "OK\n"
+	})
+	return c
+}
+
+// keptConn is a client's connection that carries one message after another.
+type keptConn struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (p *platform) keep() *keptConn {
+	p.t.Helper()
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.t.Cleanup(func() { _ = c.Close() })
+	return &keptConn{c, bufio.NewReader(c)}
+}
+
+// handIn hands a message in and gives the answer.
+func (c *keptConn) handIn(t *testing.T, class, id string) *http.Response {
+	t.Helper()
+	_, _ = fmt.Fprintf(c, "POST /%s HTTP/1.1\r\nHost: relay\r\nTenant: acme\r\nRequest-Id: %s\r\nIdempotency-Key: key-%s\r\n"+
+		"Request-Timeout: 25\r\nX-Envelope: dest=7\r\nContent-Length: 2\r\n\r\nhi", class, id, id)
+	resp, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		t.Fatalf("%s: %v", id, err)
+	}
+	return resp
+}
+
+// exit waits for the end of a process.
+func (c *child) exit(t *testing.T) error {
+	t.Helper()
+	select {
+	case err := <-c.exited:
+		return err
+	case <-time.After(long):
+		t.Fatal("the process does not end")
+		return nil
+	}
+}
+
+// A new version takes over under load: the call that is out ends in the old process and counts in the new one,
+// clients keep their connections for one more answer, and each message is sent once.
+func TestUpgrade(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	hold := make(chan bool)
+	p.answer = p.held(hold)
+	p.inherits()
+	old := p.start()
+	c := p.keep()
+	c.handIn(t, "order", "out")
+	p.until("its call is out", func() bool { return slices.Contains(p.sent(), "out") })
+	p.upgrade()
+	p.set(func() { p.answer = func(*http.Request) int { return http.StatusOK } })
+	if resp := c.handIn(t, "order", "through the old one"); resp.StatusCode != http.StatusAccepted || !resp.Close {
+		t.Errorf("through the old process: %s, close %v", resp.Status, resp.Close)
+	}
+	p.take("order", "to the new one", "25")
+	p.until("both are delivered beside the call that is out", func() bool { return len(p.sent()) == 3 })
+	if text := ask(t, p.admin, "counters\n"); !strings.Contains(text, "relay_pending 1\n") {
+		t.Errorf("figures:\n%s", text)
+	}
+	close(hold)
+	if err := old.exit(t); err != nil {
+		t.Errorf("the old process: %v", err)
+	}
+	p.until("all are over", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	if sent, told := p.sent(), p.told(); len(sent) != 3 || len(told) != 0 {
+		t.Errorf("calls %v, notices %v", sent, told)
+	}
+	// And once more, the new one being the old one now.
+	p.upgrade()
+	p.take("order", "later", "25")
+	p.until("it is delivered", func() bool { return slices.Contains(p.sent(), "later") })
+}
+
+// The old process is killed right after the handover, with calls out: they may have run.
+func TestOldProcessKilledAfterHandover(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.answer = func(*http.Request) int { return 0 }
+	p.inherits()
+	old := p.start()
+	p.take("order", "unsafe", "25")
+	p.take("status", "safe", "25")
+	p.called()
+	p.called()
+	p.upgrade()
+	p.set(func() { p.answer = func(*http.Request) int { return http.StatusOK } })
+	p.kill(old)
+	if id := p.called(); id != "safe" {
+		t.Errorf("%s is sent again", id)
+	}
+	p.until("both are over", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	if n := p.told(); len(n) != 1 || n[0] != (Notice{ID: "unsafe", Status: undeliverable}) {
+		t.Errorf("notices %v", n)
+	}
+}
+
+// A wait that the old process was told binds the new one too.
+func TestToldWaitThroughUpgrade(t *testing.T) {
+	p := newPlatform(t)
+	var told time.Time
+	addr := rawHost(t, func(c net.Conn) {
+		in := bufio.NewReader(c)
+		for {
+			req, err := readCall(in)
+			if err != nil {
+				return
+			}
+			text := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
+			p.set(func() {
+				if told.IsZero() {
+					told, text = time.Now(), "HTTP/1.1 429 no\r\nX-Retry-In-Ms: 1500\r\nContent-Length: 0\r\n\r\n"
+				} else if wait := time.Since(told); wait < 1500*time.Millisecond {
+					t.Errorf("sent again after %v", wait)
+				}
+			})
+			_, _ = io.WriteString(c, text)
+			p.began <- req.Header.Get("Request-Id")
+		}
+	})
+	p.hosts = []Member{{Host: "h1", Dial: addr, Site: "a", Class: "m2", Block: 7, Health: "SERVING", Share: 100}}
+	p.inherits()
+	p.start()
+	p.take("status", "m", "25")
+	p.called()
+	p.until("the refusal is noted", func() bool {
+		e := readEntries(t, p.dir)
+		return len(e) == 1 && len(e[0].Attempts) == 1 && e[0].Attempts[0].Ended
+	})
+	p.upgrade()
+	p.called()
+}
+
+// An old process that is silent is ended, and the new one starts from the journal.
+func TestSilentOldProcess(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.answer = func(*http.Request) int { return 0 }
+	p.inherits()
+	old := p.start()
+	p.take("status", "m", "25")
+	p.called()
+	if err := old.Process.Signal(syscall.SIGSTOP); err != nil {
+		t.Fatal(err)
+	}
+	p.set(func() { p.answer = func(*http.Request) int { return http.StatusOK } })
+	p.upgrade()
+	if err := old.exit(t); err == nil {
+		t.Error("the silent process ended in order")
+	}
+	p.until("the message is over", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	if got := p.sent(); len(got) != 2 || len(p.told()) != 0 {
+		t.Errorf("calls %v, notices %v", got, p.told())
+	}
+}
+
+// A new process that dies in the middle of its steps changes nothing, and one that dies as the owner leaves the
+// journal to the next.
+func TestNewProcessDies(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.inherits()
+	old := p.start()
+	path, closeDir, err := folderSocket(p.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeDir()
+	steps := []struct {
+		name string
+		take func(*link) error
+	}{
+		{"before it asks", func(*link) error { return nil }},
+		{"once it has asked", func(k *link) error { return k.step(line{Step: stepAsk}, time.Now().Add(long)) }},
+		{"with the offer", func(k *link) error {
+			if err := k.step(line{Step: stepAsk}, time.Now().Add(long)); err != nil {
+				return err
+			}
+			_, err := k.await(time.Now().Add(long))
+			return err
+		}},
+	}
+	for _, s := range steps {
+		c, err := net.Dial("unix", path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		k := newLink(c)
+		if err := s.take(k); err != nil {
+			t.Errorf("%s: %v", s.name, err)
+		}
+		k.close()
+		p.take("status", s.name, "25")
+		p.until(s.name, func() bool { return slices.Contains(p.sent(), s.name) })
+	}
+
+	p.answer = func(*http.Request) int { return 0 }
+	p.take("status", "out", "25")
+	p.until("its call is out", func() bool { return slices.Contains(p.sent(), "out") })
+	k, off, err := askFor(p.dir, time.Now().Add(long))
+	if err != nil || len(off.Out) != 1 {
+		t.Fatalf("offer %+v, %v", off, err)
+	}
+	k.close()
+	if err := old.exit(t); err != nil { // its call is off the wire with it
+		t.Error(err)
+	}
+	p.set(func() { p.answer = func(*http.Request) int { return http.StatusOK } })
+	p.start()
+	p.until("the next one delivers", func() bool { return len(readEntries(t, p.dir)) == 0 })
+}
+
+// dieAt is a process that owns the folder and is killed at a step of its handover.
+func dieAt(step, dir string) {
+	die := func() { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) }
+	o, err := own(dir)
+	if err != nil || o == nil {
+		fmt.Fprintln(os.Stderr, "own:", err)
+		os.Exit(1)
+	}
+	by := time.Now().Add(long)
+	err = heir(context.Background(), dir, func(k *link) {
+		switch step {
+		case "offered", "released":
+			if err := k.step(line{Offer: &offer{Out: []attemptOut{{ID: "m", Host: "h1", Class: "status", Dest: 7}}}}, by); err != nil {
+				break
+			}
+			if step == "released" {
+				_, _ = k.await(by)
+				o.release()
+			}
+		case "half an offer":
+			_, _ = io.WriteString(k.conn, `{"offer":{"out":[`)
+		}
+		die()
+	})
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "heir:", err)
+		os.Exit(1)
+	}
+	fmt.Println("ready")
+	select {}
+}
+
+// Whatever step the old process is killed at, the new one starts from the journal.
+func TestOldProcessKilledAtEachStep(t *testing.T) {
+	for _, step := range []string{"asked", "half an offer", "offered", "released"} {
+		t.Run(step, func(t *testing.T) {
+			p := newPlatform(t)
+			p.addHost("h1", 7)
+			p.inherits()
+			j := openJournal(t, p.dir, 3)
+			j.Take(&Entry{ID: "m", Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)})
+			commit(t, j)
+			c := exec.Command(os.Args[0])
+			c.Env = append(os.Environ(), childDies+"="+step, childState+"="+p.dir)
+			out, err := c.StdoutPipe()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if err := c.Start(); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = c.Process.Kill() })
+			if word, err := bufio.NewReader(out).ReadString('\n'); err != nil {
+				t.Fatalf("%q, %v", word, err)
+			}
+			p.upgrade()
+			_ = c.Wait()
+			p.until("the message is over", func() bool { return len(readEntries(t, p.dir)) == 0 })
+			if got := p.sent(); len(got) != 1 || len(p.told()) != 0 {
+				t.Errorf("calls %v, notices %v", got, p.told())
+			}
+		})
+	}
+}
+
+// A folder whose path is too long for a socket can be handed over too.
+func TestSocketInALongPath(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.dir += "/" + strings.Repeat("long", 30)
+	if err := os.Mkdir(p.dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	p.inherits()
+	old := p.start()
+	p.upgrade()
+	if err := old.exit(t); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -24,6 +24,7 @@
 	arrival struct {
 		entry   *Entry
 		verdict chan verdict // room for one
+		left    chan bool    // closed when the client has left, where another process has its connection
 	}
 	// departure says that a client left before its message was answered.
 	departure struct{ arrival *arrival }
@@ -45,6 +46,10 @@
 	received struct{ ids []string }
 	// stopSending says that the process is about to end.
 	stopSending struct{}
+	// takeover is a newer process that asks for the folder.
+	takeover struct{ link *link }
+	// heirGone says that the newer process is gone.
+	heirGone struct{}
 	// question asks whether anything is still to be done.
 	question struct{ idle chan bool }
 )
@@ -54,6 +59,7 @@
 	*Entry
 	replies []chan verdict     // of those that handed it in, until they are answered
 	copied  bool               // a further copy of it was answered 202
+	call    int                // the module's number of the call out
 	cancel  context.CancelFunc // ends the wait for the call out; nil while there is none
 	over    bool               // ended, but a call is still out
 	pending bool               // taken on and not ended, as the figures have it
@@ -81,6 +87,17 @@
 	fresh    []*message // arrivals of this batch
 	sends    []send     // of this batch
 	effects  []func()   // of this batch, once its records are written
+
+	gate      *gate
+	owner     *ownership
+	successor *link            // asks for the folder
+	heir      *link            // has it: nothing is decided here any more
+	ceded     chan bool        // closed then
+	retired   func()           // ends what only the owner of the folder does
+	asked     map[int]*arrival // that the heir decides on
+	arrivals  int              // numbers of these
+	reported  int              // connections that the heir was told of
+	orphaned  bool             // the heir is gone
 }
 
 // send is a message of a call that the module wants made.
@@ -106,8 +123,9 @@
 // put hands the loop an event.
 func (l *loop) put(e any) { l.inbox <- e }
 
-// restore takes up what the journal holds, and the list that the configuration gives.
-func (l *loop) restore() {
+// restore takes up what the journal holds, the list that the configuration gives, and what the process before has
+// out, where that one handed over.
+func (l *loop) restore(k *link, off *offer) {
 	list := l.cfg.Known
 	if told := l.journal.Listed(); told != nil && told.Seq > list.Seq {
 		// The configuration's list may be older than what an earlier process was told: a host that drains
@@ -117,6 +135,16 @@
 	list.Whole = true
 	l.told(list)
 	l.watch.seq = list.Seq
+	out := map[string]attemptOut{}
+	if off != nil {
+		for _, a := range off.Out {
+			out[a.ID] = a
+		}
+		for _, learned := range off.Learned {
+			l.events = append(l.events, learned)
+		}
+		l.gate.lend(off.Clients)
+	}
 	for _, e := range l.journal.Entries() {
 		m := &message{Entry: e}
 		l.messages[e.ID] = m
@@ -125,7 +153,7 @@
 			m.over = true
 			l.settle(m)
 			l.notices.owe(*e.Owed)
-			continue
+			continue // a call of it that is still out follows below
 		}
 		class := l.class(e.Class)
 		if class < 0 { // the settings have changed, and the module could not end it
@@ -138,11 +166,34 @@
 			// An attempt that was out when the process ended may have run.
 			a.Tried = append(a.Tried, policy.Tried{Endpoint: t.Host, Sent: l.clock(t.Begun), Unrun: t.Ended && t.Unrun})
 		}
+		if o, ok := out[e.ID]; ok && o.Attempt == len(e.Attempts)-1 {
+			delete(out, e.ID)
+			l.rejoin(k, m, o, &a)
+		}
+		l.events = append(l.events, a)
+	}
+	for _, o := range out { // their messages are over, but they hold slots
+		m := l.messages[o.ID]
+		if m == nil {
+			m = &message{Entry: &Entry{ID: o.ID, Class: o.Class, Dest: o.Dest, Attempts: make([]Attempt, o.Attempt+1)}, over: true}
+			l.messages[o.ID] = m
+		}
+		a := policy.Arrived{ID: o.ID, Class: l.class(o.Class), Destination: o.Dest, Resumed: true, Over: true,
+			Tried: slices.Repeat([]policy.Tried{{Endpoint: o.Host, Sent: l.clock(o.Begun)}}, o.Attempt+1)}
+		l.rejoin(k, m, o, &a)
 		l.events = append(l.events, a)
 	}
 	l.step()
 }
 
+// rejoin marks the last attempt of a message as still out in the process before.
+func (l *loop) rejoin(k *link, m *message, o attemptOut, a *policy.Arrived) {
+	last := &a.Tried[o.Attempt]
+	last.Out, last.Call = true, o.Call
+	m.call = o.Call
+	m.cancel = func() { k.put(line{Cancel: &attemptOut{ID: o.ID, Attempt: o.Attempt}}) }
+}
+
 // class gives the number of a class, or -1.
 func (l *loop) class(name string) int {
 	for i := range l.cfg.policy.Classes {
@@ -168,8 +219,15 @@
 			l.pool.sweep()
 			continue
 		case e := <-l.inbox:
+			if l.heir != nil {
+				l.pass(e)
+				continue
+			}
 			l.accept(e)
 		case <-timer.C:
+			if l.heir != nil {
+				continue
+			}
 		}
 		// What comes within a tick of the last batch is one batch.
 		tick := time.NewTimer(l.stepped + l.cfg.policy.Tick - l.now())
@@ -182,13 +240,24 @@
 			}
 		}
 		l.step()
+		if k := l.successor; k != nil {
+			l.successor = nil
+			if l.cede(k) {
+				l.pool.retire()
+				l.retired()
+				close(l.ceded)
+			}
+		}
 	}
 }
 
 // due is the time until the module has something to act on: at once where a batch left events of its own. The
 // module's timer stays as it is then, since the module does not ask for it twice.
 func (l *loop) due() time.Duration {
-	if len(l.events) > 0 {
+	switch {
+	case l.heir != nil:
+		return time.Hour
+	case len(l.events) > 0:
 		return 0
 	}
 	return max(0, l.wakeAt-l.now())
@@ -226,6 +295,11 @@
 				l.end(m)
 			}
 		}
+	case takeover:
+		if l.successor != nil {
+			l.successor.close()
+		}
+		l.successor = e.link
 	case stopSending:
 		l.events = append(l.events, policy.Stopping{})
 	case question:
@@ -550,6 +624,7 @@
 		r.parcels = append(r.parcels, parcel{ID: s.m.ID, Key: s.m.Key, Body: s.m.Body})
 		r.timeout = max(r.timeout, s.timeout)
 		called := false
+		s.m.call = s.call
 		s.m.cancel = func() {
 			if !called {
 				called = true
--- /dev/null
+++ b/internal/relay/owner.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"syscall"
+)
+
+// lockName is the file in the folder whose lock says which process owns the journal and the decisions.
+const lockName = "owner"
+
+// ownership is the right to the folder. It is a lock that the system takes back when the process ends in whatever
+// way, so no owner is ever left behind.
+type ownership struct{ file *os.File }
+
+// own takes the folder if no process has it, and gives nil if one does.
+func own(dir string) (*ownership, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("owner of the folder: %w", err)
+	}
+	err = syscall.FcntlFlock(f.Fd(), syscall.F_SETLK, lock())
+	if err == nil {
+		return &ownership{f}, nil
+	}
+	_ = f.Close()
+	if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EACCES) {
+		return nil, nil
+	}
+	return nil, fmt.Errorf("owner of the folder: %w", err)
+}
+
+// release gives the folder up.
+func (o *ownership) release() { _ = o.file.Close() }
+
+// depose ends the process that owns the folder, by a signal that it can't ignore: one that neither hands over nor
+// ends might wake up later and write over the next one's journal.
+func depose(dir string) error {
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR, 0)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	l := lock()
+	if err := syscall.FcntlFlock(f.Fd(), syscall.F_GETLK, l); err != nil {
+		return err
+	}
+	// The system names the holder as this process sees it, or as 0 or below if it can't see it.
+	if l.Type == syscall.F_UNLCK || l.Pid <= 1 || int(l.Pid) == os.Getpid() {
+		return nil
+	}
+	return syscall.Kill(int(l.Pid), syscall.SIGKILL)
+}
+
+func lock() *syscall.Flock_t { return &syscall.Flock_t{Type: syscall.F_WRLCK, Whence: io.SeekStart} }
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -21,10 +21,14 @@
 	"time"
 )
 
-// childConfig and childState make the test program a relay, so that tests can kill one.
-const childConfig, childState = "FROSTLINK_TEST_CONFIG", "FROSTLINK_TEST_STATE"
+// childConfig and childState make the test program a relay, so that tests can kill one; childDies makes it a process
+// that owns the folder and is killed at a step of the handover.
+const childConfig, childState, childDies = "FROSTLINK_TEST_CONFIG", "FROSTLINK_TEST_STATE", "FROSTLINK_TEST_DIES"
 
 func TestMain(m *testing.M) {
+	if step := os.Getenv(childDies); step != "" {
+		dieAt(step, os.Getenv(childState))
+	}
 	path := os.Getenv(childConfig)
 	if path == "" {
 		os.Exit(m.Run())
@@ -60,8 +64,9 @@
 type platform struct {
 	t         *testing.T
 	discovery *httptest.Server
-	addr      string // the relay's
-	admin     string // its door for operators; empty for none
+	addr      string   // the relay's
+	admin     string   // its door for operators; empty for none
+	shared    *os.File // the clients' socket, where the platform holds it
 	dir       string
 	memory    float64
 	bundle    int    // messages in a call at most
@@ -230,6 +235,9 @@
 	p.t.Helper()
 	c := &child{Cmd: exec.Command(os.Args[0]), exited: make(chan error, 1), config: p.config()}
 	c.Env = append(os.Environ(), childConfig+"="+c.config, childState+"="+p.dir)
+	if p.shared != nil {
+		c.ExtraFiles, c.Env = []*os.File{p.shared}, append(c.Env, "NODE_FD=3")
+	}
 	c.Stderr = &bytes.Buffer{}
 	if err := c.Start(); err != nil {
 		p.t.Fatal(err)
@@ -320,3 +328,14 @@
 		p.t.Fatalf("%s: %s", id, resp.Status)
 	}
 }
+
+// held is a host's answer that waits until it is let go.
+func (p *platform) held(hold chan bool) func(*http.Request) int {
+	return func(r *http.Request) int {
+		select {
+		case <-hold:
+		case <-r.Context().Done():
+		}
+		return http.StatusOK
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,6 +40,16 @@
 		defer door.listener.Close()
 		go door.serve()
 	}
+	gate, err := openGate(cfg)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	defer gate.Close()
+	owner, before, off, err := takeOver(ctx, dir)
+	if err != nil {
+		return err
+	}
+	defer owner.release()
 	journal, err := OpenJournal(dir, cfg.Limits.DiskMB)
 	if err != nil {
 		return err
@@ -48,26 +58,31 @@
 
 	live, stop := context.WithCancel(context.Background())
 	defer stop()
+	deciding, retired := context.WithCancel(live)
+	defer retired()
 	s := cfg.Settings
 	l := &loop{cfg: cfg, d: d, journal: journal, figures: figures, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
 		messages: map[string]*message{}, hosts: map[string]Member{}, dests: map[int]bool{},
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle,
-			max(1, int(hostShare*float64(cfg.Limits.Sockets))), &figures.written)}
+			max(1, int(hostShare*float64(cfg.Limits.Sockets))), &figures.written),
+		gate: gate, owner: owner, ceded: make(chan bool), retired: retired}
 	l.watch = newWatcher(cfg.Discovery, func(m Members) { l.put(told{m}) },
 		func() { l.put(watchEnded{}) })
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
 	srv := newServer(cfg, func(a *arrival) { l.put(a) }, func(a *arrival) { l.put(departure{a}) })
-	listener, err := srv.listen(cfg)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	if err := heir(deciding, dir, func(k *link) { l.put(takeover{k}) }); err != nil {
+		slog.Error("no newer process can take over", "err", err)
 	}
-	l.restore() // clients wait to be served until this is done
+	l.restore(before, off) // clients wait to be served until this is done
 	var work sync.WaitGroup
 	work.Go(func() { l.run(live) })
-	work.Go(func() { l.watch.run(live) })
-	work.Go(func() { l.notices.run(live) })
+	work.Go(func() { l.watch.run(deciding) })
+	work.Go(func() { l.notices.run(deciding) })
+	if before != nil {
+		go l.follow(before, off)
+	}
 	served := make(chan error, 1)
-	go func() { served <- srv.http.Serve(listener) }()
+	go func() { served <- srv.http.Serve(gate) }()
 	figures.taking.Store(true)
 
 	for running := true; running; {
@@ -78,9 +93,13 @@
 			slog.Info("discovery moved", "address", address)
 			l.watch.redirect(address)
 			l.notices.redirect(address)
+		case <-l.ceded:
+			figures.taking.Store(false)
+			l.retire(ctx, srv)
+			running = false
 		case <-ctx.Done():
 			figures.taking.Store(false)
-			l.drain(srv, func() { _ = listener.Close() })
+			l.drain(srv)
 			running = false
 		}
 	}
@@ -92,14 +111,34 @@
 	return nil
 }
 
+// retire brings a relay to its end whose place a newer process has taken: it stays for as long as clients keep its
+// connections or calls are out, but after a signal to end no longer than drain does.
+func (l *loop) retire(ctx context.Context, srv *server) {
+	srv.closing.Store(true)
+	_ = l.gate.Close()
+	end, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	defer context.AfterFunc(ctx, func() {
+		if sleep(end, callsOn) {
+			cancel()
+		}
+	})()
+	for l.gate.clients() > 0 || !l.idle() {
+		if !sleep(end, askIdle) {
+			break
+		}
+	}
+	l.shutdown(srv)
+}
+
 // drain brings a relay to its end. No request that was read goes unanswered: answers close their
 // connections, and those that stay unused are closed last.
-func (l *loop) drain(srv *server, closeListener func()) {
+func (l *loop) drain(srv *server) {
 	begun := time.Now()
 	until := func(stage time.Duration) time.Duration { return time.Until(begun.Add(stage)) }
 	srv.closing.Store(true)
 	time.Sleep(until(listenOn))
-	closeListener()
+	_ = l.gate.Close()
 	for until(sendOn) > 0 && !l.idle() {
 		time.Sleep(askIdle)
 	}
@@ -107,6 +146,11 @@
 	for until(callsOn) > 0 && !l.idle() {
 		time.Sleep(askIdle)
 	}
+	l.shutdown(srv)
+}
+
+// shutdown closes the clients' connections, once the answers that are being written are out.
+func (l *loop) shutdown(srv *server) {
 	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
 	defer cancel()
 	if err := srv.http.Shutdown(ctx); err != nil {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"log/slog"
-	"net"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -13,8 +12,6 @@
 	"sync/atomic"
 	"time"
 
-	"golang.org/x/net/netutil"
-
 	"mallowlead/internal/settings"
 	"mallowlead/policy"
 )
@@ -70,15 +67,6 @@
 	return s
 }
 
-// listen opens the address that clients connect to, for a bounded number of connections.
-func (s *server) listen(c *Config) (net.Listener, error) {
-	l, err := net.Listen("tcp", c.Listen)
-	if err != nil {
-		return nil, err
-	}
-	return netutil.LimitListener(l, max(1, int(clientShare*float64(c.Limits.Sockets)))), nil
-}
-
 // serve parts messages from health checks. Those are answered 200: the relay listens only once its journal
 // is replayed.
 func (s *server) serve(w http.ResponseWriter, r *http.Request) {
--- a/policy/api.go
+++ b/policy/api.go
@@ -109,6 +109,29 @@
 	Endpoint string
 	Sent     time.Duration
 	Unrun    bool // proved never to have run
+	// Out says that it still is, in the process that hands over: Ended reports its end. Those of one Call share it.
+	Out  bool
+	Call int
+}
+
+// LearnedEndpoint is the part of Learned that concerns one endpoint.
+type LearnedEndpoint struct {
+	ID        string
+	Sick      bool
+	Ramping   bool
+	SickAt    time.Duration
+	Recovered time.Duration
+	LastOK    time.Duration
+	Failures  float64
+	ConnCap   float64
+	Tokens    float64
+	TokensAt  time.Duration
+}
+
+// Counted is the state of a counter that fades.
+type Counted struct {
+	N         float64
+	At, Since time.Duration
 }
 
 // Event is something that happened to a dispatcher.
@@ -128,6 +151,8 @@
 		// admission again. Tried are that process's attempts, which count as this one's.
 		Resumed bool
 		Tried   []Tried
+		// Over says that the message has its end, and is named for its attempt that is out alone.
+		Over bool
 	}
 	// Ended reports how an attempt ended.
 	Ended struct {
@@ -152,6 +177,23 @@
 	ListFailed struct{}
 	// Recalled tells what an earlier process of this relay remembered of a listed endpoint.
 	Recalled Remember
+	// Learned tells what the process that hands over has learned of a queue.
+	Learned struct {
+		Endpoints  []LearnedEndpoint
+		Wait, Hold time.Duration // nothing is sent until then: told, and by its own choice
+		Outcomes   int
+		Mean       float64 // latency, in seconds
+		Class      []float64
+		Width      float64
+		Pace       float64
+		Tokens     float64
+		TokensAt   time.Duration
+		Fulls      int
+		FirstFull  time.Duration
+		LastOK     time.Duration
+		Arrivals   Counted
+		Misses     Counted
+	}
 	// Stopping says that this process is about to end: nothing more is sent.
 	Stopping struct{}
 	// Woken says that a timer fell due.
@@ -164,6 +206,7 @@
 func (Listed) event()     {}
 func (ListFailed) event() {}
 func (Recalled) event()   {}
+func (Learned) event()    {}
 func (Stopping) event()   {}
 func (Woken) event()      {}
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -113,6 +113,8 @@
 			}
 		case Recalled:
 			d.recall(e)
+		case Learned:
+			d.inherit(e)
 		case Stopping:
 			d.stopping = true
 		}
@@ -749,14 +751,6 @@
 	}
 }
 
-// reroute lets the held messages of a queue choose their route again.
-func (d *Dispatcher) reroute(q *queue) {
-	for _, m := range append([]*message(nil), q.held...) {
-		m.release()
-		d.hold(d.route(m), m)
-	}
-}
-
 // full notes a refusal by the destination: a cut of the pace and a pause, twice as long for each
 // refusal in a row, since refused calls may eat the limit; a run of them is a destination that is shut.
 func (d *Dispatcher) full(q *queue) {
