--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -370,21 +371,28 @@
 
 // up tells whether an idle connection is open and has nothing to read: a host may close one at any time, and
 // a request written after that would end as a reset, which may have run.
-func (c *conn) up() bool {
-	sc, ok := c.Conn.(syscall.Conn)
+func (c *conn) up() bool { return peek(c.Conn) == syscall.EAGAIN }
+
+// unread tells whether a connection has bytes that wait to be read.
+func unread(c net.Conn) bool { return peek(c) == nil }
+
+// peek looks for a byte to read and gives EAGAIN where there is none yet, io.EOF where none will come.
+func peek(c net.Conn) error {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return errors.ErrUnsupported
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return err
 	}
-	up := false
-	err = raw.Read(func(fd uintptr) bool {
+	var seen error
+	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		up = err == syscall.EAGAIN
-		return true
+		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		if seen = err; err == nil && n == 0 {
+			seen = io.EOF
+		}
 	})
-	return err == nil && up
+	return cmp.Or(err, seen)
 }
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -7,20 +7,27 @@
 	"os"
 	"strconv"
 	"sync"
+	"time"
 )
 
+// patience is how long a client may be silent in the middle of a request before it counts as stalled: some take 2 s
+// to write one, and write on all the while.
+const patience = 500 * time.Millisecond
+
 // minShare of the room for clients' connections is left to a new process while the one before has the rest.
 const minShare = 0.25
 
-// gate bounds the connections of clients, those that the process before still has included.
+// gate bounds the connections of clients, those that the process before still has included. With all places taken, a
+// newcomer gets that of the connection that shows the least promise of a message, so that a crowd that never completes
+// one keeps no client out.
 type gate struct {
 	net.Listener
 	room int
 
 	mu      sync.Mutex
 	changed sync.Cond
-	open    int // connections of this process
-	lent    int // of the process before
+	open    map[*client]bool // connections of this process
+	lent    int              // of the process before
 	closed  bool
 }
 
@@ -31,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gate{Listener: l, room: max(1, int(clientShare*float64(c.Limits.Sockets)))}
+	g := &gate{Listener: l, room: max(1, int(clientShare*float64(c.Limits.Sockets))), open: map[*client]bool{}}
 	g.changed.L = &g.mu
 	return g, nil
 }
@@ -52,21 +59,47 @@
 	return net.FileListener(f)
 }
 
-// Accept waits for room and then for a client.
+// Accept waits for a client, and for a place for it.
 func (g *gate) Accept() (net.Conn, error) {
-	g.mu.Lock()
-	for g.open >= max(g.room-g.lent, int(minShare*float64(g.room)), 1) && !g.closed {
-		g.changed.Wait()
-	}
-	g.mu.Unlock()
-	c, err := g.Listener.Accept()
+	conn, err := g.Listener.Accept()
 	if err != nil {
 		return nil, err
 	}
+	c := &client{Conn: conn, gate: g, heard: time.Now()}
 	g.mu.Lock()
-	g.open++
-	g.mu.Unlock()
-	return &client{Conn: c, gate: g}, nil
+	defer g.mu.Unlock()
+	for len(g.open) >= max(g.room-g.lent, int(minShare*float64(g.room)), 1) && !g.closed {
+		if worst := g.leastPromise(time.Now()); worst != nil && worst.stage == waiting && unread(worst.Conn) {
+			// Its request is here, and only the goroutine that reads it has not come to it.
+			worst.stage, worst.heard = reading, time.Now()
+			continue
+		} else if worst != nil {
+			delete(g.open, worst)
+			_ = worst.Conn.Close()
+			break
+		}
+		// None may go now: one that is silent may in a moment.
+		retry := time.AfterFunc(patience, g.changed.Broadcast)
+		g.changed.Wait()
+		retry.Stop()
+	}
+	g.open[c] = true
+	return c, nil
+}
+
+// leastPromise is the connection to close for a newcomer: one that has sent nothing before one that stopped in the
+// middle of a request, and of these the one silent longest. One with a request that waits for its answer stays, and
+// so does one that was heard of within the patience that a request at an honest pace needs.
+func (g *gate) leastPromise(now time.Time) (worst *client) {
+	for c := range g.open {
+		if c.stage == answerDue || c.stage == reading && now.Sub(c.heard) < patience {
+			continue
+		}
+		if worst == nil || c.stage < worst.stage || c.stage == worst.stage && c.heard.Before(worst.heard) {
+			worst = c
+		}
+	}
+	return worst
 }
 
 // Close stops taking clients. The socket itself stays open where the platform or another process has it too.
@@ -90,26 +123,65 @@
 func (g *gate) clients() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.open
+	return len(g.open)
 }
 
-func (g *gate) leave() {
+// busy tells whether a request is being read or waits for its answer on some connection.
+func (g *gate) busy() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.open--
-	g.changed.Broadcast()
+	for c := range g.open {
+		if c.stage != waiting {
+			return true
+		}
+	}
+	return false
 }
 
+// The stages of a connection, by the promise of a message that they show.
+type stage int
+
+const (
+	waiting   stage = iota // for the first byte of a request
+	reading                // in the middle of one
+	answerDue              // it is complete, and is owed its answer
+)
+
 // client is a connection of a client.
 type client struct {
 	net.Conn
-	gate *gate
-	left sync.Once
+	gate  *gate
+	stage stage     // the gate's lock guards this and the next
+	heard time.Time // when its last bytes came, or its last request ended
+}
+
+// Read notes that the client is heard of.
+func (c *client) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.gate.mu.Lock()
+		c.heard = time.Now()
+		if c.stage == waiting {
+			c.stage = reading
+		}
+		c.gate.mu.Unlock()
+	}
+	return n, err
+}
+
+// at notes the stage of a connection.
+func (c *client) at(s stage) {
+	c.gate.mu.Lock()
+	defer c.gate.mu.Unlock()
+	c.stage, c.heard = s, time.Now()
+	c.gate.changed.Broadcast()
 }
 
 // Close closes the connection and makes room for another.
 func (c *client) Close() error {
-	err := c.Conn.Close()
-	c.left.Do(c.gate.leave)
-	return err
+	c.gate.mu.Lock()
+	delete(c.gate.open, c)
+	c.gate.changed.Broadcast()
+	c.gate.mu.Unlock()
+	return c.Conn.Close()
 }
--- /dev/null
+++ b/internal/relay/gate_test.go
@@ -0,0 +1,105 @@
+package relay
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func TestLeastPromise(t *testing.T) {
+	now := time.Now()
+	ago := func(s stage, d time.Duration) *client { return &client{stage: s, heard: now.Add(-d)} }
+	tests := []struct {
+		name string
+		open []*client // the first one goes, if any does
+		none bool
+	}{
+		{"the oldest that sent nothing", []*client{ago(waiting, 3*time.Second), ago(waiting, time.Second)}, false},
+		{"one that sent nothing before one that stalls", []*client{ago(waiting, time.Millisecond), ago(reading, 2*time.Second)}, false},
+		{"the one stalled longest", []*client{ago(reading, 2*time.Second), ago(reading, time.Second), ago(answerDue, time.Minute)}, false},
+		{"none that writes on or is owed its answer", []*client{ago(reading, patience/2), ago(answerDue, time.Minute)}, true},
+	}
+	for _, tt := range tests {
+		g := &gate{open: map[*client]bool{}}
+		for _, c := range tt.open {
+			g.open[c] = true
+		}
+		want := tt.open[0]
+		if tt.none {
+			want = nil
+		}
+		if got := g.leastPromise(now); got != want {
+			t.Errorf("%s: got %+v", tt.name, got)
+		}
+	}
+}
+
+// slowPost begins to hand a message in; the rest goes when finish is called, which gives the answer.
+func slowPost(t *testing.T, p *platform, id string) (c net.Conn, finish func() (*http.Response, error)) {
+	t.Helper()
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	_, _ = io.WriteString(c, "POST /status HTTP/1.1\r\nHost: relay\r\nTenant: acme\r\nX-Envelope: dest=7\r\n"+
+		"Request-Timeout: 25\r\nRequest-Id: "+id+"\r\nContent-Length: 2\r\nX-Slow: ")
+	return c, func() (*http.Response, error) {
+		_, _ = io.WriteString(c, "\r\n\r\nhi")
+		return http.ReadResponse(bufio.NewReader(c), nil)
+	}
+}
+
+// A crowd of silent connections, many times the limit, keeps neither new clients out nor slow ones.
+func TestCrowd(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.sockets = 64
+	p.start()
+	_, finish := slowPost(t, p, "slow")
+	for range 10 {
+		for range p.sockets {
+			c, err := net.Dial("tcp", p.addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+		}
+		c := p.keep()
+		if resp := c.handIn(t, "status", "new"+c.LocalAddr().String()); resp.StatusCode != http.StatusAccepted {
+			t.Errorf("a new client: %s", resp.Status)
+		}
+	}
+	if resp, err := finish(); err != nil || resp.StatusCode != http.StatusAccepted {
+		t.Errorf("a slow client: %v, %v", resp, err)
+	}
+}
+
+// A planned end waits for a request that is still being written.
+func TestPlannedEndWithSlowClient(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	old := p.start()
+	_, finish := slowPost(t, p, "slow")
+	p.take("status", "m", "25") // by then the slow one's first bytes are read
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	p.until("no new connection is taken", func() bool {
+		c, err := net.Dial("tcp", p.addr)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err != nil
+	})
+	if resp, err := finish(); err != nil || resp.StatusCode != http.StatusAccepted || !resp.Close {
+		t.Errorf("a slow client: %v, %v", resp, err)
+	}
+	if err := old.exit(t); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -69,6 +69,7 @@
 	shared    *os.File // the clients' socket, where the platform holds it
 	dir       string
 	memory    float64
+	sockets   int
 	bundle    int    // messages in a call at most
 	mode      string // of discovery, in the settings
 	unknown   bool   // the configuration lists no host
@@ -88,7 +89,7 @@
 
 func newPlatform(t *testing.T) *platform {
 	t.Helper()
-	p := &platform{t: t, dir: t.TempDir(), memory: 15, bundle: 1, mode: "subscribe", began: make(chan string, 1000), lines: make(chan string, 10),
+	p := &platform{t: t, dir: t.TempDir(), memory: 15, sockets: 1024, bundle: 1, mode: "subscribe", began: make(chan string, 1000), lines: make(chan string, 10),
 		released: make(chan bool), answer: func(*http.Request) int { return http.StatusOK }}
 	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
 	t.Cleanup(func() {
@@ -214,8 +215,8 @@
 		p.t.Fatal(err)
 	}
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"admin":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-	 "limits":{"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":3},"known":%s,"settings":%s}`,
-		p.addr, p.admin, strings.TrimPrefix(p.discovery.URL, "http://"), known, testSettings(p.memory, p.bundle, p.mode))
+	 "limits":{"cores":1,"memory_mb":192,"sockets":%d,"disk_mb":3},"known":%s,"settings":%s}`,
+		p.addr, p.admin, strings.TrimPrefix(p.discovery.URL, "http://"), p.sockets, known, testSettings(p.memory, p.bundle, p.mode))
 	path := filepath.Join(p.t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -139,11 +139,11 @@
 	srv.closing.Store(true)
 	time.Sleep(until(listenOn))
 	_ = l.gate.Close()
-	for until(sendOn) > 0 && !l.idle() {
+	for until(sendOn) > 0 && l.busy() {
 		time.Sleep(askIdle)
 	}
 	l.put(stopSending{})
-	for until(callsOn) > 0 && !l.idle() {
+	for until(callsOn) > 0 && l.busy() {
 		time.Sleep(askIdle)
 	}
 	l.shutdown(srv)
@@ -158,6 +158,9 @@
 	}
 }
 
+// busy tells whether a message is held, or a request that may become one is still being written.
+func (l *loop) busy() bool { return l.gate.busy() || !l.idle() }
+
 // idle tells whether nothing is held.
 func (l *loop) idle() bool {
 	q := question{make(chan bool, 1)}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -1,10 +1,12 @@
 package relay
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"regexp"
 	"strconv"
@@ -44,6 +46,9 @@
 	after  time.Duration // when to come again
 }
 
+// connKey finds the connection of a request in its context.
+type connKey struct{}
+
 // server is the side that clients see.
 type server struct {
 	classes map[string]*policy.Class
@@ -63,7 +68,13 @@
 		s.tenants[t.Name] = true
 	}
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
-		ErrorLog: slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
+		ConnState: func(c net.Conn, state http.ConnState) {
+			if c, ok := c.(*client); ok && state == http.StateIdle {
+				c.at(waiting)
+			}
+		},
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
+		ErrorLog:    slog.NewLogLogger(slog.Default().Handler(), slog.LevelDebug)}
 	return s
 }
 
@@ -101,6 +112,9 @@
 		s.finish(w, verdict{status: status})
 		return
 	}
+	if c, ok := r.Context().Value(connKey{}).(*client); ok {
+		c.at(answerDue)
+	}
 	s.admit(a)
 	select {
 	case v := <-a.verdict:
