--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -30,6 +30,9 @@
 	idleShare = 0.8
 	// drainTime is how long the body of an answer may take before its connection is given up.
 	drainTime = 100 * time.Millisecond
+	// stallTime is how long a host may be silent in the middle of an answer: no more of it is to be expected then, and
+	// the call holds a slot.
+	stallTime = 500 * time.Millisecond
 	// maxAnswer bytes of an answer are read, its head included: what a host sends must not fill the memory.
 	maxAnswer = 2 * maxBody
 	// mostInterim 1xx answers may come ahead of the real one.
@@ -90,6 +93,19 @@
 	limit *io.LimitedReader // what may still be read for the call
 	in    *bufio.Reader     // reads from limit
 	since time.Time         // idle since
+	call  context.Context   // of the call that the connection carries
+	stall time.Duration     // bounds the silence before the next bytes; 0 for no bound
+}
+
+// Read gives up where the rest of an answer does not follow.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.stall > 0 {
+		_ = c.SetReadDeadline(time.Now().Add(c.stall))
+		if err := c.call.Err(); err != nil { // its end may have set a deadline just before
+			return 0, err
+		}
+	}
+	return c.Conn.Read(b)
 }
 
 // newPool keeps at most room idle connections, each for less than hostIdle.
@@ -124,11 +140,12 @@
 	if err != nil {
 		return r.all(result{outcome: policy.ConnectError}), false
 	}
+	c.call = ctx
 	if n, _ := c.Write(out); n < len(out) {
 		return r.all(result{outcome: policy.ConnectError}), false // the last byte never left: it can't have run
 	}
 	p.written.Add(int64(len(r.parcels)))
-	resp, err := c.answer()
+	resp, err := c.answer(len(r.parcels) == 1)
 	if err != nil && resp != nil && len(r.parcels) == 1 {
 		return r.all(classify(resp)), false // its first line is true, whatever else it lacks
 	}
@@ -150,6 +167,7 @@
 		}
 		res = r.ends(resp, body)
 	}
+	c.stall = 0
 	_ = c.SetDeadline(time.Now().Add(drainTime))
 	_, err = io.Copy(io.Discard, resp.Body)
 	reuse = err == nil && !resp.Close && c.in.Buffered() == 0 && c.SetDeadline(time.Time{}) == nil
@@ -228,12 +246,24 @@
 }
 
 // answer reads the answer to a request, past any interim ones. Where the rest of it can't be read, a first line
-// that says 200 still gives a response, beside the error.
-func (c *conn) answer() (*http.Response, error) {
+// that says 200 still gives a response, beside the error; for a call with one message it tells all that is needed.
+func (c *conn) answer(single bool) (*http.Response, error) {
 	c.limit.N = maxAnswer
 	for range mostInterim {
+		c.stall = 0 // a host may work for as long as the call lasts
+		_ = c.SetReadDeadline(time.Time{})
+		if err := c.call.Err(); err != nil {
+			return nil, err
+		}
+		if _, err := c.in.Peek(1); err != nil {
+			return nil, err
+		}
+		c.stall = stallTime
 		line, _ := c.in.Peek(len("HTTP/1.1 200 "))
 		delivered := firstLine.Match(line)
+		if delivered && single {
+			c.stall = drainTime
+		}
 		resp, err := http.ReadResponse(c.in, &http.Request{Method: http.MethodPost})
 		if err != nil && delivered {
 			return &http.Response{StatusCode: http.StatusOK}, err
@@ -310,8 +340,10 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
-	limit := &io.LimitedReader{R: raw, N: maxAnswer}
-	return &conn{Conn: raw, limit: limit, in: bufio.NewReader(limit)}, nil
+	fresh := &conn{Conn: raw}
+	fresh.limit = &io.LimitedReader{R: fresh, N: maxAnswer}
+	fresh.in = bufio.NewReader(fresh.limit)
+	return fresh, nil
 }
 
 // put keeps a connection for the next call.
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -225,6 +225,56 @@
 	}
 }
 
+// A host that stops in the middle of its answer does not hold the call to its end; one that works long before it
+// answers, or between an interim answer and the real one, does.
+func TestStalledAnswers(t *testing.T) {
+	slow := make(chan bool)
+	time.AfterFunc(3*stallTime/2, func() { close(slow) })
+	tests := []struct {
+		name, first, rest string
+		bulk              bool
+		want              policy.Outcome
+	}{
+		{"in the first line", "HTTP/1.1 20", "", false, policy.Reset},
+		{"after a first line that says 200", "HTTP/1.1 200 OK\r\nContent-Le", "", false, policy.OK},
+		{"the same, but only the body tells", "HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n[", "", true, policy.Reset},
+		{"in the head of a refusal", "HTTP/1.1 503 no\r\n", "", false, policy.Reset},
+		{"before the first byte", "", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", false, policy.OK},
+		{"after an interim answer", "HTTP/1.1 103 wait\r\n\r\n", "HTTP/1.1 500 no\r\nContent-Length: 0\r\n\r\n", false, policy.Failed},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			t.Parallel()
+			gone := make(chan error, 1)
+			addr := rawHost(t, func(c net.Conn) {
+				in := bufio.NewReader(c)
+				if _, err := readCall(in); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, tt.first)
+				if tt.rest != "" {
+					<-slow
+					_, _ = io.WriteString(c, tt.rest)
+				}
+				_, err := in.ReadByte()
+				gone <- err
+			})
+			p, call := testPool(), testCall(addr)
+			call.timeout = time.Hour // a stalled answer that is waited for fails by the test's own end
+			if tt.bulk {
+				call.parcels = append(call.parcels, parcel{ID: "m2"})
+			}
+			if got := p.call(t.Context(), call)[0]; got.outcome != tt.want {
+				t.Errorf("outcome %v, want %v", got.outcome, tt.want)
+			}
+			if tt.rest != "" {
+				p.closeIf(func(string, *conn) bool { return true })
+			}
+			receive(t, gone)
+		})
+	}
+}
+
 // A call that timed out or was called off is off the wire when its end is reported: the host's side of the
 // connection ends.
 func TestGivenUpCallIsOffTheWire(t *testing.T) {
