Watch discovery at once after a takeover, without the fleet's spread

What discovery tells binds 2 s after the new process's yes, and a span of 80 ms for each relay passes that from 26 relays on.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -76,6 +76,7 @@
 	silence time.Duration // watchSilence, but in tests
 	spread  time.Duration // askSpread for the whole fleet
 	draw    func(span time.Duration) time.Duration
+	prompt  bool // the first watch begins at once; set before run
 	asked   chan struct{}
 	seq     int64 // of the list as it stands; set before run
 	told    func(Members)
@@ -127,6 +128,9 @@
 // run serves asks until ctx ends.
 func (w *watcher) run(ctx context.Context) {
 	span, least := w.spread, time.Duration(0)
+	if w.prompt {
+		span = 0
+	}
 	for {
 		select {
 		case <-ctx.Done():
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -194,6 +194,22 @@
 	}
 }
 
+// A process that took over from another asks at once: what changes meanwhile would come too late.
+func TestWatchAfterTakeover(t *testing.T) {
+	spans := make(chan time.Duration, 1)
+	w := newWatcher("127.0.0.1:0", 48, func(Members) {}, func() {})
+	w.prompt = true
+	w.draw = func(span time.Duration) time.Duration {
+		spans <- span
+		return 0
+	}
+	go w.run(t.Context())
+	w.ask()
+	if got := receive(t, spans); got != 0 {
+		t.Errorf("first ask drawn from %v", got)
+	}
+}
+
 // What discovery asks for as a wait is kept, up to a bound.
 func TestBusyDiscovery(t *testing.T) {
 	for text, want := range map[string]time.Duration{"0.75": 750 * time.Millisecond, "": 0, "soon": 0, "3600": askAgainMost} {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -68,6 +68,7 @@
 		gate: gate, owner: owner, ceded: make(chan bool), retired: retired}
 	l.watch = newWatcher(cfg.Discovery, cfg.policy.Instances, func(m Members) { l.put(told{m}) },
 		func() { l.put(watchEnded{}) })
+	l.watch.prompt = before != nil // the process before had a watch until now, and no other relay starts for that
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
 	srv := newServer(cfg, func(a *arrival) { l.put(a) }, func(a *arrival) { l.put(departure{a}) })
 	if err := heir(deciding, dir, func(k *link) { l.put(takeover{k}) }); err != nil {
