--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -16,8 +16,9 @@
 	"mallowlead/internal/relay"
 )
 
-// heapShare of the memory limit is the runtime's soft limit: the journal's files count as memory too.
-const heapShare = 0.6
+// heapShare of the memory limit is the runtime's soft limit: in a takeover two processes share the limit, and the
+// journal's files count as memory too.
+const heapShare = 0.4
 
 func main() {
 	config := flag.String("config", os.Getenv("NODE_CONFIG"), "configuration `file` (default $NODE_CONFIG)")
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -14,6 +14,9 @@
 // to write one, and write on all the while.
 const patience = 500 * time.Millisecond
 
+// fixedRoom is for what a process has open whatever its load: files, listeners, discovery, operators, the runtime.
+const fixedRoom = 22
+
 // minShare of the room for clients' connections is left to a new process while the one before has the rest.
 const minShare = 0.25
 
@@ -38,11 +41,18 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gate{Listener: l, room: max(1, int(clientShare*float64(c.Limits.Sockets))), open: map[*client]bool{}}
+	g := &gate{Listener: l, room: clientRoom(c.Limits.Sockets, c.policy.Slots), open: map[*client]bool{}}
 	g.changed.L = &g.mu
 	return g, nil
 }
 
+// clientRoom is how many connections of clients fit beside what else needs descriptors, the calls of all slots and
+// another process in a takeover included, but no fewer than the platform lets clients use.
+func clientRoom(sockets, slots int) int {
+	rest := sockets - int(hostShare*float64(sockets)) - slots - 2*fixedRoom
+	return max(1, sockets/3, min(int(clientShare*float64(sockets)), rest))
+}
+
 func listen(c *Config) (net.Listener, error) {
 	if c.inherited == "" {
 		return net.Listen("tcp", c.Listen)
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -38,6 +38,15 @@
 	}
 }
 
+// Clients get what is left beside calls, idle connections and another process, within their share.
+func TestClientRoom(t *testing.T) {
+	for _, tt := range []struct{ sockets, slots, want int }{{1024, 33, 512}, {192, 33, 67}, {192, 100, 64}, {3, 9, 1}} {
+		if got := clientRoom(tt.sockets, tt.slots); got != tt.want {
+			t.Errorf("%d descriptors, %d slots: room %d, want %d", tt.sockets, tt.slots, got, tt.want)
+		}
+	}
+}
+
 // slowPost begins to hand a message in; the rest goes when finish is called, which gives the answer.
 func slowPost(t *testing.T, p *platform, id string) (c net.Conn, finish func() (*http.Response, error)) {
 	t.Helper()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -30,7 +30,7 @@
 	// idleTime is how long a client may keep a connection without a request: as short as the platform allows, so
 	// that peers that open connections and leave them idle do not take those of clients.
 	idleTime = 2 * time.Second
-	// clientShare of the descriptors is for clients' connections; hosts' get hostShare.
+	// clientShare of the descriptors is for clients' connections at most; idle ones to hosts get hostShare.
 	clientShare, hostShare = 0.5, 0.25
 )
 
