Give up a post of notices that meets silence in time for the next one

A notice has to be there 300 ms after its message's time is up, and a post on a connection that had gone silent took 1 s. No play shows it; the test does, in simulated time.

--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -19,9 +19,9 @@
 )
 
 const (
-	// postTime bounds one post of notices: the platform answers at once, and a notice has to be there 300 ms
-	// after its message's time is up.
-	postTime = time.Second
+	// postTime bounds one post of notices: the platform answers at once, and a notice has to be there 300 ms after its
+	// message's time is up, with a second post where the first one's connection has gone silent.
+	postTime = 200 * time.Millisecond
 	// postAgain is the wait after a post that failed.
 	postAgain = 50 * time.Millisecond
 )
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -3,8 +3,11 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // A body holds what the protocol allows, and the rest of what is owed waits for the next one.
@@ -29,3 +32,33 @@
 		}
 	}
 }
+
+// roundTrip stands for the platform.
+type roundTrip func(*http.Request) (*http.Response, error)
+
+func (f roundTrip) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
+// A post whose connection has gone silent is given up in time for the next one to bring the notice.
+func TestNoticeBesideSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		got := make(chan []string, 1)
+		n := newNotifier("platform", func(ids []string) { got <- ids })
+		posts := 0
+		n.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
+			if posts++; posts == 1 {
+				<-r.Context().Done()
+				return nil, r.Context().Err()
+			}
+			return &http.Response{StatusCode: http.StatusNoContent, Body: http.NoBody}, nil
+		})
+		go n.run(t.Context())
+		owed := time.Now()
+		n.owe(Notice{ID: "m", Status: deferred})
+		if ids := <-got; len(ids) != 1 || ids[0] != "m" {
+			t.Errorf("received %v", ids)
+		}
+		if late := time.Since(owed); late > 300*time.Millisecond {
+			t.Errorf("received after %v", late)
+		}
+	})
+}
