Keep the timer that the module asked for last, so that no relay sleeps on held messages

Its relay, n36, took in nothing and sent nothing from 26.243 s to 26.992 s, with messages held for three destinations, and ended the message 478 ms late, in the batch of the next arrival.

Cause: loop.act kept the earlier of the timer that it had and the one asked for. The module has one timer. Where that falls due within a tick of a batch that settles what it was for, it asks for the next one; the loop kept the old one, used it up, and the module, which counts the next as asked for, did not ask again.

The test drops what the first timer was for within a tick of it, and fails without the mend.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -520,7 +520,8 @@
 			l.effects = append(l.effects, func() { l.pool.closeIdle(h.Dial) })
 		}
 	case policy.Wake:
-		l.wakeAt = min(l.wakeAt, now+a.After)
+		// The module has one timer and asks anew only where the one it has is no use to it any more.
+		l.wakeAt = now + a.After
 	case policy.Subscribe:
 		l.watch.ask()
 	case policy.Remember:
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"mallowlead/policy"
@@ -576,3 +577,40 @@
 		t.Errorf("the timer moved by %v", l.wakeAt-timer)
 	}
 }
+
+// What was due within a tick may be gone by an event just before it: the timer asked for next is not dropped with the
+// one that was due, or a message with nothing else to wake the relay ends late.
+func TestTimerAskedForShortOfAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const tick = 5 * time.Millisecond
+		d, err := policy.New(policy.Settings{Instances: 1, Slots: 1, HoldRoom: 9, MaxAttempts: 1, Tick: tick,
+			Classes: []policy.Class{{Name: "status", Aim: time.Second, Deadline: time.Minute, Worth: 1}}}, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3),
+			start: time.Now(), messages: map[string]*message{}, dests: map[int]bool{7: true}, notices: &notifier{}}
+		l.cfg.policy.Classes = []policy.Class{{Name: "status"}}
+		hand := func(id string, left time.Duration) *arrival {
+			a := &arrival{verdict: make(chan verdict, 1), entry: &Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(left)}}
+			l.accept(a)
+			return a
+		}
+		first := hand("first", time.Second)
+		hand("second", 2*time.Second)
+		l.step()
+		time.Sleep(l.due() - tick/2)
+		delete(l.messages, "first")
+		l.events = append(l.events, policy.Withdrawn{ID: first.entry.ID})
+		l.step()
+		for range 3 { // as far as the timers wake the relay before the second message's time is up
+			time.Sleep(min(l.due(), 2*time.Second-time.Since(l.start)))
+			if l.due() == 0 {
+				l.step()
+			}
+		}
+		if m := l.messages["second"]; !m.over {
+			t.Error("nothing woke the relay before the message's time was up")
+		}
+	})
+}
