Bring the whole fleet down by a note of a refusal, and let paces climb with the time in calm

Each of 80 relays had to meet its own refusal, about 100 ms after the limit was reached for all; then those told the same wait came back together. 40 relays took the limit for an outage and stayed on a cold destination's budget until second 20, though the limit was back at 15.

Cause: comeDown's floor, 0.7 of the even share, and its start at half a call a second could not fall to a halved limit; a success raised a pace by a tenth, so that a third of the calls had to be refused to hold it; once() in full() marked a destination sick after a refusal or two without a success in 2.5 s, which is what a share of 0.3 calls a second looks like at its limit; and nothing of it reached the other relays.

Now all who learn of a refusal, their own or by a note of five bytes, come down once a second and come back each at a chance part of its pace; the pace climbs with the time since. One rule serves fleets of all sizes, the old one for few relays is gone.

--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -17,14 +17,18 @@
 
 // Config is what the platform tells a relay in its configuration file.
 type Config struct {
-	Name      string            `json:"name"`
-	Listen    string            `json:"listen"`
-	Admin     string            `json:"admin"` // the operators' door; empty for none
-	Discovery string            `json:"discovery"`
-	Seed      string            `json:"seed"` // hexadecimal
-	Limits    Limits            `json:"limits"`
-	Known     Members           `json:"known"`
-	Settings  settings.Settings `json:"settings"`
+	Name      string  `json:"name"`
+	Listen    string  `json:"listen"`
+	Admin     string  `json:"admin"` // the operators' door; empty for none
+	Discovery string  `json:"discovery"`
+	Seed      string  `json:"seed"` // hexadecimal
+	Limits    Limits  `json:"limits"`
+	Known     Members `json:"known"`
+	// Notes of other relays come to PeerListen, from their addresses in Peers; PeersAll reaches all of them.
+	PeerListen string            `json:"peer_listen"`
+	Peers      []string          `json:"peers"`
+	PeersAll   string            `json:"peers_all"`
+	Settings   settings.Settings `json:"settings"`
 
 	inherited string // number of the descriptor on which clients are taken; empty to listen
 
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -40,6 +40,8 @@
 	}
 	// told is a list, or a change of it.
 	told struct{ Members }
+	// heard is a note of another relay.
+	heard struct{ note []byte }
 	// watchEnded says that the watch on discovery ended or could not be had.
 	watchEnded struct{}
 	// received says that the platform has notices.
@@ -75,6 +77,7 @@
 	pool     *pool
 	watch    *watcher
 	notices  *notifier
+	peers    *peers
 	figures  *figures
 	start    time.Time
 	messages map[string]*message
@@ -287,6 +290,8 @@
 			}
 		}
 		l.journal.List(Members{Seq: e.Seq, Whole: true, Hosts: slices.Collect(maps.Values(l.hosts))})
+	case heard:
+		l.events = append(l.events, policy.Heard{Note: e.note})
 	case watchEnded:
 		l.events = append(l.events, policy.ListFailed{})
 	case received:
@@ -524,6 +529,8 @@
 		l.wakeAt = now + a.After
 	case policy.Subscribe:
 		l.watch.ask()
+	case policy.Tell:
+		l.effects = append(l.effects, func() { l.peers.tell(a.Note) })
 	case policy.Remember:
 		if _, ok := l.hosts[a.Endpoint]; ok {
 			l.journal.Remember(a.Endpoint, Health{Sick: a.Sick, At: l.wall(a.At)})
--- /dev/null
+++ b/internal/relay/peers.go
@@ -0,0 +1,99 @@
+package relay
+
+import (
+	"context"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// maxNote is the longest datagram that may be sent to other relays.
+	maxNote = 256
+	// listenAgain is the wait between tries for the address of notes, which a process that hands over still has.
+	listenAgain = time.Second
+)
+
+// peers carries notes between relays. They help, and nothing depends on them: without a socket none come or go.
+type peers struct {
+	listen string
+	all    netip.AddrPort
+	known  map[netip.AddrPort]bool // the other relays
+	heard  func(note []byte)
+	conn   atomic.Pointer[net.UDPConn]
+}
+
+// newPeers gives the carrier of notes, or nil where the configuration has no use for one or its addresses can't be
+// read.
+func newPeers(cfg *Config, heard func(note []byte)) *peers {
+	if !cfg.policy.Peers || cfg.PeerListen == "" || cfg.PeersAll == "" {
+		return nil
+	}
+	p := &peers{listen: cfg.PeerListen, known: map[netip.AddrPort]bool{}, heard: heard}
+	var err error
+	if p.all, err = netip.ParseAddrPort(cfg.PeersAll); err != nil {
+		slog.Warn("no notes to other relays", "err", err)
+		return nil
+	}
+	for i, addr := range cfg.Peers {
+		peer, err := netip.ParseAddrPort(addr)
+		if err != nil {
+			slog.Warn("no notes from another relay", "number", i, "err", err)
+			continue
+		}
+		p.known[peer] = i != cfg.Settings.Ordinal
+	}
+	return p
+}
+
+// run takes notes until ctx ends.
+func (p *peers) run(ctx context.Context) {
+	if p == nil {
+		return
+	}
+	var config net.ListenConfig
+	for {
+		conn, err := config.ListenPacket(ctx, "udp4", p.listen)
+		if err == nil {
+			p.serve(ctx, conn.(*net.UDPConn))
+		}
+		if !sleep(ctx, listenAgain) {
+			return
+		}
+	}
+}
+
+func (p *peers) serve(ctx context.Context, conn *net.UDPConn) {
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
+	p.conn.Store(conn)
+	defer p.conn.Store(nil)
+	buf := make([]byte, maxNote+1)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			if ctx.Err() == nil {
+				slog.Warn("notes of other relays", "err", err)
+			}
+			_ = conn.Close()
+			return
+		}
+		// Anyone can send to the address: only relays of the configuration are heard.
+		if n > 0 && n <= maxNote && p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())] {
+			p.heard(append([]byte(nil), buf[:n]...))
+		}
+	}
+}
+
+// tell sends a note to all other relays, if it can.
+func (p *peers) tell(note []byte) {
+	if p == nil || len(note) > maxNote {
+		return
+	}
+	if conn := p.conn.Load(); conn != nil {
+		if _, err := conn.WriteToUDPAddrPort(note, p.all); err != nil {
+			slog.Warn("note to other relays", "err", err)
+		}
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,6 +70,12 @@
 		func() { l.put(watchEnded{}) })
 	l.watch.prompt = before != nil // the process before had a watch until now, and no other relay starts for that
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
+	l.peers = newPeers(cfg, func(note []byte) {
+		select {
+		case l.inbox <- heard{note}:
+		default: // the loop has more to do than it can: a note may be lost
+		}
+	})
 	srv := newServer(cfg, func(a *arrival) { l.put(a) }, func(a *arrival) { l.put(departure{a}) })
 	if err := heir(deciding, dir, func(k *link) { l.put(takeover{k}) }); err != nil {
 		slog.Error("no newer process can take over", "err", err)
@@ -79,6 +85,7 @@
 	work.Go(func() { l.run(live) })
 	work.Go(func() { l.watch.run(deciding) })
 	work.Go(func() { l.notices.run(deciding) })
+	work.Go(func() { l.peers.run(deciding) })
 	if before != nil {
 		go l.follow(before, off)
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -32,11 +32,13 @@
 		MaxAttempts    int     `json:"max_attempts"`
 		MaxOpen        int     `json:"max_open"`
 		MaxRetryAfterS float64 `json:"max_retry_after_s"`
+		Peers          bool    `json:"peers"`
 		RetryAfter     bool    `json:"retry_after"`
 		SecondCopies   bool    `json:"second_copies"`
 	} `json:"limits"`
 	Localities []string `json:"localities"`
 	NInstances int      `json:"n_instances"`
+	Ordinal    int      `json:"ordinal"`
 	QuantumS   float64  `json:"quantum_s"`
 	Rules      struct {
 		ColdShare      float64 `json:"cold_share"`
@@ -70,7 +72,7 @@
 	p := policy.Settings{
 		Instances: s.NInstances, Zone: s.Az, ZoneFee: s.Specifics.RouteFee, Slots: s.Specifics.MaxCalls,
 		HoldRoom: s.Limits.MaxOpen, MaxAttempts: s.Limits.MaxAttempts, SecondCopies: s.Limits.SecondCopies,
-		CanCancel: s.Limits.Cancel,
+		CanCancel: s.Limits.Cancel, Peers: s.Limits.Peers,
 		Tick:      Seconds(s.QuantumS),
 		ColdShare: s.Rules.ColdShare, RampTime: Seconds(s.Rules.RampTimeS),
 		OverloadFactor: s.Rules.OverloadFactor, OverloadFor: Seconds(s.Rules.OverloadForS),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -156,6 +156,8 @@
 		}
 		f.fail(errors.New("unknown list"))
 		return nil
+	case "peer_data":
+		return policy.Heard{Note: f.bytes(3)}
 	case "wakeup":
 		return policy.Woken{}
 	}
@@ -202,6 +204,8 @@
 			put(b, "abort_attempt", id, a.ID, a.Attempt)
 		case policy.CloseIdle:
 			put(b, "shut_idle", id, a.Endpoint)
+		case policy.Tell:
+			put(b, "announce", id, "*", a.Note)
 		case policy.Wake:
 			put(b, "remind", id, a.After.Seconds(), 0)
 		case policy.Subscribe:
@@ -244,6 +248,7 @@
 
 func (f *fields) text(i int) (v string)    { f.decode(i, &v); return v }
 func (f *fields) number(i int) (v float64) { f.decode(i, &v); return v }
+func (f *fields) bytes(i int) (v []byte)   { f.decode(i, &v); return v }
 func (f *fields) truth(i int) (v bool)     { f.decode(i, &v); return v }
 
 func (f *fields) seconds(i int) time.Duration { return settings.Seconds(f.number(i)) }
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -16,6 +16,25 @@
 	return out.String(), err
 }
 
+func TestNotes(t *testing.T) {
+	fleet := strings.Replace(strings.Replace(begin, `"max_open":20`, `"max_open":20,"peers":true`, 1), `"off"`, `"nominal"`, 1)
+	list := `["manifest",0,[[0,5,"h1",4,"in_service",0,null]]]`
+	call := `["call",0,"m",false,0,false,false,null,4.5,null,0,5]`
+	out, err := run(t, `["round",1]`, fleet, list, `["update",0,"SAVED",1,0]`, call, `["your_turn"]`,
+		`["round",2]`, `["answer",0,"m","h1",0,"QueueFull",700,0.1,false,null]`, `["your_turn"]`)
+	if err != nil || !strings.Contains(out, `["announce",0,"*","YwW8BQ=="]`) {
+		t.Errorf("no note of a refusal in %s, %v", out, err)
+	}
+	out, err = run(t, `["round",1]`, fleet, list, `["update",0,"SAVED",1,0]`, `["peer_data",0,1,"YwW8BQ=="]`, call, `["your_turn"]`)
+	if err != nil || strings.Contains(out, `["relay"`) {
+		t.Errorf("sent in spite of a note: %s, %v", out, err)
+	}
+	out, err = run(t, `["round",1]`, fleet, list, `["update",0,"SAVED",1,0]`, `["peer_data",0,1,null]`, call, `["your_turn"]`)
+	if err != nil || !strings.Contains(out, `["relay",0,"m","h1"`) {
+		t.Errorf("an empty note: %s, %v", out, err)
+	}
+}
+
 func TestServe(t *testing.T) {
 	list := `["manifest",0,[[0,5,"h1",1,"in_service",0,null]]]`
 	other := `["manifest",0,[[0,6,"h2",1,"in_service",0,null]]]`
--- a/policy/api.go
+++ b/policy/api.go
@@ -73,6 +73,7 @@
 	HoldRoom       int       // messages held, sent or not
 	CallSize       int       // bytes that a call with several messages holds at most; 0 for any number
 	MaxAttempts    int
+	Peers          bool // notes to other relays are allowed
 	SecondCopies   bool // two attempts of a message may be out at once
 	CanCancel      bool
 	Subscribe      bool // list changes come only after Subscribe
@@ -194,6 +195,8 @@
 		Arrivals   Counted
 		Misses     Counted
 	}
+	// Heard brings what another relay told.
+	Heard struct{ Note []byte }
 	// Stopping says that this process is about to end: nothing more is sent.
 	Stopping struct{}
 	// Woken says that a timer fell due.
@@ -207,6 +210,7 @@
 func (ListFailed) event() {}
 func (Recalled) event()   {}
 func (Learned) event()    {}
+func (Heard) event()      {}
 func (Stopping) event()   {}
 func (Woken) event()      {}
 
@@ -241,6 +245,8 @@
 	Wake struct{ After time.Duration }
 	// Subscribe asks for changes of the list.
 	Subscribe struct{}
+	// Tell sends all other relays a note. It may come late or not at all.
+	Tell struct{ Note []byte }
 	// Remember is what a later process of this relay has to know of an endpoint: that it is out, or when
 	// it came back.
 	Remember struct {
@@ -257,4 +263,5 @@
 func (CloseIdle) action() {}
 func (Wake) action()      {}
 func (Subscribe) action() {}
+func (Tell) action()      {}
 func (Remember) action()  {}
--- /dev/null
+++ b/policy/notes_test.go
@@ -0,0 +1,129 @@
+package policy
+
+import (
+	"bytes"
+	"testing"
+	"time"
+)
+
+func TestNotes(t *testing.T) {
+	for _, c := range []closing{{0, 0}, {7, 1500 * ms}, {maxNumber, maxNumber * ms}} {
+		if got, ok := readClosing(c.note()); !ok || got != c {
+			t.Errorf("%v was read as %v, %v", c, got, ok)
+		}
+	}
+	whole := closing{300, 700 * ms}.note()
+	for _, bad := range [][]byte{nil, {}, {closingMark}, whole[:2], whole[:len(whole)-1], append(bytes.Clone(whole), 0),
+		append([]byte{'x'}, whole[1:]...), append([]byte{closingMark}, bytes.Repeat([]byte{0xff}, 200)...),
+		closing{maxNumber + 1, 0}.note(), closing{0, (maxNumber + 1) * ms}.note()} {
+		if c, ok := readClosing(bad); ok {
+			t.Errorf("%x was read as %v", bad, c)
+		}
+	}
+}
+
+// fleet gives the dispatchers of a fleet, all with one endpoint listed at a rate.
+func fleet(t *testing.T, relays int, weight float64) (all []*Dispatcher) {
+	s := plain()
+	s.Instances, s.Weights, s.Peers = relays, WeightsNominal, true
+	for seed := range int64(relays) {
+		d, err := New(s, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Handle(0, []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: "a", Weight: weight}}}})
+		all = append(all, d)
+	}
+	return all
+}
+
+// notes gives what a relay tells when its call is refused.
+func notes(d *Dispatcher, at, wait time.Duration, id string) (all [][]byte) {
+	d.Handle(at, []Event{arrive(id, 0)})
+	for _, a := range d.Handle(at+ms, []Event{Ended{ID: id, Endpoint: "a", Outcome: QueueFull, Wait: wait}}) {
+		if tell, ok := a.(Tell); ok {
+			all = append(all, tell.Note)
+		}
+	}
+	return all
+}
+
+// TestFleetComesDownTogether guards against a fleet of which each relay has to meet a refusal itself, and against one
+// that comes back in step once the wait is over.
+func TestFleetComesDownTogether(t *testing.T) {
+	all := fleet(t, 80, 40)
+	at, wait := 2*time.Second, time.Second
+	told := notes(all[0], at, wait, "m")
+	if len(told) != 1 {
+		t.Fatalf("%d notes of a refusal", len(told))
+	}
+	for _, d := range all[1:] {
+		d.Handle(at+10*ms, []Event{Heard{Note: told[0]}, arrive("m", 0)})
+		if q := d.queues[0]; q.pace >= d.even(q)*1.3 || len(q.out) > 0 {
+			t.Fatalf("pace %v and %d calls out after a note", q.pace, len(q.out))
+		}
+	}
+	back := 0
+	for ; at < 6*time.Second; at += 50 * ms {
+		sent := 0
+		for _, d := range all[1:] {
+			for _, a := range d.Handle(at, []Event{Woken{}}) {
+				if _, ok := a.(Send); ok {
+					sent++
+				}
+			}
+		}
+		if back += sent; sent > 16 || sent > 0 && at < 3*time.Second {
+			t.Errorf("%d of 79 relays send at %v", sent, at)
+		}
+	}
+	if back < 70 {
+		t.Errorf("%d of 79 relays came back", back)
+	}
+}
+
+// TestNotesAreNotRepeated guards against a note from each relay that is refused.
+func TestNotesAreNotRepeated(t *testing.T) {
+	all := fleet(t, 2, 400)
+	at := 2 * time.Second
+	told := notes(all[0], at, time.Second, "m")
+	all[1].Handle(at, []Event{arrive("n", 0)})
+	all[1].Handle(at+ms, []Event{Heard{Note: told[0]}})
+	for _, a := range all[1].Handle(at+20*ms, []Event{Ended{ID: "n", Endpoint: "a", Outcome: QueueFull, Wait: 990 * ms}}) {
+		if _, ok := a.(Tell); ok {
+			t.Error("a relay told again what it had heard")
+		}
+	}
+	if again := notes(all[1], at+3*time.Second, time.Second, "o"); len(again) != 1 {
+		t.Errorf("%d notes of a later refusal", len(again))
+	}
+	silent := fleet(t, 2, 400)[0]
+	silent.s.Peers = false
+	if told := notes(silent, at, time.Second, "m"); len(told) != 0 {
+		t.Error("a note where none is allowed")
+	}
+}
+
+// TestNotesAreEvidenceOnly guards against notes that decide alone: garbled ones, of places that nobody listed, and
+// a flood of them.
+func TestNotesAreEvidenceOnly(t *testing.T) {
+	d := fleet(t, 80, 40)[0]
+	q := d.queues[0]
+	for _, note := range [][]byte{nil, []byte("hello"), closing{5, time.Second}.note()} {
+		d.Handle(time.Second, []Event{Heard{Note: note}})
+	}
+	if q.holdUntil != 0 || len(d.dests) != 1 || len(d.endpoints) != 1 {
+		t.Errorf("hold until %v, %d destinations, %d endpoints", q.holdUntil, len(d.dests), len(d.endpoints))
+	}
+	for i := range 1000 {
+		d.Handle(time.Second+time.Duration(i)*ms, []Event{Heard{Note: closing{0, time.Hour}.note()}})
+	}
+	if q.pace < 0.8*d.even(q) || q.holdUntil > 4*time.Second || q.waitUntil != 0 || d.endpoints["a"].sick {
+		t.Errorf("pace %v of %v, hold until %v, wait until %v, sick %v after a second of notes", q.pace, d.even(q),
+			q.holdUntil, q.waitUntil, d.endpoints["a"].sick)
+	}
+	d.Handle(10*time.Second, []Event{arrive("m", 0)})
+	if len(q.out) != 1 {
+		t.Error("nothing is sent once the notes have aged")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,12 +42,10 @@
 	// slotShare of the slots, and roomShare of the holding room once that is filled, is what the queue that
 	// holds most may have: no queue takes them all.
 	slotShare, roomShare = 0.5, 0.75
-	// paceRaise of itself is added to a pace by a success that found messages waiting for it, and a
-	// refusal cuts it to paceCut: about one refused call in eight where the limit binds all the time.
-	paceRaise, paceCut = 0.1, 0.8
-	// paceFloor is the least part of its even share that a queue's pace falls to: a rough weight that is
-	// half too high is met by two thirds.
-	paceFloor = 0.7
+	// Refusals cut a pace to paceCut once in burstSpan, to paceFloor of the even share at least: limits are
+	// lowered too, and refused calls use them up. It climbs by paceClimb a second for each second since then,
+	// paceCalm at most, so slowly near a limit; beyond paceRoom even shares only while messages wait.
+	paceCut, paceFloor, paceClimb, paceRoom, paceCalm = 0.85, 0.15, 0.06, 1.5, 5 * time.Second
 	// roomLeft of its allowance a destination must report for a pace to rise, where it reports at all.
 	roomLeft = 0.5
 	// reuses of a connection must be expected within its idle time, or it is closed after a call.
@@ -56,17 +54,16 @@
 	reuses, idleRoom = 4, 6
 	// connRaise is added to a learned connection cap by each success.
 	connRaise = 0.05
-	// pacedCalls a span is where a pace starts at least: where the even share is less, relays come by
-	// chance, and refusals tell sooner than shares how much the others leave. Each halves what is above.
-	pacedCalls = 0.5
+	// sparseCalls a span: a relay with an even share of less meets a destination by chance.
+	sparseCalls = 0.5
 	// burstSpan of pace may be sent at once: receivers count calls in spans of about this length.
 	burstSpan = time.Second
 	// answerShare of the time left is waited for an answer where the message may be sent again, and
 	// timeoutMeans mean latencies at least, so that slow receivers are not timed out for nothing.
 	answerShare, timeoutMeans = 1.0 / 3, 8
-	// pauseCalls at the pace, and leastPause where no pace is known, is the first pause after a refusal,
-	// longestHold the longest: about the longest span in which receivers count calls.
-	pauseCalls, leastPause, longestHold = 0.5, 100 * time.Millisecond, 2 * time.Second
+	// leastPause is the first pause after a refusal that told no wait, longestHold the longest: about the
+	// longest span in which receivers count calls.
+	leastPause, longestHold = 100 * time.Millisecond, 2 * time.Second
 	// subscribeAgain is the wait before a failed subscription is asked for again.
 	subscribeAgain = 500 * time.Millisecond
 )
@@ -115,6 +112,8 @@
 			d.recall(e)
 		case Learned:
 			d.inherit(e)
+		case Heard:
+			d.heard(e.Note)
 		case Stopping:
 			d.stopping = true
 		}
@@ -545,6 +544,7 @@
 
 // tokens is what the pace of a queue allows to be sent now.
 func (d *Dispatcher) tokens(q *queue) float64 {
+	d.climb(q)
 	return q.fill(d.now, q.pace, math.Max(1, q.pace*burstSpan.Seconds()))
 }
 
@@ -655,7 +655,7 @@
 		ep.strikes[m.Class] = 0
 		d.succeeded(ep, e.Report == nil || e.Report.Left >= roomLeft)
 	case QueueFull:
-		d.full(q)
+		d.full(q, e.Wait)
 	case ConnectError:
 		if ep.lastOK > c.sent {
 			// Others get through: the endpoint takes no more connections, it is not down.
@@ -705,9 +705,8 @@
 		}
 	}
 	q.fulls, q.ill = 0, false
-	if q.pace > 0 && len(q.held) > 0 && room {
-		own := math.Max(d.even(q), math.Min(q.pace, pacedCalls/burstSpan.Seconds()))
-		q.pace = math.Min(q.pace+paceRaise*own, q.weight)
+	if !room { // calm starts anew
+		q.cutAt = max(q.cutAt, d.now-burstSpan)
 	}
 }
 
@@ -751,30 +750,67 @@
 	}
 }
 
-// full notes a refusal by the destination: a cut of the pace and a pause, twice as long for each
-// refusal in a row, since refused calls may eat the limit; a run of them is a destination that is shut.
-func (d *Dispatcher) full(q *queue) {
+// full notes a refusal by the destination, and tells the other relays what they do not know of it; a run of
+// refusals is a destination that is shut.
+func (d *Dispatcher) full(q *queue, wait time.Duration) {
 	if q.fulls++; q.fulls == 1 {
 		q.firstFull = d.now
 	}
-	if q.pace > 0 {
-		q.pace = math.Max(paceFloor*d.even(q), math.Min(q.pace*paceCut, (q.pace+d.even(q))/2))
-		q.tokens = math.Min(q.tokens, 0)
+	if until := d.closed(q, wait); d.s.Peers && !q.apart && until > q.toldUntil+leastPause {
+		q.toldUntil = until
+		d.act(Tell{Note: closing{q.dest.no, wait}.note()})
 	}
-	hold := math.Max(leastPause.Seconds(), q.mean)
-	if q.pace > 0 {
-		hold = pauseCalls / math.Max(q.pace, pacedCalls/burstSpan.Seconds())
-	}
-	hold = math.Min(hold*math.Pow(2, float64(q.fulls-1)), math.Max(hold, longestHold.Seconds()))
-	hold *= 0.5 + d.chance.Float64() // relays that were refused together do not come back together
-	q.holdUntil = max(q.holdUntil, d.now+time.Duration(hold*float64(time.Second)))
-	if d.once(q, q.fulls) || q.fulls > failuresToSick && d.now-q.firstFull > shutAfter {
+	if !d.s.Peers && d.once(q, q.fulls) || q.fulls > failuresToSick && d.now-q.firstFull > shutAfter {
 		for _, ep := range q.eps {
 			d.sicken(ep)
 		}
 	}
 }
 
+// heard takes in a note of another relay: it is evidence of a refusal like one of our own, but for health.
+func (d *Dispatcher) heard(note []byte) {
+	if c, ok := readClosing(note); ok && d.dests[c.dest] != nil && !d.dests[c.dest].queues[0].apart {
+		q := d.dests[c.dest].queues[0]
+		q.toldUntil = max(q.toldUntil, d.closed(q, c.wait))
+	}
+}
+
+// closed takes in that a destination refuses calls, for a wait if one is told, and gives the end of the
+// pause. All who learn of it come down at once, and come back apart, each at a chance part of its own pace.
+func (d *Dispatcher) closed(q *queue, wait time.Duration) (until time.Duration) {
+	if wait <= 0 { // a moment: a steady rate has room again at once; twice as long if that was not enough
+		if d.now < q.holdUntil {
+			return q.holdUntil
+		}
+		if q.pause *= 2; d.now > q.holdUntil+q.pause {
+			q.pause = leastPause
+		}
+		wait = time.Duration((0.5 + d.chance.Float64()) * float64(q.pause))
+	}
+	until = d.now + min(wait, longestHold)
+	if d.now >= q.cutAt+burstSpan {
+		d.climb(q)
+		q.pace = math.Max(paceFloor*d.even(q), math.Min(q.pace*paceCut, (q.pace+d.even(q))/2))
+		q.cutAt = d.now
+	}
+	if until > q.holdUntil {
+		q.holdUntil, q.tokens, q.tokensAt = until, d.chance.Float64(), until
+	}
+	return until
+}
+
+// climb lets a pace rise while no refusal is heard of. One relay of many has a success in some seconds: its
+// own come too seldom to tell.
+func (d *Dispatcher) climb(q *queue) {
+	calmFrom := max(q.cutAt, q.holdUntil)
+	from := max(q.climbedAt, calmFrom)
+	q.climbedAt = d.now
+	if d.now > from && (q.pace < paceRoom*d.even(q) || len(q.held) > 0) && !q.down() {
+		rise := paceClimb * min(d.now-calmFrom, paceCalm).Seconds() * (d.now - from).Seconds()
+		q.pace = math.Min(q.pace*math.Exp(rise), q.weight)
+	}
+}
+
 // --- Ends ---
 
 // withdraw drops a message that nobody wants any more.
@@ -831,7 +867,7 @@
 
 // sparse tells whether a second knock is more than this relay's part of what a cold destination takes.
 func (d *Dispatcher) sparse(q *queue) bool {
-	return q.weight > 0 && d.even(q)*burstSpan.Seconds() < pacedCalls
+	return q.weight > 0 && d.even(q)*burstSpan.Seconds() < sparseCalls
 }
 
 // once tells whether n failures or refusals are all that may be seen before the budget is kept to. That
@@ -851,55 +887,6 @@
 		return
 	}
 	q.weight = weight
-	q.pace = math.Max(d.even(q), pacedCalls/burstSpan.Seconds())
+	q.pace, q.cutAt = d.even(q), d.now
 	q.tokens, q.tokensAt = math.Max(1, q.pace*burstSpan.Seconds()), d.now
 }
-
-// --- Timers ---
-
-// arm asks for a timer when something is next due by time alone.
-func (d *Dispatcher) arm() {
-	next := never
-	soon := func(t time.Duration) { next = min(next, max(t, d.now+d.s.Tick)) }
-	soon(d.resub)
-	for _, m := range d.live {
-		if m.q != nil {
-			soon(d.lastChance(m))
-			if first := m.firstRun(); first != nil && m.class.Effect == Keyed {
-				soon(first.sent + m.class.Memory - 2*d.s.Tick)
-			}
-		}
-	}
-	for _, q := range d.active {
-		for _, c := range q.out {
-			for _, factor := range []float64{stuckAfter, silentAfter, silentAfter * finalFactor} {
-				if at := d.lateAt(c, factor); at > d.now && !c.canceled {
-					soon(at)
-				}
-			}
-		}
-		if len(q.held) == 0 {
-			continue
-		}
-		at := max(q.waitUntil, q.holdUntil, d.now)
-		if q.pace > 0 && d.tokens(q) < 1 {
-			at = max(at, d.now+wait(1-q.tokens, q.pace))
-		}
-		if at > d.now {
-			soon(at)
-		}
-		for _, ep := range q.eps {
-			if (ep.sick || ep.ramping) && d.epTokens(ep) < 1 {
-				soon(max(at, d.now+wait(1-ep.tokens, d.budget(ep, d.coldFor(ep)))))
-			}
-		}
-	}
-	for _, m := range d.resting {
-		soon(m.rest)
-	}
-	// A clock with coarser steps than ours may wake us a little before the time: that timer is used up.
-	if next < never && (d.wakeAt < d.now+d.s.Tick || next < d.wakeAt) {
-		d.wakeAt = next
-		d.act(Wake{After: next - d.now})
-	}
-}
--- a/policy/state.go
+++ b/policy/state.go
@@ -45,6 +45,7 @@
 
 // destination is where messages go: one queue, or one for each route.
 type destination struct {
+	no     int
 	queues []*queue // routes, or the one shared queue; queues[0] also serves while nothing is listed
 }
 
@@ -60,6 +61,10 @@
 	kind      int
 	waitUntil time.Duration
 	holdUntil time.Duration // our own pause after a refusal without a wait
+	toldUntil time.Duration // other relays know of a refusal up to then
+	cutAt     time.Duration // of the pace in a large fleet
+	climbedAt time.Duration
+	pause     time.Duration // the last after a refusal that told no wait
 	fulls     int           // refusals in a row
 	firstFull time.Duration // of the refusals in a row
 	lastOK    time.Duration // 0 for never
@@ -409,7 +414,7 @@
 // dest gives a destination, with one queue at least.
 func (d *Dispatcher) dest(no int) *destination {
 	if d.dests[no] == nil {
-		dest := &destination{}
+		dest := &destination{no: no}
 		d.dests[no] = dest
 		d.addQueue(dest, 1, false)
 	}
@@ -599,3 +604,50 @@
 		delete(d.keys, m.Key)
 	}
 }
+
+// arm asks for a timer when something is next due by time alone.
+func (d *Dispatcher) arm() {
+	next := never
+	soon := func(t time.Duration) { next = min(next, max(t, d.now+d.s.Tick)) }
+	soon(d.resub)
+	for _, m := range d.live {
+		if m.q != nil {
+			soon(d.lastChance(m))
+			if first := m.firstRun(); first != nil && m.class.Effect == Keyed {
+				soon(first.sent + m.class.Memory - 2*d.s.Tick)
+			}
+		}
+	}
+	for _, q := range d.active {
+		for _, c := range q.out {
+			for _, factor := range []float64{stuckAfter, silentAfter, silentAfter * finalFactor} {
+				if at := d.lateAt(c, factor); at > d.now && !c.canceled {
+					soon(at)
+				}
+			}
+		}
+		if len(q.held) == 0 {
+			continue
+		}
+		at := max(q.waitUntil, q.holdUntil, d.now)
+		if q.pace > 0 && d.tokens(q) < 1 {
+			at = max(at, d.now+wait(1-q.tokens, q.pace))
+		}
+		if at > d.now {
+			soon(at)
+		}
+		for _, ep := range q.eps {
+			if (ep.sick || ep.ramping) && d.epTokens(ep) < 1 {
+				soon(max(at, d.now+wait(1-ep.tokens, d.budget(ep, d.coldFor(ep)))))
+			}
+		}
+	}
+	for _, m := range d.resting {
+		soon(m.rest)
+	}
+	// A clock with coarser steps than ours may wake us a little before the time: that timer is used up.
+	if next < never && (d.wakeAt < d.now+d.s.Tick || next < d.wakeAt) {
+		d.wakeAt = next
+		d.act(Wake{After: next - d.now})
+	}
+}
