Tell the other relays of an endpoint that is back, so that all start its ramp together

Calls at 12 to 14 s: 8, 38, 87 of a limit of 78 a second.

Cause: returns by succeeded alone. A trial of a relay's own comes after 3 to 12 s, since the rule's budget for a cold endpoint is shared by 80; the success tells one relay of them.

Ruled out: the limits (few refusals at 11 to 14 s), the endpoints (the first calls succeed at once), slots (none taken there), the connections.

Now the relay that meets the endpoint back tells its name.

--- a/policy/notes.go
+++ b/policy/notes.go
@@ -12,8 +12,18 @@
 	wait time.Duration
 }
 
-// closingMark is the first byte of a note of this form; another form gets another mark.
-const closingMark = 'c'
+// The first byte of a note says of which form it is: closing, or that an endpoint is back, with its name.
+const closingMark, backMark = 'c', 'b'
+
+func backNote(endpoint string) []byte { return append([]byte{backMark}, endpoint...) }
+
+// readBack gives the endpoint that a note says is back, or nothing.
+func readBack(note []byte) string {
+	if len(note) == 0 || note[0] != backMark {
+		return ""
+	}
+	return string(note[1:])
+}
 
 func (c closing) note() []byte {
 	b := binary.AppendUvarint([]byte{closingMark}, uint64(c.dest))
--- a/policy/notes_test.go
+++ b/policy/notes_test.go
@@ -127,3 +127,40 @@
 		t.Error("nothing is sent once the notes have aged")
 	}
 }
+
+// TestFleetLearnsOfAReturn guards against relays that each wait for a success of their own while an endpoint is back,
+// and against all of them knocking at once when they hear of one.
+func TestFleetLearnsOfAReturn(t *testing.T) {
+	all := fleet(t, 80, 40)
+	for _, d := range all {
+		d.Handle(time.Second, []Event{arrive("m", 0)})
+		d.sicken(d.endpoints["a"])
+	}
+	var told [][]byte
+	back := 10 * time.Second
+	for _, a := range all[0].Handle(back, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}}) {
+		if tell, ok := a.(Tell); ok {
+			told = append(told, tell.Note)
+		}
+	}
+	if len(told) != 1 {
+		t.Fatalf("%d notes of a return", len(told))
+	}
+	sent := 0
+	for _, d := range all[1:] {
+		d.Handle(back, []Event{Ended{ID: "m", Endpoint: "a", Outcome: ConnectError, Over: true}})
+		d.Handle(back+10*ms, []Event{Heard{Note: told[0]}, Heard{Note: backNote("unlisted")}, arrive("n", 0)})
+		ep := d.endpoints["a"]
+		if ep.sick || !ep.ramping || ep.recovered != back+10*ms || len(d.endpoints) != 1 {
+			t.Fatalf("sick %v, ramping %v, back since %v, %d endpoints", ep.sick, ep.ramping, ep.recovered, len(d.endpoints))
+		}
+		d.Handle(back+d.s.OverloadFor, []Event{Woken{}})
+		sent += len(d.queues[0].out)
+	}
+	s := all[0].s
+	share := s.ColdShare + (1-s.ColdShare)*float64(s.OverloadFor/2)/float64(s.RampTime)
+	most := int(s.OverloadFactor * share * 40 * s.OverloadFor.Seconds()) // that the rule allows
+	if sent == 0 || sent > most {
+		t.Errorf("%d relays sent to a cold endpoint within the rule's span, want some and %d at most", sent, most)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -696,10 +696,10 @@
 		ep.connCap += connRaise // other relays close idle connections
 	}
 	if ep.sick {
-		d.epTokens(ep)
-		ep.sick, ep.ramping, ep.recovered = false, true, d.now
-		ep.tokens = math.Max(ep.tokens, d.phase(ep))
-		d.act(Remember{Endpoint: ep.ID, At: d.now})
+		d.returns(ep, math.Max(d.epTokens(ep), d.phase(ep)))
+		if d.s.Peers {
+			d.act(Tell{Note: backNote(ep.ID)})
+		}
 		for _, other := range q.eps {
 			other.tokens = math.Max(other.tokens, 1) // outages mostly end for a whole destination
 		}
@@ -710,6 +710,13 @@
 	}
 }
 
+// returns starts the ramp of an endpoint that was sick, with what of a call may go at once.
+func (d *Dispatcher) returns(ep *endpoint, tokens float64) {
+	ep.sick, ep.ramping, ep.recovered, ep.failures, ep.q.ill = false, true, d.now, 0, false
+	ep.tokens, ep.tokensAt = tokens, d.now
+	d.act(Remember{Endpoint: ep.ID, At: d.now})
+}
+
 // failed notes a failure of an endpoint; one of a call sent before its last success tells nothing new.
 func (d *Dispatcher) failed(ep *endpoint, c *call, n float64) {
 	for _, m := range c.msgs {
@@ -767,8 +774,12 @@
 	}
 }
 
-// heard takes in a note of another relay: it is evidence of a refusal like one of our own, but for health.
+// heard takes in a note of another relay: it is evidence of a refusal like one of our own, but for health, or
+// that an endpoint that is sick here has answered there.
 func (d *Dispatcher) heard(note []byte) {
+	if ep := d.endpoints[readBack(note)]; ep != nil && ep.sick {
+		d.returns(ep, d.chance.Float64()) // all hear at once, and saved tokens are a call of each
+	}
 	if c, ok := readClosing(note); ok && d.dests[c.dest] != nil && !d.dests[c.dest].queues[0].apart {
 		q := d.dests[c.dest].queues[0]
 		q.toldUntil = max(q.toldUntil, d.closed(q, c.wait))
