End the fleet's pause when a call sent after the refused one is taken

Cause: closed() holds all relays for a wait that one was told. Where a count of calls is used up, that is when there is room again; a steady rate has room after the next few milliseconds, and its told wait is an upper bound.

Now a note of a refusal carries the age of the refused call, and an answer to a call sent 50 ms later or more ends the pause, for others by a note of its own. Who was told to wait does.

--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -22,10 +22,10 @@
 	call := `["call",0,"m",false,0,false,false,null,4.5,null,0,5]`
 	out, err := run(t, `["round",1]`, fleet, list, `["update",0,"SAVED",1,0]`, call, `["your_turn"]`,
 		`["round",2]`, `["answer",0,"m","h1",0,"QueueFull",700,0.1,false,null]`, `["your_turn"]`)
-	if err != nil || !strings.Contains(out, `["announce",0,"*","YwW8BQ=="]`) {
+	if err != nil || !strings.Contains(out, `["announce",0,"*","YwW8BegH"]`) {
 		t.Errorf("no note of a refusal in %s, %v", out, err)
 	}
-	out, err = run(t, `["round",1]`, fleet, list, `["update",0,"SAVED",1,0]`, `["peer_data",0,1,"YwW8BQ=="]`, call, `["your_turn"]`)
+	out, err = run(t, `["round",1]`, fleet, list, `["update",0,"SAVED",1,0]`, `["peer_data",0,1,"YwW8BegH"]`, call, `["your_turn"]`)
 	if err != nil || strings.Contains(out, `["relay"`) {
 		t.Errorf("sent in spite of a note: %s, %v", out, err)
 	}
--- a/policy/notes.go
+++ b/policy/notes.go
@@ -5,15 +5,50 @@
 	"time"
 )
 
-// closing is what relays tell each other: a destination refuses calls, for a wait, or for none that was told.
-// Its note is a mark, the number of the destination, and the wait in milliseconds.
-type closing struct {
+// limitNote is what relays tell each other of a destination's limit: it refused a call that was sent an age ago, for a
+// wait, or for none that was told; or it took one, so that it is open.
+type limitNote struct {
+	open bool
 	dest int
 	wait time.Duration
+	age  time.Duration
 }
 
-// The first byte of a note says of which form it is: closing, or that an endpoint is back, with its name.
-const closingMark, backMark = 'c', 'b'
+// The first byte of a note says of which form it is: a limitNote, with its numbers and milliseconds, or that an
+// endpoint is back, with its name.
+const closedMark, openMark, backMark = 'c', 'o', 'b'
+
+// maxNumber bounds the numbers of a note, so that none overflows.
+const maxNumber = 1 << 31
+
+func (n limitNote) note() []byte {
+	b := []byte{closedMark}
+	if n.open {
+		b[0] = openMark
+	}
+	for _, v := range []uint64{uint64(n.dest), uint64(n.wait.Milliseconds()), uint64(n.age.Milliseconds())} {
+		b = binary.AppendUvarint(b, v)
+	}
+	return b
+}
+
+// readLimit reads a limitNote; one that is not whole, or has more than it should, says nothing.
+func readLimit(note []byte) (l limitNote, ok bool) {
+	if len(note) == 0 || note[0] != closedMark && note[0] != openMark {
+		return l, false
+	}
+	var v [3]uint64
+	rest := note[1:]
+	for i := range v {
+		n := 0
+		if v[i], n = binary.Uvarint(rest); n <= 0 || v[i] > maxNumber {
+			return l, false
+		}
+		rest = rest[n:]
+	}
+	return limitNote{note[0] == openMark, int(v[0]), time.Duration(v[1]) * time.Millisecond,
+		time.Duration(v[2]) * time.Millisecond}, len(rest) == 0
+}
 
 func backNote(endpoint string) []byte { return append([]byte{backMark}, endpoint...) }
 
@@ -24,27 +59,3 @@
 	}
 	return string(note[1:])
 }
-
-func (c closing) note() []byte {
-	b := binary.AppendUvarint([]byte{closingMark}, uint64(c.dest))
-	return binary.AppendUvarint(b, uint64(c.wait.Milliseconds()))
-}
-
-// readClosing reads a note; one that is not whole, or has more than it should, says nothing.
-func readClosing(note []byte) (c closing, ok bool) {
-	if len(note) == 0 || note[0] != closingMark {
-		return c, false
-	}
-	dest, n := binary.Uvarint(note[1:])
-	if n <= 0 || dest > maxNumber {
-		return c, false
-	}
-	wait, m := binary.Uvarint(note[1+n:])
-	if m <= 0 || wait > maxNumber || len(note) != 1+n+m {
-		return c, false
-	}
-	return closing{int(dest), time.Duration(wait) * time.Millisecond}, true
-}
-
-// maxNumber bounds the numbers of a note, so that none overflows.
-const maxNumber = 1 << 31
--- a/policy/notes_test.go
+++ b/policy/notes_test.go
@@ -7,17 +7,18 @@
 )
 
 func TestNotes(t *testing.T) {
-	for _, c := range []closing{{0, 0}, {7, 1500 * ms}, {maxNumber, maxNumber * ms}} {
-		if got, ok := readClosing(c.note()); !ok || got != c {
-			t.Errorf("%v was read as %v, %v", c, got, ok)
+	for _, l := range []limitNote{{}, {dest: 7, wait: 1500 * ms, age: 90 * ms}, {open: true, dest: 7, age: 90 * ms},
+		{dest: maxNumber, wait: maxNumber * ms, age: maxNumber * ms}} {
+		if got, ok := readLimit(l.note()); !ok || got != l {
+			t.Errorf("%v was read as %v, %v", l, got, ok)
 		}
 	}
-	whole := closing{300, 700 * ms}.note()
-	for _, bad := range [][]byte{nil, {}, {closingMark}, whole[:2], whole[:len(whole)-1], append(bytes.Clone(whole), 0),
-		append([]byte{'x'}, whole[1:]...), append([]byte{closingMark}, bytes.Repeat([]byte{0xff}, 200)...),
-		closing{maxNumber + 1, 0}.note(), closing{0, (maxNumber + 1) * ms}.note()} {
-		if c, ok := readClosing(bad); ok {
-			t.Errorf("%x was read as %v", bad, c)
+	whole := limitNote{dest: 300, wait: 700 * ms, age: 300 * ms}.note()
+	for _, bad := range [][]byte{nil, {}, {closedMark}, whole[:2], whole[:len(whole)-1], append(bytes.Clone(whole), 0),
+		append([]byte{'x'}, whole[1:]...), append([]byte{closedMark}, bytes.Repeat([]byte{0xff}, 200)...),
+		limitNote{dest: maxNumber + 1}.note(), limitNote{wait: (maxNumber + 1) * ms}.note()} {
+		if l, ok := readLimit(bad); ok {
+			t.Errorf("%x was read as %v", bad, l)
 		}
 	}
 }
@@ -109,14 +110,14 @@
 func TestNotesAreEvidenceOnly(t *testing.T) {
 	d := fleet(t, 80, 40)[0]
 	q := d.queues[0]
-	for _, note := range [][]byte{nil, []byte("hello"), closing{5, time.Second}.note()} {
+	for _, note := range [][]byte{nil, []byte("hello"), limitNote{dest: 5, wait: time.Second}.note()} {
 		d.Handle(time.Second, []Event{Heard{Note: note}})
 	}
 	if q.holdUntil != 0 || len(d.dests) != 1 || len(d.endpoints) != 1 {
 		t.Errorf("hold until %v, %d destinations, %d endpoints", q.holdUntil, len(d.dests), len(d.endpoints))
 	}
 	for i := range 1000 {
-		d.Handle(time.Second+time.Duration(i)*ms, []Event{Heard{Note: closing{0, time.Hour}.note()}})
+		d.Handle(time.Second+time.Duration(i)*ms, []Event{Heard{Note: limitNote{wait: time.Hour}.note()}})
 	}
 	if q.pace < 0.8*d.even(q) || q.holdUntil > 4*time.Second || q.waitUntil != 0 || d.endpoints["a"].sick {
 		t.Errorf("pace %v of %v, hold until %v, wait until %v, sick %v after a second of notes", q.pace, d.even(q),
@@ -128,6 +129,45 @@
 	}
 }
 
+// TestPauseEndsWithAnAnswer guards against a fleet that sits out a told wait although the destination goes on taking
+// calls, and against one that takes an answer to an earlier call for that.
+func TestPauseEndsWithAnAnswer(t *testing.T) {
+	for _, tt := range []struct {
+		name  string
+		after time.Duration // the refused call was sent at 2 s
+		ends  bool
+	}{{"earlier", -100 * ms, false}, {"at the same time", 10 * ms, false}, {"well after", 80 * ms, true}} {
+		all := fleet(t, 3, 400)
+		sent := 2*time.Second + tt.after
+		all[1].Handle(sent, []Event{arrive("n", 0)})
+		notes(all[0], 2*time.Second, time.Second, "m")
+		refusal := limitNote{wait: time.Second, age: 100 * ms}.note()
+		var told [][]byte
+		all[1].Handle(2100*ms, []Event{Heard{Note: refusal}})
+		all[2].Handle(2100*ms, []Event{Heard{Note: refusal}})
+		for _, a := range all[1].Handle(2200*ms, []Event{Ended{ID: "n", Endpoint: "a", Outcome: OK, Over: true}}) {
+			if tell, ok := a.(Tell); ok {
+				told = append(told, tell.Note)
+			}
+		}
+		if len(told) > 0 != tt.ends || all[1].queues[0].holdUntil > 2200*ms == tt.ends {
+			t.Fatalf("%s: %d notes, pause until %v", tt.name, len(told), all[1].queues[0].holdUntil)
+		}
+		if !tt.ends {
+			continue
+		}
+		for _, d := range []*Dispatcher{all[0], all[2]} {
+			d.Handle(2210*ms, []Event{Heard{Note: told[0]}})
+		}
+		if q := all[2].queues[0]; q.holdUntil > 2210*ms {
+			t.Errorf("the others pause until %v", q.holdUntil)
+		}
+		if q := all[0].queues[0]; q.waitUntil < 3*time.Second {
+			t.Errorf("a told wait ends at %v", q.waitUntil)
+		}
+	}
+}
+
 // TestFleetLearnsOfAReturn guards against relays that each wait for a success of their own while an endpoint is back,
 // and against all of them knocking at once when they hear of one.
 func TestFleetLearnsOfAReturn(t *testing.T) {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -216,17 +216,6 @@
 	return mean
 }
 
-// virtual feeds an arrival to the copy of a queue under the basic rule alone.
-func (d *Dispatcher) virtual(q *queue, τ float64) {
-	q.copyWork = math.Max(0, q.copyWork-(d.now-q.copyAt).Seconds())
-	q.copyAt = d.now
-	if q.copyWork > τ {
-		q.misses.add(d.now, 1)
-		return
-	}
-	q.copyWork += q.pitch(d.now)
-}
-
 // opens is the time until the next call of a queue may leave with n messages ahead of it, as far as
 // waits, pace and health tell.
 func (d *Dispatcher) opens(q *queue, n int) float64 {
@@ -654,8 +643,12 @@
 		d.pool(q.kind).observe(m.Class, took)
 		ep.strikes[m.Class] = 0
 		d.succeeded(ep, e.Report == nil || e.Report.Left >= roomLeft)
+		open := limitNote{open: true, dest: q.dest.no, age: d.now - c.sent}
+		if d.reopened(q, open) && d.s.Peers {
+			d.act(Tell{Note: open.note()})
+		}
 	case QueueFull:
-		d.full(q, e.Wait)
+		d.full(q, limitNote{dest: q.dest.no, wait: e.Wait, age: d.now - c.sent})
 	case ConnectError:
 		if ep.lastOK > c.sent {
 			// Others get through: the endpoint takes no more connections, it is not down.
@@ -759,13 +752,13 @@
 
 // full notes a refusal by the destination, and tells the other relays what they do not know of it; a run of
 // refusals is a destination that is shut.
-func (d *Dispatcher) full(q *queue, wait time.Duration) {
+func (d *Dispatcher) full(q *queue, l limitNote) {
 	if q.fulls++; q.fulls == 1 {
 		q.firstFull = d.now
 	}
-	if until := d.closed(q, wait); d.s.Peers && !q.apart && until > q.toldUntil+leastPause {
+	if until := d.closed(q, l); d.s.Peers && !q.apart && until > q.toldUntil+leastPause {
 		q.toldUntil = until
-		d.act(Tell{Note: closing{q.dest.no, wait}.note()})
+		d.act(Tell{Note: l.note()})
 	}
 	if !d.s.Peers && d.once(q, q.fulls) || q.fulls > failuresToSick && d.now-q.firstFull > shutAfter {
 		for _, ep := range q.eps {
@@ -780,15 +773,21 @@
 	if ep := d.endpoints[readBack(note)]; ep != nil && ep.sick {
 		d.returns(ep, d.chance.Float64()) // all hear at once, and saved tokens are a call of each
 	}
-	if c, ok := readClosing(note); ok && d.dests[c.dest] != nil && !d.dests[c.dest].queues[0].apart {
-		q := d.dests[c.dest].queues[0]
-		q.toldUntil = max(q.toldUntil, d.closed(q, c.wait))
+	l, ok := readLimit(note)
+	if dest := d.dests[l.dest]; !ok || dest == nil || dest.queues[0].apart {
+		return
+	} else if q := dest.queues[0]; l.open {
+		d.reopened(q, l)
+	} else {
+		q.toldUntil = max(q.toldUntil, d.closed(q, l))
 	}
 }
 
 // closed takes in that a destination refuses calls, for a wait if one is told, and gives the end of the
 // pause. All who learn of it come down at once, and come back apart, each at a chance part of its own pace.
-func (d *Dispatcher) closed(q *queue, wait time.Duration) (until time.Duration) {
+func (d *Dispatcher) closed(q *queue, l limitNote) (until time.Duration) {
+	q.refusedAt = max(q.refusedAt, d.now-l.age)
+	wait := l.wait
 	if wait <= 0 { // a moment: a steady rate has room again at once; twice as long if that was not enough
 		if d.now < q.holdUntil {
 			return q.holdUntil
@@ -810,6 +809,16 @@
 	return until
 }
 
+// reopened ends a pause, but for a wait that we were told, if a call sent well after the one that was refused
+// was taken: a rate has room again at once, where a count has none until its span is over.
+func (d *Dispatcher) reopened(q *queue, l limitNote) bool {
+	if d.now >= q.holdUntil || d.now-l.age < q.refusedAt+leastPause/2 {
+		return false
+	}
+	q.holdUntil, q.toldUntil, q.tokens, q.tokensAt = d.now, d.now, d.chance.Float64(), d.now
+	return true
+}
+
 // climb lets a pace rise while no refusal is heard of. One relay of many has a success in some seconds: its
 // own come too seldom to tell.
 func (d *Dispatcher) climb(q *queue) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -469,7 +469,7 @@
 	}
 	refused := func(at time.Duration) {
 		d.now = at
-		d.full(q, 0)
+		d.full(q, limitNote{})
 	}
 	refused(time.Second)
 	cut := q.pace
@@ -851,8 +851,8 @@
 			if d.endpoints["a"].sick {
 				sick++
 			}
-			d.full(d.queues[0], 0)
-			if d.full(d.queues[0], 0); tt.relays > 2 && !d.endpoints["a"].sick {
+			d.full(d.queues[0], limitNote{})
+			if d.full(d.queues[0], limitNote{}); tt.relays > 2 && !d.endpoints["a"].sick {
 				t.Errorf("%d relays, outcome %d: not sick after more", tt.relays, tt.outcome)
 			}
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -62,7 +62,8 @@
 	waitUntil time.Duration
 	holdUntil time.Duration // our own pause after a refusal without a wait
 	toldUntil time.Duration // other relays know of a refusal up to then
-	cutAt     time.Duration // of the pace in a large fleet
+	refusedAt time.Duration // when the last call was sent that a pause is for
+	cutAt     time.Duration // of the pace
 	climbedAt time.Duration
 	pause     time.Duration // the last after a refusal that told no wait
 	fulls     int           // refusals in a row
@@ -191,6 +192,17 @@
 	return a.count(now) / (age * (1 - math.Exp(-math.Max(1, (now-a.since).Seconds())/age)))
 }
 
+// virtual feeds an arrival to the copy of a queue under the basic rule alone.
+func (d *Dispatcher) virtual(q *queue, τ float64) {
+	q.copyWork = math.Max(0, q.copyWork-(d.now-q.copyAt).Seconds())
+	q.copyAt = d.now
+	if q.copyWork > τ {
+		q.misses.add(d.now, 1)
+		return
+	}
+	q.copyWork += q.pitch(d.now)
+}
+
 // take notes a new message, or gives nil where it makes no sense.
 func (d *Dispatcher) take(e Arrived) *message {
 	if e.Class < 0 || e.Class >= len(d.s.Classes) || d.messages[e.ID] != nil {
