Keep idle connections unless an endpoint is known to have no room

Cause: seldom() closed a connection after each call wherever a fleet has more than six relays and one of them expects few calls: at 80 that is nearly every endpoint.

Now they are kept until an endpoint refuses a connection. Since those who hold idle ones never meet that refusal, a relay without a connection tells the others, once a second and endpoint at most, and those that a call of theirs shows served meanwhile close their idle ones for the next ten seconds; in an outage there is no such call.

--- a/policy/notes.go
+++ b/policy/notes.go
@@ -15,8 +15,8 @@
 }
 
 // The first byte of a note says of which form it is: a limitNote, with its numbers and milliseconds, or that an
-// endpoint is back, with its name.
-const closedMark, openMark, backMark = 'c', 'o', 'b'
+// endpoint is back, or has taken no connection, with its name.
+const closedMark, openMark, backMark, noRoomMark = 'c', 'o', 'b', 'n'
 
 // maxNumber bounds the numbers of a note, so that none overflows.
 const maxNumber = 1 << 31
@@ -50,11 +50,11 @@
 		time.Duration(v[2]) * time.Millisecond}, len(rest) == 0
 }
 
-func backNote(endpoint string) []byte { return append([]byte{backMark}, endpoint...) }
+func endpointNote(mark byte, endpoint string) []byte { return append([]byte{mark}, endpoint...) }
 
-// readBack gives the endpoint that a note says is back, or nothing.
-func readBack(note []byte) string {
-	if len(note) == 0 || note[0] != backMark {
+// readEndpoint gives the endpoint that a note of a form names, or nothing.
+func readEndpoint(mark byte, note []byte) string {
+	if len(note) == 0 || note[0] != mark {
 		return ""
 	}
 	return string(note[1:])
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,10 +48,6 @@
 	paceCut, paceFloor, paceClimb, paceRoom, paceCalm = 0.85, 0.15, 0.06, 1.5, 5 * time.Second
 	// roomLeft of its allowance a destination must report for a pace to rise, where it reports at all.
 	roomLeft = 0.5
-	// reuses of a connection must be expected within its idle time, or it is closed after a call.
-	// At half of this failed connections cost more than the handshakes saved. Where relays are no more than
-	// idleRoom, which even small receivers take, all may keep theirs.
-	reuses, idleRoom = 4, 6
 	// connRaise is added to a learned connection cap by each success.
 	connRaise = 0.05
 	// sparseCalls a span: a relay with an even share of less meets a destination by chance.
@@ -594,7 +590,7 @@
 		d.out--
 		c.ep.out, c.ep.q.out = remove(c.ep.out, c), remove(c.ep.q.out, c)
 		d.learn(c, m, e)
-		if len(c.ep.out) == 0 && d.seldom(c.ep) {
+		if len(c.ep.out) == 0 && d.crowded(c.ep) {
 			d.act(CloseIdle{Endpoint: c.ep.ID})
 		}
 	}
@@ -614,12 +610,10 @@
 	}
 }
 
-// seldom tells whether a connection to an endpoint would close unused, or the endpoint takes few: many
-// relays that keep idle ones leave no room for each other. It costs a handshake where it is wrong.
-func (d *Dispatcher) seldom(ep *endpoint) bool {
-	// Counted, not as a rate: at the start one arrival looks like many.
-	expected := ep.q.arrivals.count(d.now) * float64(d.s.ConnIdle) / float64(counterAge)
-	return ep.connCap > 0 || d.s.Instances > idleRoom && expected < reuses*float64(max(1, len(ep.q.eps)))
+// crowded tells whether an endpoint took no connection lately, of this relay or of another while it served
+// this one: idle ones take the room of others there. Elsewhere closing them would only cost a handshake again.
+func (d *Dispatcher) crowded(ep *endpoint) bool {
+	return ep.connCap > 0 || ep.crowdedAt > 0 && d.now-ep.crowdedAt < d.s.ConnIdle
 }
 
 // learn draws from a call's end what it tells, by its own time: a relay without turns hears late of it.
@@ -637,6 +631,9 @@
 	}
 	switch e.Outcome {
 	case OK:
+		if c.sent < ep.noRoomAt { // the endpoint served us while it turned another's connection away
+			ep.crowdedAt = d.now
+		}
 		ep.lastBegun, ep.lastTook = max(ep.lastBegun, c.sent), took
 		q.observe(m.Class, took)
 		q.width += latencyGain * (float64(len(q.out)+1) - q.width)
@@ -650,6 +647,10 @@
 	case QueueFull:
 		d.full(q, limitNote{dest: q.dest.no, wait: e.Wait, age: d.now - c.sent})
 	case ConnectError:
+		if d.s.Peers && d.now >= ep.noRoomAt+burstSpan {
+			ep.noRoomAt = d.now
+			d.act(Tell{Note: endpointNote(noRoomMark, ep.ID)})
+		}
 		if ep.lastOK > c.sent {
 			// Others get through: the endpoint takes no more connections, it is not down.
 			ep.connCap = math.Max(1, float64(len(ep.out)))
@@ -665,22 +666,6 @@
 	}
 }
 
-// borrow fills what a queue does not know of its latencies from all destinations of its kind.
-func (d *Dispatcher) borrow(q *queue) {
-	pool := d.pool(q.kind)
-	if pool.n == 0 {
-		return
-	}
-	if q.n == 0 {
-		q.mean = pool.mean
-	}
-	for i, mean := range q.class {
-		if mean == 0 || q.n == 0 {
-			q.class[i] = pool.class[i]
-		}
-	}
-}
-
 // succeeded notes a success: an endpoint that was sick starts its ramp.
 func (d *Dispatcher) succeeded(ep *endpoint, room bool) {
 	q := ep.q
@@ -691,7 +676,7 @@
 	if ep.sick {
 		d.returns(ep, math.Max(d.epTokens(ep), d.phase(ep)))
 		if d.s.Peers {
-			d.act(Tell{Note: backNote(ep.ID)})
+			d.act(Tell{Note: endpointNote(backMark, ep.ID)})
 		}
 		for _, other := range q.eps {
 			other.tokens = math.Max(other.tokens, 1) // outages mostly end for a whole destination
@@ -768,11 +753,14 @@
 }
 
 // heard takes in a note of another relay: it is evidence of a refusal like one of our own, but for health, or
-// that an endpoint that is sick here has answered there.
+// that an endpoint that is sick here has answered there, or has taken no connection.
 func (d *Dispatcher) heard(note []byte) {
-	if ep := d.endpoints[readBack(note)]; ep != nil && ep.sick {
+	if ep := d.endpoints[readEndpoint(backMark, note)]; ep != nil && ep.sick {
 		d.returns(ep, d.chance.Float64()) // all hear at once, and saved tokens are a call of each
 	}
+	if ep := d.endpoints[readEndpoint(noRoomMark, note)]; ep != nil {
+		ep.noRoomAt = d.now
+	}
 	l, ok := readLimit(note)
 	if dest := d.dests[l.dest]; !ok || dest == nil || dest.queues[0].apart {
 		return
--- a/policy/state.go
+++ b/policy/state.go
@@ -101,6 +101,22 @@
 	}
 }
 
+// borrow fills what a queue does not know of its latencies from all destinations of its kind.
+func (d *Dispatcher) borrow(q *queue) {
+	pool := d.pool(q.kind)
+	if pool.n == 0 {
+		return
+	}
+	if q.n == 0 {
+		q.mean = pool.mean
+	}
+	for i, mean := range q.class {
+		if mean == 0 || q.n == 0 {
+			q.class[i] = pool.class[i]
+		}
+	}
+}
+
 // bucket is a token bucket.
 type bucket struct {
 	tokens   float64
@@ -136,6 +152,8 @@
 	lastBegun time.Duration // the start of the latest call that succeeded
 	lastTook  float64       // the latency of the last success
 	connCap   float64       // learned; 0 for none
+	noRoomAt  time.Duration // when it last took no connection, here or elsewhere
+	crowdedAt time.Duration // when it last was known to serve this relay all the same; 0 for never
 }
 
 // call is one call out: one message, or a bundle.
