--- a/policy/policy.go
+++ b/policy/policy.go
@@ -611,7 +611,7 @@
 }
 
 // crowded tells whether an endpoint took no connection lately, of this relay or of another while it served
-// this one: idle ones take the room of others there. Elsewhere closing them would only cost a handshake again.
+// this one: idle ones take the room of others there. Elsewhere closing them only costs a handshake again.
 func (d *Dispatcher) crowded(ep *endpoint) bool {
 	return ep.connCap > 0 || ep.crowdedAt > 0 && d.now-ep.crowdedAt < d.s.ConnIdle
 }
