Take a destination that tells a long wait for shut, and let no earlier answer reopen it

Cause: full() counts refusals in a row for a shut destination, and a relay that keeps the wait meets one. And learn() ended an outage by the answer to a call that had been sent before it (23.83 s, 1.005 s after it was sent), as it did here once the wait was taken for an outage.

Now a wait of more than shutAfter, longer than receivers count calls, marks the endpoints sick, so they come back by the rule's budget, and while a told wait runs an answer to a call from before the outage says nothing of its end.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -25,8 +25,8 @@
 	// failuresToSick failures in a row mark an endpoint sick; single errors are ordinary. An error or a
 	// broken connection counts for answeredFailure: something is alive there.
 	failuresToSick, answeredFailure = 2, 0.5
-	// shutAfter of nothing but refusals means that the destination is shut rather than at its limit:
-	// longer than the spans in which receivers commonly count calls.
+	// shutAfter of nothing but refusals, or told to wait, means that the destination is shut rather than at
+	// its limit: longer than the spans in which receivers commonly count calls.
 	shutAfter = 2500 * time.Millisecond
 	// silentAfter mean latencies without an outcome make an endpoint silent. stuckAfter of them a call may
 	// be called off where its slot is wanted and such calls, mostly, are never answered; finalFactor times
@@ -639,6 +639,9 @@
 		q.width += latencyGain * (float64(len(q.out)+1) - q.width)
 		d.pool(q.kind).observe(m.Class, took)
 		ep.strikes[m.Class] = 0
+		if ep.sick && c.sent < ep.sickAt && d.now < q.waitUntil {
+			break // begun before the destination shut: it says nothing of its return
+		}
 		d.succeeded(ep, e.Report == nil || e.Report.Left >= roomLeft)
 		open := limitNote{open: true, dest: q.dest.no, age: d.now - c.sent}
 		if d.reopened(q, open) && d.s.Peers {
@@ -745,7 +748,8 @@
 		q.toldUntil = until
 		d.act(Tell{Note: l.note()})
 	}
-	if !d.s.Peers && d.once(q, q.fulls) || q.fulls > failuresToSick && d.now-q.firstFull > shutAfter {
+	shut := l.wait > shutAfter || q.fulls > failuresToSick && d.now-q.firstFull > shutAfter
+	if shut || !d.s.Peers && d.once(q, q.fulls) {
 		for _, ep := range q.eps {
 			d.sicken(ep)
 		}
