Ask discovery at once where changes come unasked, and within 3 s in any fleet

The list changed at 7.10 s; relays that had their watch logged the change from 7.154 s on, others as late as 14.388 s, and went on calling:

Not one 'watch ended' in 300 logs: no ask was refused, and none of these had been made.

At fault: newWatcher's spread, 80 ms for each relay without a bound, 23.9 s at 300, for the first ask, after a reload (told after 4 s) and, doubled, as the back-off. It is meant for a discovery that all ask at once, which the settings call 'subscribe'.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -24,10 +24,12 @@
 	// watchSilence without a byte means that a watch is dead: an empty line comes every 2 s, and what
 	// discovery has to tell counts as told after 6 s, so that the answer to a new ask comes in time.
 	watchSilence = 4500 * time.Millisecond
-	// Before it asks, a relay waits for a time drawn from a span of askSpread for each relay of the fleet, since a
-	// cause that ends one watch mostly ends all; askAgain is the least span after a failure. It doubles with each
-	// further one, up to askAgainMost or what the fleet needs.
+	// Where changes come only to those who ask, a relay waits before it asks, for a time drawn from a span of askSpread
+	// for each relay of the fleet, since a cause that ends one watch mostly ends all; but no longer than askWithin
+	// allows: what discovery has to tell counts as told after 6 s, 4 s after a reload. askAgain is the least span
+	// after a failure. It doubles with each further one, up to askAgainMost or what the fleet needs.
 	askSpread    = 80 * time.Millisecond
+	askWithin    = 3 * time.Second
 	askAgain     = 250 * time.Millisecond
 	askAgainMost = 2 * time.Second
 	// maxMemberLine bounds one line of a watch.
@@ -52,6 +54,9 @@
 	Share  float64 `json:"share"`
 }
 
+// unasked is the mode of discovery in which changes come to the relay's machine without its asking.
+const unasked = "automatic"
+
 // The states of a host that mean that it wants nothing new.
 const (
 	draining = "DRAINING"
@@ -74,7 +79,7 @@
 type watcher struct {
 	client  *http.Client
 	silence time.Duration // watchSilence, but in tests
-	spread  time.Duration // askSpread for the whole fleet
+	spread  time.Duration // fleetSpread
 	draw    func(span time.Duration) time.Duration
 	prompt  bool // the first watch begins at once; set before run
 	asked   chan struct{}
@@ -90,8 +95,17 @@
 // errMoved is why a watch ends when discovery has another address.
 var errMoved = errors.New("discovery has moved")
 
-func newWatcher(discovery string, relays int, told func(Members), failed func()) *watcher {
-	w := &watcher{told: told, failed: failed, silence: watchSilence, spread: time.Duration(relays-1) * askSpread,
+// fleetSpread is the span from which the relays of a fleet draw when to ask. Where changes come unasked, all that a
+// relay asks is the agent on its own machine, and what that has counts as told at once.
+func fleetSpread(s *settings.Settings) time.Duration {
+	if s.Discovery == unasked {
+		return 0
+	}
+	return min(time.Duration(s.NInstances-1)*askSpread, askWithin)
+}
+
+func newWatcher(discovery string, spread time.Duration, told func(Members), failed func()) *watcher {
+	w := &watcher{told: told, failed: failed, silence: watchSilence, spread: spread,
 		draw:   func(span time.Duration) time.Duration { return rand.N(span + 1) },
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1)}
 	w.redirect(discovery)
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"mallowlead/internal/settings"
 )
 
 // hostLine is a change of one host, as a watch tells it.
@@ -104,7 +106,7 @@
 	t.Helper()
 	s := httptest.NewServer(serve)
 	members, failed := make(chan Members, 10), make(chan bool, 10)
-	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), 1, func(m Members) { members <- m }, func() { failed <- true })
+	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), 0, func(m Members) { members <- m }, func() { failed <- true })
 	w.silence, w.seq = silence, 40
 	t.Cleanup(func() {
 		s.CloseClientConnections()
@@ -173,15 +175,14 @@
 		}
 	}))
 	t.Cleanup(s.Close)
-	const relays = 11
+	const fleet = 800 * time.Millisecond
 	failed, spans := make(chan bool, 10), make(chan time.Duration, 10)
-	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), relays, func(Members) {}, func() { failed <- true })
+	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), fleet, func(Members) {}, func() { failed <- true })
 	w.draw = func(span time.Duration) time.Duration {
 		spans <- span
 		return 0
 	}
 	go w.run(t.Context())
-	const fleet = (relays - 1) * askSpread
 	for i, want := range []time.Duration{fleet, 2*fleet + askAgain, max(2*fleet, askAgainMost), max(2*fleet, askAgainMost), fleet} {
 		if i == 3 {
 			lists <- true
@@ -194,10 +195,26 @@
 	}
 }
 
+// A relay asks so soon that what discovery tells arrives before it counts as told, however large the fleet: after a
+// reload that is 4 s, and where changes come unasked it is at once.
+func TestAsksBeforeListsCountAsTold(t *testing.T) {
+	for _, tt := range []struct {
+		mode   string
+		relays int
+		want   time.Duration
+	}{
+		{"subscribe", 1, 0}, {"subscribe", 11, 10 * askSpread}, {"subscribe", 300, 3 * time.Second}, {"automatic", 300, 0},
+	} {
+		if got := fleetSpread(&settings.Settings{Discovery: tt.mode, NInstances: tt.relays}); got != tt.want {
+			t.Errorf("%d relays, %s: %v, want %v", tt.relays, tt.mode, got, tt.want)
+		}
+	}
+}
+
 // A process that took over from another asks at once: what changes meanwhile would come too late.
 func TestWatchAfterTakeover(t *testing.T) {
 	spans := make(chan time.Duration, 1)
-	w := newWatcher("127.0.0.1:0", 48, func(Members) {}, func() {})
+	w := newWatcher("127.0.0.1:0", 47*askSpread, func(Members) {}, func() {})
 	w.prompt = true
 	w.draw = func(span time.Duration) time.Duration {
 		spans <- span
@@ -217,7 +234,7 @@
 			rw.Header().Set("Retry-After", text)
 			rw.WriteHeader(http.StatusServiceUnavailable)
 		}))
-		w := newWatcher(strings.TrimPrefix(s.URL, "http://"), 1, func(Members) {}, func() {})
+		w := newWatcher(strings.TrimPrefix(s.URL, "http://"), 0, func(Members) {}, func() {})
 		_, err := w.watch(t.Context(), s.URL+"/catalog/members")
 		s.Close()
 		busy := new(busyError)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,7 +66,7 @@
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle,
 			max(1, int(hostShare*float64(cfg.Limits.Sockets))), &figures.written),
 		gate: gate, owner: owner, ceded: make(chan bool), retired: retired}
-	l.watch = newWatcher(cfg.Discovery, cfg.policy.Instances, func(m Members) { l.put(told{m}) },
+	l.watch = newWatcher(cfg.Discovery, fleetSpread(&cfg.Settings), func(m Members) { l.put(told{m}) },
 		func() { l.put(watchEnded{}) })
 	l.watch.prompt = before != nil // the process before had a watch until now, and no other relay starts for that
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
