Keep calls that still wait for a connection from being written into a told wait

Found by reading, after the repeats that came late (fd of the same pool.call): a call that was decided before a wait was told is written when its connection comes up, up to 1.5 s later, and the rule lets 100 ms through.

At fault: pool.call, which writes as soon as it can. The module now says Withhold with each told wait, and a call to those endpoints whose connection comes up after it comes back unwritten (Ignored); the connection is kept for the next call.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"regexp"
@@ -86,6 +87,7 @@
 	mu    sync.Mutex
 	idle  map[string][]*conn // by address, used last at the end
 	count int
+	held  map[string]time.Time // by address, when calls there were last withheld
 }
 
 // conn is a connection to a host.
@@ -111,7 +113,7 @@
 
 // newPool keeps at most room idle connections, each for less than hostIdle.
 func newPool(connect, hostIdle time.Duration, room int, written *atomic.Int64) *pool {
-	return &pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, idle: map[string][]*conn{},
+	return &pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, idle: map[string][]*conn{}, held: map[string]time.Time{},
 		written: written, keep: time.Duration(idleShare * float64(hostIdle))}
 }
 
@@ -126,8 +128,9 @@
 		defer done()
 		writing = bounded
 	}
+	begun := time.Now()
 	c, err := p.get(writing, r.addr)
-	if ctx.Err() == nil && writing.Err() != nil {
+	if ctx.Err() == nil && writing.Err() != nil || err == nil && p.withheld(r.addr, begun) {
 		if err == nil {
 			p.put(r.addr, c)
 		}
@@ -386,6 +389,21 @@
 	p.count--
 }
 
+// withhold has the calls to an address that still wait for a connection come back unwritten.
+func (p *pool) withhold(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held[addr] = time.Now()
+}
+
+// withheld tells whether calls to an address were withheld since a time.
+func (p *pool) withheld(addr string, since time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	at, ok := p.held[addr]
+	return ok && !at.Before(since)
+}
+
 // retire closes the idle connections and keeps none from now on.
 func (p *pool) retire() {
 	p.mu.Lock()
@@ -399,8 +417,12 @@
 	p.closeIf(func(a string, _ *conn) bool { return a == addr })
 }
 
-// sweep closes idle connections that have stood too long, or that the host has closed.
+// sweep closes idle connections that have stood too long, or that the host has closed, and forgets what was withheld
+// before any call that still waits for a connection.
 func (p *pool) sweep() {
+	p.mu.Lock()
+	maps.DeleteFunc(p.held, func(_ string, at time.Time) bool { return time.Since(at) > 2*p.dialer.Timeout })
+	p.mu.Unlock()
 	p.closeIf(func(_ string, c *conn) bool { return time.Since(c.since) >= p.keep || !c.up() })
 }
 
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -340,6 +340,29 @@
 	}
 }
 
+// A call that is withheld while its connection comes up is not written, but the next one goes over that connection.
+func TestWithheldCall(t *testing.T) {
+	addr := rawHost(t, answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	p := testPool()
+	dials := 0
+	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+		if dials++; dials == 1 {
+			p.withhold(addr)
+		}
+		return nil
+	}
+	if got := p.call(t.Context(), testCall(addr))[0]; got.outcome != policy.Ignored {
+		t.Errorf("withheld: outcome %v, want %v", got.outcome, policy.Ignored)
+	}
+	if got := p.call(t.Context(), testCall(addr))[0]; got.outcome != policy.OK || dials != 1 {
+		t.Errorf("the next: outcome %v, %d connections", got.outcome, dials)
+	}
+	p.dialer.Timeout = 0
+	if p.sweep(); len(p.held) != 0 {
+		t.Errorf("remembered: %v", p.held)
+	}
+}
+
 // A kept connection carries the next call; one that the host has closed carries none, and a call that is
 // reset on a kept connection is not made again by itself although it has a key.
 func TestReuse(t *testing.T) {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -521,6 +521,10 @@
 		if m := l.messages[a.ID]; m != nil && m.cancel != nil && a.Attempt == len(m.Attempts)-1 {
 			l.effects = append(l.effects, m.cancel)
 		}
+	case policy.Withhold:
+		if h, ok := l.hosts[a.Endpoint]; ok {
+			l.effects = append(l.effects, func() { l.pool.withhold(h.Dial) })
+		}
 	case policy.CloseIdle:
 		if h, ok := l.hosts[a.Endpoint]; ok {
 			l.effects = append(l.effects, func() { l.pool.closeIdle(h.Dial) })
--- a/policy/api.go
+++ b/policy/api.go
@@ -241,6 +241,8 @@
 		ID      string
 		Attempt int
 	}
+	// Withhold has calls to an endpoint that are not begun to be written come back unwritten (Ignored).
+	Withhold struct{ Endpoint string }
 	// CloseIdle closes the idle connections of this relay to an endpoint.
 	CloseIdle struct{ Endpoint string }
 	// Wake asks for Woken.
@@ -262,6 +264,7 @@
 func (Refuse) action()    {}
 func (Fail) action()      {}
 func (Cancel) action()    {}
+func (Withhold) action()  {}
 func (CloseIdle) action() {}
 func (Wake) action()      {}
 func (Subscribe) action() {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -587,8 +587,11 @@
 	m.open--
 	a.unrun = e.Outcome == QueueFull || e.Outcome == ConnectError || e.Outcome == Ignored
 	c := a.call
-	if e.Wait > 0 { // it binds whatever became of the message
+	if e.Wait > 0 { // it binds whatever became of the message, and calls that are not written yet
 		c.ep.q.waitUntil = max(c.ep.q.waitUntil, d.now+min(e.Wait, never-d.now))
+		for _, ep := range c.ep.q.eps {
+			d.act(Withhold{Endpoint: ep.ID})
+		}
 	}
 	if c.open--; c.open == 0 {
 		d.out--
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -370,6 +370,22 @@
 }
 
 // TestWaitOfABundle guards against a wait that is told with the first of several outcomes of one call.
+// A wait binds calls that were decided before it and are not written yet, at all endpoints of the destination.
+func TestWaitWithholdsCalls(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"}, Endpoint{ID: "b"}, Endpoint{ID: "c", Destination: 1})
+	other := Arrived{ID: "m3", Destination: 1, Left: 10 * time.Second}
+	expect(t, "sent", d.Handle(0, []Event{arrive("m1", 0), arrive("m2", 0), other}), "m1>a m3>c m2>b")
+	var held []string
+	for _, a := range d.Handle(time.Second, []Event{Ended{ID: "m1", Endpoint: "a", Outcome: QueueFull, Wait: time.Second}}) {
+		if a, ok := a.(Withhold); ok {
+			held = append(held, a.Endpoint)
+		}
+	}
+	if !slices.Equal(held, []string{"a", "b"}) {
+		t.Errorf("withheld: %v", held)
+	}
+}
+
 func TestWaitOfABundle(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a", Kind: 1})
 	expect(t, "one call", d.Handle(0, []Event{arrive("m", 0), arrive("n", 0)}), "m>a n>a")
