Leave out of a call the messages that ended while its connection came up

Ten messages left in one call at 13.481. This one's time was up at 13.813 and it got its end; the connection came up at about 14.4, and the call was written with all ten.

At fault: loop.call, whose timers end a message of a call alone, and pool.call, which wrote the call as it was decided. Whether a message is written or ends first is now settled once: what has ended is left out, and what ends unwritten never ran (Ignored, where it was a time-out that may have run).

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -56,8 +56,16 @@
 	ID   string `json:"id"`
 	Key  string `json:"key,omitempty"`
 	Body []byte `json:"body"`
+	fate *fate
 }
 
+// fate is what becomes of a message of a call while the call waits for its connection: it is written, or ends before
+// that, never both. Without one it is written.
+type fate struct{ settled atomic.Bool }
+
+// settle claims the message, for writing it or for its end; false means that the other came first.
+func (f *fate) settle() bool { return f == nil || f.settled.CompareAndSwap(false, true) }
+
 // end is what became of one message of a call with several.
 type end struct {
 	ID    string `json:"id"`
@@ -142,8 +150,18 @@
 	if by, ok := writing.Deadline(); ok {
 		_ = c.SetWriteDeadline(by)
 	}
+	res := r.all(result{outcome: policy.Ignored})
+	left := r
+	left.parcels = slices.DeleteFunc(slices.Clone(r.parcels), func(p parcel) bool { return !p.fate.settle() })
+	if len(left.parcels) == 0 { // all have ended while the connection came up
+		p.put(r.addr, c)
+		return res
+	}
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
-	res, reuse := p.exchange(ctx, c, r)
+	ends, reuse := p.exchange(ctx, c, left)
+	for i, sent := range left.parcels {
+		res[slices.IndexFunc(r.parcels, func(p parcel) bool { return p.ID == sent.ID })] = ends[i]
+	}
 	if !stop() || !reuse {
 		_ = c.Close()
 		return res
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -363,6 +363,44 @@
 	}
 }
 
+// A message that ends while its call waits for a connection is not written with the others of the call.
+func TestMessageEndedBeforeItsCallIsWritten(t *testing.T) {
+	ids := make(chan string, 1)
+	addr := rawHost(t, func(c net.Conn) {
+		if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			ids <- r.URL.Path + " " + r.Header.Get("Request-Id")
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	call := testCall(addr)
+	call.parcels = append(call.parcels, parcel{ID: "m2"})
+	for i := range call.parcels {
+		call.parcels[i].fate = new(fate)
+	}
+	p := testPool()
+	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+		if !call.parcels[0].fate.settle() {
+			t.Error("settled twice")
+		}
+		return nil
+	}
+	got := p.call(t.Context(), call)
+	if got[0].outcome != policy.Ignored || got[1].outcome != policy.OK {
+		t.Errorf("outcomes %v", got)
+	}
+	if on := receive(t, ids); on != "/inbox m2" {
+		t.Errorf("on the wire: %s", on)
+	}
+	p = testPool()
+	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error {
+		call.parcels[1].fate.settle()
+		return nil
+	}
+	if got := p.call(t.Context(), call); got[0].outcome != policy.Ignored || got[1].outcome != policy.Ignored || p.count != 1 {
+		t.Errorf("all ended: %v, %d connections kept", got, p.count)
+	}
+}
+
 // A kept connection carries the next call; one that the host has closed carries none, and a call that is
 // reset on a kept connection is not made again by itself although it has a key.
 func TestReuse(t *testing.T) {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -634,7 +634,8 @@
 	}
 	waiting := len(sends)
 	for _, s := range sends {
-		r.parcels = append(r.parcels, parcel{ID: s.m.ID, Key: s.m.Key, Body: s.m.Body})
+		p := parcel{ID: s.m.ID, Key: s.m.Key, Body: s.m.Body, fate: new(fate)}
+		r.parcels = append(r.parcels, p)
 		r.timeout = max(r.timeout, s.timeout)
 		if s.within > 0 && (r.within == 0 || s.within < r.within) {
 			r.within = s.within
@@ -644,6 +645,7 @@
 		s.m.cancel = func() {
 			if !called {
 				called = true
+				p.fate.settle()
 				if waiting--; waiting == 0 {
 					cancel()
 				}
@@ -653,10 +655,14 @@
 	go func() {
 		defer cancel()
 		begun := time.Now()
-		for _, s := range sends {
+		for i, s := range sends {
 			if s.left < r.timeout {
 				over := time.AfterFunc(s.left, func() {
-					l.put(ended{end(s, time.Since(begun), result{outcome: policy.TimedOut})})
+					res := result{outcome: policy.TimedOut}
+					if r.parcels[i].fate.settle() {
+						res.outcome = policy.Ignored // not written, and won't be
+					}
+					l.put(ended{end(s, time.Since(begun), res)})
 				})
 				defer over.Stop()
 			}
