Let paces of a large fleet rise above even shares only while notes come

Destination 5, refused calls by second: 8: 44, 9: 23, 10: 205, 11: 333, 12: 157, 13: 123, 14: 36, 16: 11, against bursts of some 20 every two or three seconds before and after; the same at 0, 1, 8, 9, 10, 11, 13 and 14.

Cause: climb() takes time without a refusal for calm. A relay of 300 has a call to a destination in some seconds, so that nearly all refusals that cut its pace are heard of; with no notes every pace grows by 0.06 a second for each second of calm, 2.8 times in six seconds, up to the destination's whole rate, and so do all 300 at once.

Ruled out: the silent endpoints (destinations 2, 3, 4, 7, 12 alone had connections that failed), lists, repeats by clients (they rise with it, but calls are paced).

Now where a relay has less than half a call a second at its even share, and no note has come for a second, its pace rises up to that share only. Elsewhere notes come some ten times a second.

--- a/policy/notes_test.go
+++ b/policy/notes_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 )
@@ -83,6 +84,31 @@
 	}
 }
 
+// TestPacesRiseOnWhatIsHeard guards against a large fleet that no refusal reaches any more and whose paces all climb as if
+// there were none.
+func TestPacesRiseOnWhatIsHeard(t *testing.T) {
+	for _, tt := range []struct {
+		relays int
+		heard  bool // notes of another destination
+		above  bool // the even share after the while
+	}{{300, true, true}, {300, false, false}, {2, false, true}} {
+		d := fleet(t, tt.relays, 60)[0]
+		q := d.queues[0]
+		q.pace = d.even(q) / 2
+		for at := time.Second; at < 20*time.Second; at += 500 * ms {
+			var events []Event
+			if tt.heard {
+				events = append(events, Heard{Note: limitNote{dest: 5}.note()})
+			}
+			d.Handle(at, append(events, arrive(fmt.Sprint(at), 0)))
+			d.tokens(q)
+		}
+		if above := q.pace > d.even(q); above != tt.above || q.pace < 0.9*d.even(q) {
+			t.Errorf("%d relays, notes %v: pace %v, even share %v", tt.relays, tt.heard, q.pace, d.even(q))
+		}
+	}
+}
+
 // TestNotesAreNotRepeated guards against a note from each relay that is refused.
 func TestNotesAreNotRepeated(t *testing.T) {
 	all := fleet(t, 2, 400)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -546,14 +546,6 @@
 	return ep.fill(d.now, rate, math.Max(1, rampBurst*rate*d.s.OverloadFor.Seconds()))
 }
 
-// coldFor is how long an endpoint has been back.
-func (d *Dispatcher) coldFor(ep *endpoint) time.Duration {
-	if ep.sick {
-		return 0
-	}
-	return min(d.now-ep.recovered, d.s.RampTime)
-}
-
 // budget is the calls a second that this relay may make to an endpoint that has been back for so long:
 // its part of what the rule on returning destinations allows. Where no weight is told, one call in
 // each span of the rule.
@@ -617,12 +609,6 @@
 	}
 }
 
-// crowded tells whether an endpoint took no connection lately, of this relay or of another while it served
-// this one: idle ones take the room of others there. Elsewhere closing them only costs a handshake again.
-func (d *Dispatcher) crowded(ep *endpoint) bool {
-	return ep.connCap > 0 || ep.crowdedAt > 0 && d.now-ep.crowdedAt < d.s.ConnIdle
-}
-
 // learn draws from a call's end what it tells, by its own time: a relay without turns hears late of it.
 func (d *Dispatcher) learn(c *call, m *message, e Ended) {
 	ep, q := c.ep, c.ep.q
@@ -766,6 +752,7 @@
 // heard takes in a note of another relay: it is evidence of a refusal like one of our own, but for health, or
 // that an endpoint that is sick here has answered there, or has taken no connection.
 func (d *Dispatcher) heard(note []byte) {
+	d.heardAt = d.now
 	if ep := d.endpoints[readEndpoint(backMark, note)]; ep != nil && ep.sick {
 		d.returns(ep, d.chance.Float64()) // all hear at once, and saved tokens are a call of each
 	}
@@ -824,9 +811,13 @@
 	calmFrom := max(q.cutAt, q.holdUntil)
 	from := max(q.climbedAt, calmFrom)
 	q.climbedAt = d.now
-	if d.now > from && (q.pace < paceRoom*d.even(q) || len(q.held) > 0) && !q.down() {
+	most := q.weight
+	if d.sparse(q) && d.now > d.heardAt+burstSpan {
+		most = d.even(q) // cut off, nobody hears of the others' refusals
+	}
+	if d.now > from && q.pace < most && (q.pace < paceRoom*d.even(q) || len(q.held) > 0) && !q.down() {
 		rise := paceClimb * min(d.now-calmFrom, paceCalm).Seconds() * (d.now - from).Seconds()
-		q.pace = math.Min(q.pace*math.Exp(rise), q.weight)
+		q.pace = math.Min(q.pace*math.Exp(rise), most)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -32,6 +32,7 @@
 	meanWorth  float64
 	resub      time.Duration // when to subscribe
 	wakeAt     time.Duration // when the next timer is due; 0 for none
+	heardAt    time.Duration // when the last note came
 	stopping   bool          // send nothing more
 	actions    []Action
 	chance     *rand.Rand
@@ -434,6 +435,12 @@
 	q.dest.queues, d.queues = remove(q.dest.queues, q), remove(d.queues, q)
 }
 
+// crowded tells whether an endpoint took no connection lately, of this relay or of another while it served
+// this one: idle ones take the room of others there. Elsewhere closing them only costs a handshake again.
+func (d *Dispatcher) crowded(ep *endpoint) bool {
+	return ep.connCap > 0 || ep.crowdedAt > 0 && d.now-ep.crowdedAt < d.s.ConnIdle
+}
+
 // reroute lets the held messages of a queue choose their route again.
 func (d *Dispatcher) reroute(q *queue) {
 	for _, m := range append([]*message(nil), q.held...) {
@@ -494,6 +501,14 @@
 	return n
 }
 
+// coldFor is how long an endpoint has been back.
+func (d *Dispatcher) coldFor(ep *endpoint) time.Duration {
+	if ep.sick {
+		return 0
+	}
+	return min(d.now-ep.recovered, d.s.RampTime)
+}
+
 // calls is how many calls n messages of a queue travel in.
 func (q *queue) calls(n int) float64 { return float64(n) / float64(q.bundle) }
 
