Have few of a large fleet tell that an endpoint takes no connection

At fault: learn(), ConnectError. What all meet at once, a few can say: of the relays that meet it in a second eight tell, by a draw over the fleet's size; fleets of up to eight are as before.

Ruled out: notes of refusals (six bytes, not repeated by those that have heard; the rest of the price).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -60,6 +60,9 @@
 	// leastPause is the first pause after a refusal that told no wait, longestHold the longest: about the
 	// longest span in which receivers count calls.
 	leastPause, longestHold = 100 * time.Millisecond, 2 * time.Second
+	// tellers of the relays that meet the same lack of room in a span tell the others, in the mean: a fleet's
+	// notes go from each to all, and what many meet at once one of them can say.
+	tellers = 8
 	// subscribeAgain is the wait before a failed subscription is asked for again.
 	subscribeAgain = 500 * time.Millisecond
 )
@@ -645,7 +648,9 @@
 	case ConnectError:
 		if d.s.Peers && d.now >= ep.noRoomAt+burstSpan {
 			ep.noRoomAt = d.now
-			d.act(Tell{Note: endpointNote(noRoomMark, ep.ID)})
+			if d.chance.Float64()*float64(d.s.Instances) < tellers {
+				d.act(Tell{Note: endpointNote(noRoomMark, ep.ID)})
+			}
 		}
 		if ep.lastOK > c.sent {
 			// Others get through: the endpoint takes no more connections, it is not down.
