--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"os"
 
-	"mallowlead/internal/wire"
+	"milletsail/internal/wire"
 )
 
 func main() {
--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -13,7 +13,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"mallowlead/internal/relay"
+	"milletsail/internal/relay"
 )
 
 // heapShare of the memory limit is the runtime's soft limit: in a takeover two processes share the limit, and the
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -22,7 +22,7 @@
 	"syscall"
 	"time"
 
-	"mallowlead/policy"
+	"milletsail/policy"
 )
 
 const (
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -15,7 +15,7 @@
 	"testing"
 	"time"
 
-	"mallowlead/policy"
+	"milletsail/policy"
 )
 
 // long is longer than anything that a test waits for in vain.
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -11,8 +11,8 @@
 	"os"
 	"strconv"
 
-	"mallowlead/internal/settings"
-	"mallowlead/policy"
+	"milletsail/internal/settings"
+	"milletsail/policy"
 )
 
 // Config is what the platform tells a relay in its configuration file.
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -16,8 +16,8 @@
 	"sync"
 	"time"
 
-	"mallowlead/internal/settings"
-	"mallowlead/policy"
+	"milletsail/internal/settings"
+	"milletsail/policy"
 )
 
 const (
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -12,7 +12,7 @@
 	"testing"
 	"time"
 
-	"mallowlead/internal/settings"
+	"milletsail/internal/settings"
 )
 
 // hostLine is a change of one host, as a watch tells it.
--- a/internal/relay/door_test.go
+++ b/internal/relay/door_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"mallowlead/policy"
+	"milletsail/policy"
 )
 
 // testDoor opens a door whose process takes clients.
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -5,7 +5,7 @@
 	"fmt"
 	"sync/atomic"
 
-	"mallowlead/policy"
+	"milletsail/policy"
 )
 
 // The ends that messages of a class are counted by.
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -13,7 +13,7 @@
 	"sync"
 	"time"
 
-	"mallowlead/policy"
+	"milletsail/policy"
 )
 
 // A new version is started beside the old process. The old one serves until the new one asks for the folder; then
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -9,7 +9,7 @@
 	"slices"
 	"time"
 
-	"mallowlead/policy"
+	"milletsail/policy"
 )
 
 // inboxSize events wait for the loop without holding up the goroutines that bring them.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,8 +9,8 @@
 	"sync"
 	"time"
 
-	"mallowlead/internal/settings"
-	"mallowlead/policy"
+	"milletsail/internal/settings"
+	"milletsail/policy"
 )
 
 // The stages of a planned end, from the signal on. Connections go on coming for up to 0.4 s, and the process
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,7 +15,7 @@
 	"testing/synctest"
 	"time"
 
-	"mallowlead/policy"
+	"milletsail/policy"
 )
 
 func TestDelivery(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -14,8 +14,8 @@
 	"sync/atomic"
 	"time"
 
-	"mallowlead/internal/settings"
-	"mallowlead/policy"
+	"milletsail/internal/settings"
+	"milletsail/policy"
 )
 
 const (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -7,7 +7,7 @@
 	"math"
 	"time"
 
-	"mallowlead/policy"
+	"milletsail/policy"
 )
 
 // Settings are the start-up parameters that the module and the relay need, named as in the object.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,8 +11,8 @@
 	"math"
 	"time"
 
-	"mallowlead/internal/settings"
-	"mallowlead/policy"
+	"milletsail/internal/settings"
+	"milletsail/policy"
 )
 
 // maxLine bounds one line of input; a whole list of endpoints is the longest.
