--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"mallowlead/policy"
+	"milletsail/policy"
 )
 
 func Example() {
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -8,7 +8,7 @@
 	"testing"
 	"time"
 
-	"mallowlead/policy"
+	"milletsail/policy"
 )
 
 const answerSlack = 20 * time.Millisecond
