Add scenarios, histories and a checker of the protocol's rules

Design: a play writes a history, one JSON line an event, and a checker judges that alone, sharing no code with the relay nor with what plays. Not taken: judging while the play goes on, which no planted history could check.

Change: internal/lab/scenario, internal/lab/history, internal/lab/checker (15 rules), scenarios/.

--- /dev/null
+++ b/internal/lab/checker/checker_test.go
@@ -0,0 +1,314 @@
+package checker
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"milletsail/internal/lab/history"
+)
+
+// planted builds a history by hand.
+type planted struct {
+	events []history.Event
+	calls  int
+}
+
+const (
+	relay = 0
+	mil   = time.Millisecond
+)
+
+func plant() *planted {
+	p := &planted{}
+	sec := func(s float64) us { return us(s * 1e6) }
+	p.add(0, history.Event{Kind: history.Run, Facts: &history.Facts{Relays: 3, MaxAttempts: 8, DrainGrace: sec(2), ColdShare: 0.25, RampTime: sec(8),
+		OverloadFactor: 2, OverloadFor: sec(2), MemoryMB: 100, DiskMB: 3, Sockets: 100,
+		Classes: map[string]history.Class{
+			"status":  {Effect: "retryable", Deadline: sec(10)},
+			"payment": {Effect: "dedup", Group: "all", Memory: sec(5), Deadline: sec(10)},
+			"zoned":   {Effect: "dedup", Group: "zone", Memory: sec(5), Deadline: sec(10)},
+			"booking": {Effect: "fragile", Deadline: sec(10)}},
+		Hosts: map[string]history.Host{"h1": {Dest: 7, Zone: "a"}, "h2": {Dest: 7, Zone: "b"}, "new": {Dest: 7, Zone: "a"}, "other": {Dest: 8, Zone: "a"}}}})
+	return p
+}
+
+func (p *planted) add(at time.Duration, e history.Event) *planted {
+	e.T, e.Line = history.M(at), len(p.events)+1
+	p.events = append(p.events, e)
+	return p
+}
+
+func (p *planted) relay(at time.Duration, what string) *planted {
+	return p.add(at, history.Event{Kind: history.Relay, Relay: history.N(relay), What: what})
+}
+
+// taken hands a message in and has it taken on at once; it is given up 10 s later.
+func (p *planted) taken(at time.Duration, id, class string) *planted {
+	p.handed(at, id, class)
+	return p.add(at+mil, history.Event{Kind: history.Answer, ID: id, Status: "202"})
+}
+
+func (p *planted) handed(at time.Duration, id, class string) *planted {
+	return p.add(at, history.Event{Kind: history.HandIn, ID: id, Msg: 1, Relay: history.N(relay), Class: class, Dest: history.N(7), Left: 10e6})
+}
+
+// call makes a call that stays out.
+func (p *planted) call(at time.Duration, host string, ids ...string) *planted {
+	return p.callOf(relay, at, host, ids...)
+}
+
+func (p *planted) callOf(r int, at time.Duration, host string, ids ...string) *planted {
+	p.calls++
+	return p.add(at, history.Event{Kind: history.Call, Call: p.calls, Relay: history.N(r), Host: host, IDs: ids, Began: history.M(at)})
+}
+
+// reply answers the latest call.
+func (p *planted) reply(at time.Duration, status string, wait time.Duration) *planted {
+	return p.add(at, history.Event{Kind: history.Reply, Call: p.calls, Status: status, After: history.M(wait)})
+}
+
+func (p *planted) gone(at time.Duration) *planted {
+	return p.add(at, history.Event{Kind: history.Gone, Call: p.calls})
+}
+
+func (p *planted) notice(at time.Duration, id, status string) *planted {
+	return p.add(at, history.Event{Kind: history.Notice, Relay: history.N(relay), ID: id, Status: status})
+}
+
+func (p *planted) list(at time.Duration, host, health string, told ...time.Duration) *planted {
+	hosts := []history.Listed{{Host: host, Health: health}}
+	p.add(at, history.Event{Kind: history.List, Hosts: hosts})
+	for _, t := range told {
+		p.add(t, history.Event{Kind: history.List, Relay: history.N(relay), Told: true, Hosts: hosts})
+	}
+	return p
+}
+
+// check judges what was planted, with an end at a moment.
+func (p *planted) check(end time.Duration) Verdict {
+	p.add(end, history.Event{Kind: history.End, Events: 1000})
+	slices.SortStableFunc(p.events, func(a, b history.Event) int { return int(a.T - b.T) })
+	return Check(p.events, false)
+}
+
+// rulesOf lists the rules that a verdict finds broken, each once.
+func rulesOf(v Verdict) (rules []string) {
+	for _, x := range v.Violations {
+		if !slices.Contains(rules, x.Rule) {
+			rules = append(rules, x.Rule)
+		}
+	}
+	return rules
+}
+
+// Each rule has a history that breaks it, and one beside it that only just keeps it.
+func TestRules(t *testing.T) {
+	const end = 60 * time.Second
+	s := time.Second
+	many := func(n int) func(*planted) {
+		return func(p *planted) {
+			p.taken(s, "m", "status")
+			for i := range n {
+				p.call(2*s+time.Duration(i)*100*mil, "h1", "m").reply(2*s+time.Duration(i)*100*mil+10*mil, "503", 0)
+			}
+			p.notice(9*s, "m", "deferred")
+		}
+	}
+	// cold plants an endpoint that came back at 20 s with 10 messages a second, and n calls then, of which so many
+	// come from a relay that had seen it fail. 2 × 10 × 0.25 × 2 s = 10 fit, and 2√10 for chance: 16 in all.
+	cold := func(n, knowing int) func(*planted) {
+		return func(p *planted) {
+			p.add(10*s, history.Event{Kind: history.Outage, Host: "h1"})
+			p.taken(10*s, "seen", "status").call(11*s, "h1", "seen").reply(11*s+mil, "503", 0).notice(12*s, "seen", "deferred")
+			p.add(20*s, history.Event{Kind: history.Back, Host: "h1", Rate: 10})
+			for i := range n {
+				r, id, at := 2, fmt.Sprint("c", i), 20*s+time.Duration(i)*mil
+				if i < knowing {
+					r = relay
+				}
+				p.add(19*s, history.Event{Kind: history.HandIn, ID: id, Msg: 10 + i, Relay: history.N(r), Class: "status", Dest: history.N(7), Left: 10e6})
+				p.callOf(r, at, "h1", id).reply(at, "200", 0)
+			}
+		}
+	}
+	cases := []struct {
+		rule, name   string
+		breaks, just func(*planted)
+	}{
+		{Lost, "no end", func(p *planted) { p.taken(s, "m", "status") },
+			func(p *planted) { p.taken(s, "m", "status").notice(11*s+340*mil, "m", "undeliverable") }},
+		{Lost, "late end", func(p *planted) { p.taken(s, "m", "status").notice(11*s+360*mil, "m", "undeliverable") },
+			func(p *planted) { p.taken(s, "m", "status").call(2*s, "h1", "m").reply(11*s+340*mil, "200", 0) }},
+		{Lost, "an answer that is no delivery", func(p *planted) { p.taken(s, "m", "status").call(2*s, "h1", "m").reply(3*s, "500", 0) },
+			func(p *planted) { p.taken(s, "m", "status").call(2*s, "h1", "m").reply(3*s, "410", 0) }},
+		{Lost, "over a restart", func(p *planted) {
+			p.relay(0, "started").taken(s, "m", "status").relay(8*s, "killed").relay(8*s, "ended").relay(9*s, "started").relay(9*s+500*mil, "ready").notice(11*s+400*mil, "m", "deferred")
+		}, func(p *planted) {
+			p.relay(0, "started").taken(s, "m", "status").relay(11*s, "killed").relay(11*s, "ended").relay(12*s, "started").relay(13*s, "ready").notice(14*s+490*mil, "m", "deferred")
+		}},
+		{Lost, "a folder that is lost", func(p *planted) {
+			p.relay(0, "started").taken(s, "m", "status").relay(8*s, "killed").relay(8*s, "ended").relay(9*s, "started").relay(9*s, "ready")
+		}, func(p *planted) {
+			p.relay(0, "started").taken(s, "m", "status").relay(8*s, "killed").relay(8*s, "ended").relay(8*s, "wiped").relay(9*s, "started").relay(9*s, "ready")
+		}},
+		{AfterEnd, "after a notice", func(p *planted) {
+			p.taken(s, "m", "status").notice(2*s, "m", "deferred").call(2*s+60*mil, "h1", "m").reply(3*s, "200", 0)
+		}, func(p *planted) {
+			p.taken(s, "m", "status").notice(2*s, "m", "deferred").call(2*s+40*mil, "h1", "m").reply(3*s, "200", 0)
+		}},
+		{AfterEnd, "after a refusal", func(p *planted) {
+			p.handed(s, "m", "status").add(s+mil, history.Event{Kind: history.Answer, ID: "m", Status: "429"}).call(s+70*mil, "h1", "m").reply(2*s, "200", 0)
+		}, func(p *planted) {
+			p.handed(s, "m", "status").add(s+mil, history.Event{Kind: history.Answer, ID: "m", Status: "429"}).call(s+40*mil, "h1", "m").reply(2*s, "200", 0)
+		}},
+		{AfterEnd, "after a delivery", func(p *planted) {
+			p.taken(s, "m", "status").call(2*s, "h1", "m").reply(3*s, "200", 0).call(4*s, "h1", "m").reply(4*s, "200", 0)
+		}, func(p *planted) { // a process that was killed may not have taken the answer in
+			p.relay(0, "started").taken(s, "m", "status").call(2*s, "h1", "m").reply(3*s, "200", 0)
+			p.relay(3*s+mil, "killed").relay(3*s+mil, "ended").relay(3*s+600*mil, "started").relay(3*s+700*mil, "ready").call(4*s, "h1", "m").reply(4*s, "200", 0)
+		}},
+		{SecondCopy, "while one is out", func(p *planted) {
+			p.taken(s, "m", "status").call(2*s, "h1", "m").gone(2*s+160*mil).call(2*s+100*mil, "h2", "m").reply(3*s, "200", 0)
+		}, func(p *planted) {
+			p.taken(s, "m", "status").call(2*s, "h1", "m").gone(2*s+140*mil).call(2*s+100*mil, "h2", "m").reply(3*s, "200", 0)
+		}},
+		{SecondCopy, "an answer that got lost", func(p *planted) {
+			p.taken(s, "m", "status").call(2*s, "h1", "m").add(3*s, history.Event{Kind: history.Broken, Call: 1, What: "lost"})
+			p.call(4*s, "h2", "m").reply(4*s, "200", 0)
+		}, func(p *planted) {
+			p.taken(s, "m", "status").call(2*s, "h1", "m").add(3*s, history.Event{Kind: history.Broken, Call: 1, What: "reset"})
+			p.call(4*s, "h2", "m").reply(4*s, "200", 0)
+		}},
+		{Attempts, "a ninth", many(9), many(8)},
+		{Repeat, "fragile", func(p *planted) {
+			p.taken(s, "m", "booking").call(2*s, "h1", "m").reply(2*s+mil, "500", 0).call(3*s, "h1", "m").reply(3*s, "200", 0)
+		}, func(p *planted) {
+			p.taken(s, "m", "booking").call(2*s, "h1", "m").reply(2*s+mil, "503", 0).call(3*s, "h1", "m").reply(3*s, "200", 0)
+		}},
+		{Repeat, "fragile, over a kill", func(p *planted) {
+			p.relay(0, "started").taken(s, "m", "booking").call(2*s, "h1", "m").relay(2*s+mil, "killed").gone(2*s+mil).relay(2*s+mil, "ended")
+			p.relay(3*s, "started").relay(3*s, "ready").call(4*s, "h1", "m").reply(4*s, "200", 0)
+		}, func(p *planted) {
+			p.relay(0, "started").taken(s, "m", "booking").call(2*s, "h1", "m").relay(2*s+mil, "killed").gone(2*s+mil).relay(2*s+mil, "ended")
+			p.relay(3*s, "started").relay(3*s, "ready").notice(4*s, "m", "undeliverable")
+		}},
+		{Repeat, "forgotten", func(p *planted) {
+			p.taken(s, "m", "payment").call(2*s, "h1", "m").gone(3*s).call(7*s+60*mil, "h2", "m").reply(7*s+70*mil, "200", 0)
+		}, func(p *planted) {
+			p.taken(s, "m", "payment").call(2*s, "h1", "m").gone(3*s).call(7*s+40*mil, "h2", "m").reply(7*s+70*mil, "200", 0)
+		}},
+		{Repeat, "in another zone", func(p *planted) {
+			p.taken(s, "m", "zoned").call(2*s, "h1", "m").gone(3*s).call(4*s, "h2", "m").reply(4*s, "200", 0)
+		}, func(p *planted) {
+			p.taken(s, "m", "zoned").call(2*s, "h1", "m").gone(3*s).call(4*s, "h1", "m").reply(4*s, "200", 0)
+		}},
+		{HandedBack, "may have run", func(p *planted) {
+			p.taken(s, "m", "booking").call(2*s, "h1", "m").gone(3*s).notice(4*s, "m", "deferred")
+		},
+			func(p *planted) {
+				p.taken(s, "m", "booking").call(2*s, "h1", "m").gone(3*s).notice(4*s, "m", "undeliverable")
+			}},
+		{WrongHost, "another destination's", func(p *planted) { p.taken(s, "m", "status").call(2*s, "other", "m").reply(3*s, "200", 0) },
+			func(p *planted) { p.taken(s, "m", "status").call(2*s, "h2", "m").reply(3*s, "200", 0) }},
+		{WrongHost, "never listed", func(p *planted) {
+			p.list(s, "new", "SERVING").taken(s, "m", "status").call(2*s, "new", "m").reply(3*s, "200", 0)
+		}, func(p *planted) {
+			p.list(s, "new", "SERVING", 2*s).taken(s, "m", "status").call(2*s, "new", "m").reply(3*s, "200", 0)
+		}},
+		{Drain, "told", func(p *planted) {
+			p.list(s, "h1", "DRAINING", 2*s).taken(3*s, "m", "status").call(4*s+60*mil, "h1", "m").reply(5*s, "200", 0)
+		}, func(p *planted) {
+			p.list(s, "h1", "DRAINING", 2*s).taken(3*s, "m", "status").call(4*s+40*mil, "h1", "m").reply(5*s, "200", 0)
+		}},
+		{Drain, "counts as told", func(p *planted) {
+			p.list(s, "h1", "DELETED").taken(8*s, "m", "status").call(9*s+60*mil, "h1", "m").reply(10*s, "200", 0)
+		}, func(p *planted) {
+			p.list(s, "h1", "DELETED").taken(8*s, "m", "status").call(9*s+40*mil, "h1", "m").reply(10*s, "200", 0)
+		}},
+		{Drain, "after a reload", func(p *planted) {
+			p.list(s, "h1", "DELETED").relay(s+100*mil, "hup").taken(7*s, "m", "status").call(7*s+160*mil, "h1", "m").reply(8*s, "200", 0)
+		}, func(p *planted) {
+			p.list(s, "h1", "DELETED").relay(s+100*mil, "hup").taken(7*s, "m", "status").call(7*s+140*mil, "h1", "m").reply(8*s, "200", 0)
+		}},
+		{Wait, "told", func(p *planted) {
+			p.taken(s, "m", "status").taken(s, "n", "status").call(2*s, "h1", "m").reply(2*s, "429", s).notice(9*s, "m", "deferred")
+			p.call(2*s+940*mil, "h2", "n").reply(3*s, "200", 0)
+		}, func(p *planted) {
+			p.taken(s, "m", "status").taken(s, "n", "status").call(2*s, "h1", "m").reply(2*s, "429", s).notice(9*s, "m", "deferred")
+			p.call(2*s+90*mil, "h2", "n").reply(2*s+95*mil, "503", 0).call(2*s+960*mil, "h2", "n").reply(3*s, "200", 0)
+		}},
+		{Wait, "a restart ends it", func(p *planted) {
+			p.relay(0, "started").taken(s, "m", "status").call(2*s, "h1", "m").reply(2*s, "429", 3*s).relay(3*s, "started").relay(3*s, "ready").relay(3*s, "term").relay(3*s+mil, "ended")
+			p.call(4*s, "h1", "m").reply(4*s, "200", 0)
+		}, func(p *planted) {
+			p.relay(0, "started").taken(s, "m", "status").call(2*s, "h1", "m").reply(2*s, "429", 3*s).relay(3*s, "term").relay(3*s, "ended").relay(3*s+600*mil, "started").relay(3*s+600*mil, "ready")
+			p.call(4*s, "h1", "m").reply(4*s, "200", 0)
+		}},
+		{PushedOver, "too much", cold(17, 17), cold(16, 16)},
+		{PushedOver, "by relays that knew", cold(17, 12), cold(17, 11)},
+		{Unknown, "nobody's", func(p *planted) {
+			p.call(s, "h1", "x").add(s, history.Event{Kind: history.Reply, Call: 1, Status: "400", What: "unknown"})
+		}, func(p *planted) { p.call(s, "h1", "x").reply(s, "400", 0) }},
+		{NoteTooLong, "one", func(p *planted) { p.add(s, history.Event{Kind: history.Note, Relay: history.N(relay), Bytes: 257}) }, func(*planted) {}},
+		{PeerLeft, "late", func(p *planted) { p.peer(s, "came").peer(4*s+60*mil, "closed") },
+			func(p *planted) { p.peer(s, "came").peer(4*s+40*mil, "closed") }},
+		{PeerLeft, "taken on", func(p *planted) { p.peer(s, "came").peer(2*s, "202") }, func(p *planted) { p.peer(s, "came").peer(2*s, "400") }},
+		{Crash, "by itself", func(p *planted) { p.relay(0, "started").relay(s, "crashed") }, func(p *planted) { p.relay(0, "started").relay(s, "term").relay(s, "ended") }},
+		{Crash, "no start", func(p *planted) { p.relay(0, "started").relay(s, "refused-start") }, func(p *planted) { p.relay(0, "started").relay(s, "ready") }},
+		{Limits, "disk", func(p *planted) { p.add(s, history.Event{Kind: history.Usage, Relay: history.N(relay), DiskMB: 3.01}) },
+			func(p *planted) {
+				p.add(s, history.Event{Kind: history.Usage, Relay: history.N(relay), DiskMB: 3, MemoryMB: 100, FDs: 100})
+			}},
+		{Limits, "descriptors", func(p *planted) { p.add(s, history.Event{Kind: history.Usage, Relay: history.N(relay), FDs: 101}) }, func(*planted) {}},
+	}
+	tested := map[string]bool{}
+	for _, c := range cases {
+		tested[c.rule] = true
+		t.Run(c.rule+"/"+c.name, func(t *testing.T) {
+			p := plant()
+			c.breaks(p)
+			v := p.check(end)
+			if got := rulesOf(v); !slices.Equal(got, []string{c.rule}) {
+				t.Errorf("a history that breaks %s shows %v: %+v", c.rule, got, v.Violations)
+			} else if len(v.Violations[0].Lines) == 0 {
+				t.Errorf("no line of the history shows it")
+			}
+			p = plant()
+			c.just(p)
+			if v := p.check(end); len(v.Violations) > 0 {
+				t.Errorf("a history that only just keeps it: %+v", v.Violations)
+			}
+		})
+	}
+	for _, rule := range Rules {
+		if !tested[rule] {
+			t.Errorf("no history breaks %s", rule)
+		}
+	}
+}
+
+func (p *planted) peer(at time.Duration, what string) *planted {
+	return p.add(at, history.Event{Kind: history.Peer, Peer: 1, Relay: history.N(relay), What: what})
+}
+
+// A history that is cut off holds nothing against a relay that it does not show, but what it does show counts.
+func TestCutOff(t *testing.T) {
+	p := plant().taken(time.Second, "m", "status").call(2*time.Second, "other", "m")
+	v := Check(p.events, true)
+	if got := rulesOf(v); !slices.Equal(got, []string{WrongHost}) || !v.Cut {
+		t.Errorf("%v, cut %v", got, v.Cut)
+	}
+}
+
+// A run in which the lab was late is void, and not kept.
+func TestVoid(t *testing.T) {
+	for late, void := range map[int]bool{1: false, 2: true} {
+		p := plant()
+		p.add(time.Second, history.Event{Kind: history.End, Events: 1000, LateN: late})
+		if v := Check(p.events, false); (v.Void != "") != void || v.Kept() == void {
+			t.Errorf("%d of 1000 late: void %q, kept %v", late, v.Void, v.Kept())
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/history/history.go
@@ -0,0 +1,242 @@
+// Package history is the record of a run of the lab: JSON lines, one event a line, each with its time since the run
+// began. Whoever plays a run writes one; the checker and the report read it and need nothing else.
+//
+// It promises that a Writer may be used by many goroutines at once, that the events of one Add call stand in the file
+// as they were given, and that Read takes a file that was cut off in the middle: Cut tells so, and the whole lines
+// count.
+package history
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"sort"
+	"sync"
+	"time"
+)
+
+// The kinds of event, and the fields that each has beside T and Kind.
+const (
+	Run     = "run"     // the first line: Facts
+	Relay   = "relay"   // Relay, What: started, ready, term, killed, frozen, thawed, hup, ended, crashed, wiped, refused-start
+	List    = "list"    // Relay, Seq, Hosts: written to the relay (Told) or changed at discovery
+	HandIn  = "hand-in" // ID, Msg, Relay, Class, Dest, Key, Left: the client sends
+	Answer  = "answer"  // ID, Status, After: the client has it
+	Left    = "left"    // ID: the client left without an answer, What says why
+	Call    = "call"    // Call, Relay, Host, IDs, Began: the last byte of a call has come
+	Reply   = "reply"   // Call, Status, States, After: written to the relay
+	Gone    = "gone"    // Call: the relay has closed the connection, or ended its sending, before the reply
+	Broken  = "broken"  // Call: a fault broke the connection, or what was written can't be read; What says which
+	Notice  = "notice"  // ID, Status, After, Relay
+	Note    = "note"    // Relay, Bytes: only notes that are too long
+	Outage  = "outage"  // Host: it fails most calls from now on
+	Back    = "back"    // Host, Rate: it serves again, cold, with this full capacity in messages a second
+	Fell    = "fell"    // Host: a cold endpoint was pushed over
+	Connect = "connect" // Relay, Host: a new connection
+	Fault   = "fault"   // What, Of: number in the scenario; Until its end
+	Peer    = "peer"    // Peer, Relay, What: a malformed peer came, or how it ended
+	Usage   = "usage"   // Relay, MemoryMB, DiskMB, CPU (seconds since its process began), FDs
+	Late    = "late"    // By: the lab did something later than it should have
+	End     = "end"     // the last line of a run that came to its end; Events timed, LateCount of them late
+)
+
+// Event is one line of a history. Fields that a kind does not have are left out.
+type Event struct {
+	T        Micros   `json:"t"`
+	Kind     string   `json:"kind"`
+	Relay    *int     `json:"relay,omitempty"`
+	ID       string   `json:"id,omitempty"`
+	Msg      int      `json:"msg,omitempty"` // the client's number of the message, over all its hand-ins; from 1
+	Class    string   `json:"class,omitempty"`
+	Dest     *int     `json:"dest,omitempty"`
+	Key      string   `json:"key,omitempty"`
+	Left     Micros   `json:"left,omitempty"` // until the message is given up
+	Status   string   `json:"status,omitempty"`
+	After    Micros   `json:"after,omitempty"` // wait, or when to come again
+	What     string   `json:"what,omitempty"`
+	Call     int      `json:"call,omitempty"` // from 1
+	Host     string   `json:"host,omitempty"`
+	IDs      []string `json:"ids,omitempty"`
+	States   []string `json:"states,omitempty"` // of IDs, in their order
+	Began    Micros   `json:"began,omitempty"`  // the call's first byte
+	Seq      int      `json:"seq,omitempty"`
+	Hosts    []Listed `json:"hosts,omitempty"`
+	Told     bool     `json:"told,omitempty"`
+	Bytes    int      `json:"bytes,omitempty"`
+	Rate     float64  `json:"rate,omitempty"`
+	Of       int      `json:"of,omitempty"`
+	Until    Micros   `json:"until,omitempty"`
+	Peer     int      `json:"peer,omitempty"`
+	MemoryMB float64  `json:"memory_mb,omitempty"`
+	DiskMB   float64  `json:"disk_mb,omitempty"`
+	CPU      float64  `json:"cpu,omitempty"`
+	FDs      int      `json:"fds,omitempty"`
+	By       Micros   `json:"by,omitempty"`
+	Events   int      `json:"events,omitempty"`
+	LateN    int      `json:"late,omitempty"`
+	Facts    *Facts   `json:"facts,omitempty"`
+
+	Line int `json:"-"` // in the file that it was read from, from 1
+}
+
+// Listed is one endpoint of a list, or of a change of one.
+type Listed struct {
+	Host   string `json:"host"`
+	Health string `json:"health"`
+}
+
+// Facts is what a checker has to know of the play.
+type Facts struct {
+	Title          string           `json:"title"`
+	Seed           uint64           `json:"seed"`
+	Relays         int              `json:"relays"`
+	MaxAttempts    int              `json:"max_attempts"`
+	Patience       Micros           `json:"patience"`
+	DrainGrace     Micros           `json:"drain_grace"`
+	ColdShare      float64          `json:"cold_share"`
+	RampTime       Micros           `json:"ramp_time"`
+	OverloadFactor float64          `json:"overload_factor"`
+	OverloadFor    Micros           `json:"overload_for"`
+	MemoryMB       float64          `json:"memory_mb"`
+	DiskMB         float64          `json:"disk_mb"`
+	Sockets        int              `json:"sockets"`
+	Length         Micros           `json:"length"`
+	Classes        map[string]Class `json:"classes"`
+	Hosts          map[string]Host  `json:"hosts"`
+}
+
+// Class is what a checker has to know of a class of message.
+type Class struct {
+	Effect    string  `json:"effect"` // "retryable", "dedup" or "fragile"
+	Group     string  `json:"group"`
+	Memory    Micros  `json:"memory"`
+	Aim       Micros  `json:"aim"`
+	Deadline  Micros  `json:"deadline"`
+	Worth     float64 `json:"worth"`
+	LateShare float64 `json:"late_share"`
+}
+
+// Host is what a checker has to know of an endpoint.
+type Host struct {
+	Dest int    `json:"dest"`
+	Zone string `json:"zone"`
+}
+
+// Micros is a time in microseconds.
+type Micros int64
+
+// M turns a duration into microseconds.
+func M(d time.Duration) Micros { return Micros(d.Microseconds()) }
+
+// D turns microseconds into a duration.
+func (m Micros) D() time.Duration { return time.Duration(m) * time.Microsecond }
+
+// N gives a pointer to a number, for the fields whose 0 means something.
+func N(n int) *int { return &n }
+
+// Writer writes a history. A write that fails is remembered and given by Close.
+type Writer struct {
+	begun time.Time
+
+	mu   sync.Mutex
+	out  *bufio.Writer
+	to   io.Closer
+	seen []Event
+	err  error
+}
+
+// NewWriter begins a history at a moment; the events are kept for Events as well.
+func NewWriter(to io.WriteCloser, begun time.Time) *Writer {
+	return &Writer{begun: begun, out: bufio.NewWriterSize(to, 1<<20), to: to}
+}
+
+// Now is the time since the run began.
+func (w *Writer) Now() Micros { return M(time.Since(w.begun)) }
+
+// At is the time from the begin of the run to a moment.
+func (w *Writer) At(moment time.Time) Micros { return M(moment.Sub(w.begun)) }
+
+// Add writes events; one without a time gets the present one.
+func (w *Writer) Add(events ...Event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, e := range events {
+		if e.T == 0 {
+			e.T = w.Now()
+		}
+		w.seen = append(w.seen, e)
+		e.Line = len(w.seen)
+		line, err := json.Marshal(e)
+		if err == nil {
+			_, err = w.out.Write(append(line, '\n'))
+		}
+		w.err = errors.Join(w.err, err)
+	}
+}
+
+// Events gives what has been added, in the order of time.
+func (w *Writer) Events() []Event {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	all := append([]Event(nil), w.seen...)
+	for i := range all {
+		all[i].Line = i + 1
+	}
+	inOrder(all)
+	return all
+}
+
+// Close ends the file.
+func (w *Writer) Close() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return errors.Join(w.err, w.out.Flush(), w.to.Close())
+}
+
+// inOrder sorts events by time; those of one moment stay as they were written.
+func inOrder(all []Event) {
+	sort.SliceStable(all, func(i, j int) bool { return all[i].T < all[j].T })
+}
+
+// maxLine bounds a line of a history.
+const maxLine = 16 << 20
+
+// Read reads a history in the order of time. cut says that it has no end: the run was broken off, or the file was.
+// A line in the middle that can't be read is an error with its number.
+func Read(from io.Reader) (all []Event, cut bool, err error) {
+	in := bufio.NewScanner(from)
+	in.Buffer(nil, maxLine)
+	var torn error
+	for n := 1; in.Scan(); n++ {
+		if torn != nil {
+			return nil, false, torn
+		}
+		var e Event
+		if err := json.Unmarshal(in.Bytes(), &e); err != nil {
+			torn = fmt.Errorf("line %d: %w", n, err)
+			continue
+		}
+		e.Line = n
+		all = append(all, e)
+	}
+	if err := in.Err(); err != nil {
+		return nil, false, err
+	}
+	if len(all) == 0 || all[0].Kind != Run || all[0].Facts == nil {
+		return nil, false, errors.New("line 1: no history: the line that says what was played is missing")
+	}
+	cut = torn != nil || all[len(all)-1].Kind != End
+	inOrder(all)
+	return all, cut, nil
+}
+
+// JSON is the event as a line of the history has it.
+func (e *Event) JSON() string {
+	line, err := json.Marshal(e)
+	if err != nil {
+		return err.Error() // figures that no JSON has, such as an infinity
+	}
+	return string(line)
+}
--- /dev/null
+++ b/internal/lab/scenario/faults.go
@@ -0,0 +1,251 @@
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Fault is one entry of the timeline. What it strikes is named by Relays, Destinations, Endpoints or Zone, or drawn
+// as a Share of those; a fault that names nothing strikes all.
+type Fault struct {
+	At           Duration `toml:"at"`
+	For          Duration `toml:"for"` // 0 where Kind has an end of its own
+	Kind         string   `toml:"kind"`
+	Relays       []int    `toml:"relays"`
+	Destinations []int    `toml:"destinations"`
+	Endpoints    []string `toml:"endpoints"`
+	Zone         string   `toml:"zone"`
+	Share        float64  `toml:"share"`     // of the ones named, drawn; 0 for all
+	Step         Duration `toml:"step"`      // between one struck and the next
+	Size         float64  `toml:"size"`      // see Kinds
+	Wait         Duration `toml:"wait"`      // told by a destination that is shut; 0 for none
+	Direction    string   `toml:"direction"` // of a cut: "both", "to" the endpoints or "from" them
+}
+
+// strikes is what a kind of fault is aimed at.
+type strikes int
+
+const (
+	atRelays strikes = iota
+	atHosts
+	atLinks
+	atClients
+)
+
+// kind is what is known of a kind of fault.
+type kind struct {
+	at      strikes
+	lasting bool // For has to be above 0
+	sized   string
+}
+
+// Kinds are the faults that a timeline may hold.
+var Kinds = map[string]kind{
+	"kill":    {at: atRelays}, // SIGKILL; back after For, 600ms where that is 0
+	"restart": {at: atRelays}, // SIGTERM, SIGKILL 3.7 s later, back 600 ms after its end
+	"wipe":    {at: atRelays}, // SIGKILL and the folder is lost; others are handed what it held
+	"freeze":  {at: atRelays, lasting: true},
+	"reload":  {at: atRelays}, // discovery moves to another address: a new file and SIGHUP
+	"upgrade": {at: atRelays}, // a new process beside the old one, by the inherited socket
+
+	"down":         {at: atHosts, lasting: true}, // refuses connections, resets the open ones; comes back cold
+	"shut":         {at: atHosts, lasting: true}, // refuses all calls; comes back cold
+	"errors":       {at: atHosts, lasting: true, sized: "the share of the calls that get 500"},
+	"slow":         {at: atHosts, lasting: true, sized: "the factor on service times"},
+	"silent":       {at: atHosts, lasting: true}, // takes calls and never answers; comes back cold
+	"stall":        {at: atHosts, lasting: true, sized: "the share of the answers that stop halfway"},
+	"lose-answers": {at: atHosts, lasting: true, sized: "the share of the answers that get lost after the call has run"},
+	"reset":        {at: atHosts, lasting: true, sized: "the share of the calls whose connection is reset"},
+	"spoil":        {at: atHosts, lasting: true, sized: "the share of the answers that can't be read"},
+	"drain":        {at: atHosts}, // DRAINING at once, DELETED after For, 4s where that is 0; a new endpoint takes its place
+
+	"cut":        {at: atLinks, lasting: true}, // says nothing in the directions named
+	"delay":      {at: atLinks, lasting: true, sized: "the seconds that each piece of data is late"},
+	"drop-notes": {at: atRelays, lasting: true, sized: "the share of the notes that get lost"},
+	"twin-notes": {at: atRelays, lasting: true, sized: "the share of the notes that come twice, the second late"},
+
+	"discovery-late":   {at: atRelays, lasting: true, sized: "the seconds that lists are late"},
+	"discovery-silent": {at: atRelays, lasting: true},
+	"discovery-busy":   {at: atRelays, lasting: true},
+
+	"burst":  {at: atClients, lasting: true, sized: "the factor on the rate"},
+	"shift":  {at: atClients, lasting: true, sized: "the factor on the share of a zone's relays"},
+	"leave":  {at: atClients, lasting: true, sized: "the share of the clients that leave before their answer"},
+	"crowd":  {at: atClients, lasting: true, sized: "the malformed or silent peers a second"},
+	"repeat": {at: atClients, lasting: true, sized: "the share of the messages handed in twice under one id"},
+}
+
+// span is the longest that a scenario may be: loops are bounded in time.
+const span = 10 * time.Minute
+
+// check names the first value that can't be played, by its path.
+func (s *Scenario) check() (string, error) {
+	f, r, l := &s.Fleet, &s.Rules, &s.Load
+	for _, c := range []struct {
+		path string
+		bad  bool
+		what string
+	}{
+		{"length", s.Length <= 0 || s.Length.D() > span, "is not above 0 and at most 10m"},
+		{"fleet.relays", f.Relays < 1 || f.Relays > 500, "is not 1 to 500"},
+		{"fleet.zones", len(f.Zones) == 0, "names no zone"},
+		{"fleet.slots", f.Slots < 1, "is not above 0"},
+		{"fleet.max_open", f.MaxOpen < 1, "is not above 0"},
+		{"fleet.cores", !(f.Cores > 0), "is not above 0"},
+		{"fleet.memory_mb", !(f.MemoryMB > 0), "is not above 0"},
+		{"fleet.sockets", f.Sockets < 64, "is under 64"},
+		{"fleet.disk_mb", !(f.DiskMB > 0), "is not above 0"},
+		{"fleet.discovery", f.Discovery != "subscribe" && f.Discovery != "automatic", `is not "subscribe" or "automatic"`},
+		{"fleet.weights", !slices.Contains([]string{"off", "nominal", "rough"}, f.Weights), `is not "off", "nominal" or "rough"`},
+		{"fleet.spread", !(f.Spread >= 0 && f.Spread <= 2), "is not 0 to 2"},
+		{"rules.max_attempts", r.MaxAttempts < 1, "is not above 0"},
+		{"rules.patience", r.Patience <= 0, "is not above 0"},
+		{"rules.cold_share", !(r.ColdShare > 0 && r.ColdShare <= 1), "is not above 0 and at most 1"},
+		{"rules.overload_factor", !(r.OverloadFactor > 1), "is not above 1"},
+		{"rules.overload_for", r.OverloadFor <= 0, "is not above 0"},
+		{"load.rate", !(l.Rate > 0 && l.Rate <= 5000), "is not above 0 and at most 5000"},
+		{"load.clumps", !(l.Clumps >= 0 && l.Clumps <= 1), "is not 0 to 1"},
+		{"load.clump_size", l.ClumpSize < 1, "is not above 0"},
+		{"load.bytes", l.Bytes < 0 || l.Bytes > 64<<10, "is not 0 to 65536"},
+		{"load.returns", !(l.Returns >= 0 && l.Returns <= 1), "is not 0 to 1"},
+		{"class", len(s.Classes) == 0, "is missing: there has to be one at least"},
+		{"destination", len(s.Destinations) == 0, "is missing: there has to be one at least"},
+	} {
+		if c.bad {
+			return c.path, errors.New(c.what)
+		}
+	}
+	for i, c := range s.Classes {
+		path := fmt.Sprintf("class[%d].", i)
+		switch {
+		case c.Name == "" || strings.ContainsAny(c.Name, "/ ?"):
+			return path + "name", fmt.Errorf("%q is no name of a class", c.Name)
+		case !slices.Contains([]string{"retryable", "dedup", "fragile"}, c.Effect):
+			return path + "effect", fmt.Errorf("%q is not \"retryable\", \"dedup\" or \"fragile\"", c.Effect)
+		case c.Group != "all" && c.Group != "zone":
+			return path + "group", fmt.Errorf("%q is not \"all\" or \"zone\"", c.Group)
+		case c.Aim <= 0 || c.Deadline < c.Aim:
+			return path + "deadline", errors.New("is under the aim, or one of them is 0")
+		case !(c.LateShare >= 0 && c.LateShare <= 1):
+			return path + "late_share", errors.New("is not 0 to 1")
+		case !(c.Share > 0):
+			return path + "share", errors.New("is not above 0")
+		}
+	}
+	for i := range s.Destinations {
+		d, path := &s.Destinations[i], fmt.Sprintf("destination[%d].", i)
+		switch {
+		case d.Count < 1 || d.Endpoints < 1:
+			return path + "endpoints", errors.New("count and endpoints have to be above 0")
+		case !(d.Share > 0):
+			return path + "share", errors.New("is not above 0")
+		case !slices.Contains([]string{"none", "rate", "window"}, d.Limit):
+			return path + "limit", fmt.Errorf("%q is not \"none\", \"rate\" or \"window\"", d.Limit)
+		case d.Limit != "none" && !(d.Rate > 0):
+			return path + "rate", errors.New("is not above 0, and there is a limit")
+		case d.Limit == "window" && d.Window <= 0:
+			return path + "window", errors.New("is not above 0")
+		case d.Service <= 0 || !(d.ServiceCV >= 0 && d.ServiceCV <= 3):
+			return path + "service", errors.New("service is not above 0, or service_cv is not 0 to 3")
+		case d.Workers < 1 || d.Queue < 0 || d.Connections < 0 || d.Bulk < 1:
+			return path + "workers", errors.New("workers and bulk have to be above 0, queue and connections not below it")
+		}
+		for _, z := range d.Zones {
+			if !slices.Contains(s.Fleet.Zones, z) {
+				return path + "zones", fmt.Errorf("%q is no zone of the fleet", z)
+			}
+		}
+	}
+	return "", nil
+}
+
+// checkFaults names the first fault that can't strike.
+func (s *Scenario) checkFaults() (string, error) {
+	for i := range s.Faults {
+		f, path := &s.Faults[i], fmt.Sprintf("fault[%d].", i)
+		k, ok := Kinds[f.Kind]
+		switch {
+		case !ok:
+			return path + "kind", fmt.Errorf("%q is no kind of fault", f.Kind)
+		case f.At.D() > s.Length.D():
+			return path + "at", fmt.Errorf("%v is after the end of the arrivals", f.At.D())
+		case k.lasting && f.For <= 0:
+			return path + "for", fmt.Errorf("a fault of the kind %q needs a time above 0", f.Kind)
+		case k.sized != "" && !(f.Size > 0):
+			return path + "size", fmt.Errorf("%q needs a size above 0: %s", f.Kind, k.sized)
+		case strings.Contains(k.sized, "share of the ") && !strings.Contains(k.sized, "factor") && f.Size > 1:
+			return path + "size", fmt.Errorf("%v is no share", f.Size)
+		case !(f.Share >= 0 && f.Share <= 1):
+			return path + "share", fmt.Errorf("%v is no share", f.Share)
+		case f.Direction != "" && !slices.Contains([]string{"both", "to", "from"}, f.Direction):
+			return path + "direction", fmt.Errorf("%q is not \"both\", \"to\" or \"from\"", f.Direction)
+		case f.Zone != "" && !slices.Contains(s.Fleet.Zones, f.Zone):
+			return path + "zone", fmt.Errorf("there is no zone %q", f.Zone)
+		case f.Kind == "upgrade" && !s.Fleet.SharedSocket:
+			return path + "kind", errors.New("an upgrade needs fleet.shared_socket = true")
+		case k.at != atHosts && k.at != atLinks && (len(f.Endpoints) > 0 || len(f.Destinations) > 0):
+			return path + "kind", fmt.Errorf("a fault of the kind %q strikes no endpoint", f.Kind)
+		case k.at == atHosts && len(f.Relays) > 0:
+			return path + "relays", fmt.Errorf("a fault of the kind %q strikes no relay", f.Kind)
+		}
+		for _, r := range f.Relays {
+			if r < 0 || r >= s.Fleet.Relays {
+				return path + "relays", fmt.Errorf("there is no relay %d: they are 0 to %d", r, s.Fleet.Relays-1)
+			}
+		}
+		for _, d := range f.Destinations {
+			if d < 0 || d >= s.DestCount() {
+				return path + "destinations", fmt.Errorf("there is no destination %d: they are 0 to %d", d, s.DestCount()-1)
+			}
+		}
+		for _, e := range f.Endpoints {
+			if !slices.ContainsFunc(s.Hosts, func(h Host) bool { return h.Name == e }) {
+				return path + "endpoints", fmt.Errorf("there is no endpoint %q", e)
+			}
+		}
+	}
+	return "", nil
+}
+
+// StruckRelays gives the relays that fault i strikes, in the order in which it does.
+func (s *Scenario) StruckRelays(i int) []int {
+	f := &s.Faults[i]
+	var all []int
+	for r := range s.Fleet.Relays {
+		if (len(f.Relays) == 0 || slices.Contains(f.Relays, r)) && (f.Zone == "" || Kinds[f.Kind].at == atLinks || s.Fleet.Zone(r) == f.Zone) {
+			all = append(all, r)
+		}
+	}
+	if Kinds[f.Kind].at == atLinks {
+		return all
+	}
+	return sample(s, i, all)
+}
+
+// StruckHosts gives the endpoints that fault i strikes, as indices of Hosts.
+func (s *Scenario) StruckHosts(i int) []int {
+	f := &s.Faults[i]
+	var all []int
+	for n, h := range s.Hosts {
+		if h.Born == 0 && (len(f.Destinations) == 0 || slices.Contains(f.Destinations, h.Dest)) && (f.Zone == "" || h.Zone == f.Zone) &&
+			(len(f.Endpoints) == 0 || slices.Contains(f.Endpoints, h.Name)) {
+			all = append(all, n)
+		}
+	}
+	return sample(s, i, all)
+}
+
+// sample draws the share of a fault from those that it could strike, one at least.
+func sample(s *Scenario, i int, all []int) []int {
+	share := s.Faults[i].Share
+	if share == 0 || len(all) == 0 {
+		return all
+	}
+	draws := s.Draws(fmt.Sprintf("fault %d", i))
+	draws.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
+	return all[:max(1, int(math.Round(share*float64(len(all)))))]
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario_test.go
@@ -0,0 +1,101 @@
+package scenario
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"milletsail/scenarios"
+)
+
+const plain = `length = "5s"
+[fleet]
+relays = 3
+zones = ["a", "b"]
+[[class]]
+name = "status"
+[[destination]]
+count = 2
+endpoints = 2
+`
+
+// What can't be played is one error with the line at fault.
+func TestErrors(t *testing.T) {
+	for _, c := range []struct{ name, text, at, what string }{
+		{"unknown key", plain + "colour = 3\n", ":10:", `unknown key "destination.colour"`},
+		{"no unit", strings.Replace(plain, `"5s"`, `"5"`, 1), ":1:", "no duration with its unit"},
+		{"wrong unit", strings.Replace(plain, `"5s"`, `"5 kg"`, 1), ":1:", "no duration with its unit"},
+		{"wrong type", strings.Replace(plain, "relays = 3", `relays = "three"`, 1), ":3:", "fleet.relays"},
+		{"no TOML", plain + "[[fault\n", ":10:", ""},
+		{"no relays", strings.Replace(plain, "relays = 3", "relays = 0", 1), ":3:", "fleet.relays: is not 1 to 500"},
+		{"no class", "[[destination]]\n", ":1:", "class: is missing"},
+		{"effect", strings.Replace(plain, `name = "status"`, "name = \"status\"\neffect = \"magic\"", 1), ":7:", `"magic" is not`},
+		{"limit without a rate", plain + "limit = \"rate\"\n", ":7:", "destination[0].rate"},
+		{"kind", plain + "[[fault]]\nat = \"1s\"\nkind = \"flood\"\n", ":12:", `"flood" is no kind of fault`},
+		{"relay", plain + "[[fault]]\nkind = \"kill\"\nat = \"1s\"\nrelays = [0, 3]\n", ":13:", "there is no relay 3"},
+		{"second fault", plain + "[[fault]]\nkind = \"kill\"\n[[fault]]\nkind = \"kill\"\nzone = \"z\"\n", ":14:", `there is no zone "z"`},
+		{"endpoint", plain + "[[fault]]\nkind = \"down\"\nfor = \"1s\"\nendpoints = [\"d9-e0\"]\n", ":13:", `there is no endpoint "d9-e0"`},
+		{"destination", plain + "[[fault]]\nkind = \"down\"\nfor = \"1s\"\ndestinations = [2]\n", ":13:", "there is no destination 2"},
+		{"no time", plain + "[[fault]]\nkind = \"down\"\n", ":10:", "needs a time above 0"},
+		{"no size", plain + "[[fault]]\nkind = \"slow\"\nfor = \"1s\"\n", ":10:", "needs a size above 0"},
+		{"no share", plain + "[[fault]]\nkind = \"errors\"\nfor = \"1s\"\nsize = 1.5\n", ":13:", "is no share"},
+		{"too late", plain + "[[fault]]\nkind = \"kill\"\nat = \"6s\"\n", ":12:", "after the end"},
+		{"no socket", plain + "[[fault]]\nkind = \"upgrade\"\n", ":11:", "shared_socket"},
+		{"strikes no relay", plain + "[[fault]]\nkind = \"down\"\nfor = \"1s\"\nrelays = [0]\n", ":13:", "strikes no relay"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, err := Parse("x.toml", []byte(c.text))
+			if err == nil {
+				t.Fatalf("taken: %+v", s)
+			}
+			if got := err.Error(); !strings.HasPrefix(got, "x.toml"+c.at) || !strings.Contains(got, c.what) || strings.Contains(got, "\n") {
+				t.Errorf("%s; want x.toml%s ... %s", got, c.at, c.what)
+			}
+		})
+	}
+}
+
+// Values that the file does not give have their defaults, also in entries of lists, and 0 in the file is 0.
+func TestDefaults(t *testing.T) {
+	s, err := Parse("x.toml", []byte(plain+"service_cv = 0\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if d := s.Destinations[0]; d.Workers != defaultDestination.Workers || d.ServiceCV != 0 || d.Endpoints != 2 {
+		t.Errorf("%+v", d)
+	}
+	if len(s.Hosts) != 4 || s.Hosts[3].Name != "d1-e1" || s.Hosts[3].Dest != 1 {
+		t.Errorf("%+v", s.Hosts)
+	}
+}
+
+// A fault strikes the same relays each time that it is asked, a share of those that it may.
+func TestStruck(t *testing.T) {
+	s, err := Parse("x.toml", []byte(strings.Replace(plain, "relays = 3", "relays = 20", 1)+
+		"[[fault]]\nkind = \"kill\"\nshare = 0.35\n[[fault]]\nkind = \"drain\"\nendpoints = [\"d0-e1\"]\n[[fault]]\nkind = \"kill\"\nzone = \"b\"\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a, b := s.StruckRelays(0), s.StruckRelays(0); len(a) != 7 || !slices.Equal(a, b) {
+		t.Errorf("%v, then %v", a, b)
+	}
+	if got := s.StruckRelays(2); len(got) != 10 || slices.ContainsFunc(got, func(r int) bool { return r%2 == 0 }) {
+		t.Errorf("of zone b: %v", got)
+	}
+	if h := s.Hosts[len(s.Hosts)-1]; h.Name != "d0-e1-n1" || h.Born != 2 || s.Hosts[h.Old].Name != "d0-e1" {
+		t.Errorf("in place of the one that drains: %+v", h)
+	}
+}
+
+// All scenarios that come with the program can be played.
+func TestScenarios(t *testing.T) {
+	for _, name := range scenarios.Names() {
+		text, err := scenarios.Get(name)
+		if err == nil {
+			_, err = Parse(name, text)
+		}
+		if err != nil {
+			t.Error(err)
+		}
+	}
+}
--- /dev/null
+++ b/scenarios/scenarios.go
@@ -0,0 +1,27 @@
+// Package scenarios holds the scenarios that come with the program; internal/lab/scenario reads them.
+package scenarios
+
+import (
+	"embed"
+	"strings"
+)
+
+//go:embed *.toml
+var files embed.FS
+
+// Get gives a scenario's text by its name, with or without ".toml".
+func Get(name string) ([]byte, error) {
+	return files.ReadFile(strings.TrimSuffix(name, ".toml") + ".toml")
+}
+
+// Names lists the scenarios.
+func Names() (all []string) {
+	entries, err := files.ReadDir(".")
+	if err != nil {
+		panic(err) // the folder is part of the program
+	}
+	for _, e := range entries {
+		all = append(all, strings.TrimSuffix(e.Name(), ".toml"))
+	}
+	return all
+}
