--- /dev/null
+++ b/internal/lab/clients/crowd.go
@@ -0,0 +1,75 @@
+package clients
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"time"
+
+	"milletsail/internal/lab/history"
+)
+
+// peerWaits is how long a malformed peer waits for an error or a close: a second more than it is owed.
+const peerWaits = 4 * time.Second
+
+// improper are what peers send that send no proper request; "" is silence.
+var improper = []string{
+	"",
+	"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+	"POST /",
+	"GET / HTTP/1.1\r\nHost: x\r\n\r\n",
+	"POST /no-such-class HTTP/1.1\r\nHost: x\r\nRequest-Id: a\r\nRequest-Timeout: 1\r\nX-Envelope: dest=0\r\nContent-Length: 0\r\n\r\n",
+	"POST /CLASS HTTP/1.1\r\nHost: x\r\nRequest-Timeout: 1\r\nX-Envelope: dest=0\r\nContent-Length: 0\r\n\r\n",
+	"POST /CLASS HTTP/1.1\r\nHost: x\r\nRequest-Id: ID\r\nRequest-Timeout: soon\r\nX-Envelope: dest=0\r\nContent-Length: 0\r\n\r\n",
+	"POST /CLASS HTTP/1.1\r\nHost: x\r\nRequest-Id: ID\r\nRequest-Timeout: 1\r\nX-Envelope: dest=minus\r\nContent-Length: 0\r\n\r\n",
+	"POST /CLASS HTTP/1.1\r\nHost: x\r\nRequest-Id: ID\r\nRequest-Timeout: 1\r\nX-Envelope: dest=0\r\nContent-Length: 99999999\r\n\r\n",
+	"POST /CLASS HTTP/1.1\r\nHost: x\r\nRequest-Id: ID\r\nRequest-Timeout: 1\r\nX-Envelope: dest=0\r\nContent-Length: 50\r\n\r\nhalf of it",
+	"POST /CLASS HTTP/1.1\r\nHost: x\r\nX-Long: " + strings.Repeat("a", 40<<10) + "\r\n\r\n",
+}
+
+// Crowd has malformed or silent peers come to relays, so many a second, until ctx ends.
+func (c *Clients) Crowd(ctx context.Context, fault int, relays []int, rate float64) {
+	rng := c.s.Draws(fmt.Sprintf("crowd %d", fault))
+	due := time.Now()
+	for n := 1; len(relays) > 0; n++ {
+		due = due.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
+		wait(ctx, time.Until(due))
+		if ctx.Err() != nil {
+			return
+		}
+		relay, text := relays[rng.IntN(len(relays))], improper[rng.IntN(len(improper))]
+		text = strings.NewReplacer("CLASS", c.s.Classes[0].Name, "ID", fmt.Sprintf("peer-%d-%d", fault, n)).Replace(text)
+		c.work.Go(func() { c.peer(relay, fault*1_000_000+n, text) })
+	}
+}
+
+// peer sends what is no proper request, and notes how it ends.
+func (c *Clients) peer(relay, no int, text string) {
+	raw, err := net.DialTimeout("tcp", c.subnet.Clients(relay), time.Second)
+	if err != nil {
+		return
+	}
+	defer raw.Close()
+	c.h.Add(history.Event{Kind: history.Peer, Peer: no, Relay: history.N(relay), What: "came"})
+	_ = raw.SetDeadline(time.Now().Add(peerWaits))
+	_, _ = io.WriteString(raw, text)
+	var line [12]byte
+	n, err := io.ReadFull(raw, line[:])
+	what := "closed"
+	switch {
+	case err == nil:
+		what = string(line[9:]) // the status of an answer
+	case n == 0 && isTimeout(err):
+		what = "left waiting"
+	}
+	if c.ctx.Err() == nil {
+		c.h.Add(history.Event{Kind: history.Peer, Peer: no, Relay: history.N(relay), What: what})
+	}
+}
+
+func isTimeout(err error) bool {
+	t, ok := err.(net.Error)
+	return ok && t.Timeout()
+}
--- /dev/null
+++ b/internal/lab/compare/compare.go
@@ -0,0 +1,100 @@
+// Package compare plays two sides on the same seeds in turn and gives paired differences. The side that begins changes
+// with each seed, so that neither gains from what the machine does over time.
+package compare
+
+import (
+	"math"
+
+	"gonum.org/v1/gonum/stat"
+	"gonum.org/v1/gonum/stat/distuv"
+
+	"milletsail/internal/lab/report"
+)
+
+// Side is one of two that are compared.
+type Side struct {
+	Name string
+	Play func(seed uint64) (*report.Figures, error)
+}
+
+// Row is one figure: the means of both sides, and the mean difference with its confidence interval of 95%.
+type Row struct {
+	Name                  string
+	A, B, Diff, Low, High float64
+}
+
+// Result is a comparison.
+type Result struct {
+	Rows   []Row
+	Pairs  int
+	Void   int    // pairs left out, since the lab was late in one of their plays
+	Broken [2]int // rules broken, by side
+}
+
+// figures are what is compared.
+var figures = []struct {
+	name string
+	of   func(*report.Figures) float64
+}{
+	{"worth served", func(f *report.Figures) float64 { return f.Served }},
+	{"refused", func(f *report.Figures) float64 { return f.Ends[report.Refused] + f.Ends[report.HandedBack] }},
+	{"delivered p50 s", func(f *report.Figures) float64 { return f.Latency["p50"] }},
+	{"delivered p99 s", func(f *report.Figures) float64 { return f.Latency["p99"] }},
+	{"attempts a message", func(f *report.Figures) float64 { return f.Attempts }},
+	{"calls turned away", func(f *report.Figures) float64 { return f.Turned }},
+	{"connections a message", func(f *report.Figures) float64 { return f.Connects }},
+	{"CPU s a relay", func(f *report.Figures) float64 { return f.CPU.Mean }},
+	{"MB a relay", func(f *report.Figures) float64 { return f.MemoryMB.Mean }},
+}
+
+// Pairs plays both sides on seeds from 1 on; played is told of each play.
+func Pairs(sides [2]Side, seeds int, played func(seed uint64, side int, f *report.Figures)) (*Result, error) {
+	r := &Result{}
+	var pairs [][2]*report.Figures
+	for seed := uint64(1); seed <= uint64(seeds); seed++ {
+		var pair [2]*report.Figures
+		for _, side := range [][]int{{0, 1}, {1, 0}}[seed%2] {
+			f, err := sides[side].Play(seed)
+			if err != nil {
+				return nil, err
+			}
+			played(seed, side, f)
+			r.Broken[side] += len(f.Verdict.Violations)
+			pair[side] = f
+		}
+		if pair[0].Verdict.Void != "" || pair[1].Verdict.Void != "" {
+			r.Void++
+			continue
+		}
+		pairs = append(pairs, pair)
+	}
+	r.Pairs = len(pairs)
+	for _, fig := range figures {
+		row := Row{Name: fig.name}
+		var diffs []float64
+		for _, pair := range pairs {
+			a, b := fig.of(pair[0]), fig.of(pair[1])
+			row.A += a / float64(len(pairs))
+			row.B += b / float64(len(pairs))
+			diffs = append(diffs, b-a)
+		}
+		row.Diff, row.Low, row.High = Interval(diffs)
+		r.Rows = append(r.Rows, row)
+	}
+	return r, nil
+}
+
+// Interval is the mean of differences with its confidence interval of 95%, by Student's t; without two of them the
+// interval is everything.
+func Interval(diffs []float64) (mean, low, high float64) {
+	n := float64(len(diffs))
+	if n < 2 {
+		if n == 1 {
+			mean = diffs[0]
+		}
+		return mean, math.Inf(-1), math.Inf(1)
+	}
+	mean, deviation := stat.MeanStdDev(diffs, nil)
+	half := distuv.StudentsT{Mu: 0, Sigma: 1, Nu: n - 1}.Quantile(0.975) * stat.StdErr(deviation, n)
+	return mean, mean - half, mean + half
+}
--- /dev/null
+++ b/internal/lab/compare/compare_test.go
@@ -0,0 +1,48 @@
+package compare
+
+import (
+	"math"
+	"testing"
+
+	"milletsail/internal/lab/checker"
+	"milletsail/internal/lab/report"
+)
+
+// The interval is that of the textbook: mean 2, deviation 1, n 4, t 3.182.
+func TestInterval(t *testing.T) {
+	mean, low, high := Interval([]float64{1, 2, 2, 3})
+	half := 3.18245 * math.Sqrt(2.0/3) / 2
+	if math.Abs(mean-2) > 1e-9 || math.Abs(high-2-half) > 1e-3 || math.Abs(2-low-half) > 1e-3 {
+		t.Errorf("%v, %v to %v; half should be %v", mean, low, high, half)
+	}
+	if _, low, high := Interval([]float64{1}); !math.IsInf(low, -1) || !math.IsInf(high, 1) {
+		t.Errorf("of one difference: %v to %v", low, high)
+	}
+}
+
+// Pairs are played on the same seeds, the side that begins changes, and a void play takes its pair out.
+func TestPairs(t *testing.T) {
+	var order []int
+	side := func(of int, served float64) Side {
+		return Side{Play: func(seed uint64) (*report.Figures, error) {
+			f := &report.Figures{Seed: seed, Served: served + float64(seed)/100}
+			if of == 1 && seed == 3 {
+				f.Verdict.Void = "late"
+			}
+			if of == 0 && seed == 1 {
+				f.Verdict.Violations = make([]checker.Violation, 2)
+			}
+			return f, nil
+		}}
+	}
+	r, err := Pairs([2]Side{side(0, 0.5), side(1, 0.6)}, 4, func(_ uint64, of int, _ *report.Figures) { order = append(order, of) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if row := r.Rows[0]; r.Pairs != 3 || r.Void != 1 || r.Broken != [2]int{2, 0} || math.Abs(row.Diff-0.1) > 1e-9 {
+		t.Errorf("%+v", r)
+	}
+	if order[0] == order[2] || order[0] == order[1] {
+		t.Errorf("order %v", order)
+	}
+}
--- /dev/null
+++ b/internal/lab/faulty/main.go
@@ -0,0 +1,261 @@
+// Command faulty is the relay with a fault planted, for tests of the lab alone: it stands between the relay, which is
+// as it always is, and the platform, and spoils what passes so that the two together break a rule. $LAB_FAULT names
+// the fault. No release holds it.
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"milletsail/internal/relay"
+)
+
+// The faults.
+const (
+	secondCopy   = "second-copy"   // each call is made twice at once
+	lateEnd      = "late-end"      // notices are a second late
+	ignoredDrain = "ignored-drain" // the relay is not told of endpoints that drain or go
+	ignoredWait  = "ignored-wait"  // nor of how long to wait
+	ignoredError = "ignored-error" // nor that a call that failed may have run
+	lostEntry    = "lost-entry"    // what a process took on is lost when it ends
+)
+
+var faults = []string{secondCopy, lateEnd, ignoredDrain, ignoredWait, ignoredError, lostEntry}
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "faulty:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	b := &between{fault: os.Getenv("LAB_FAULT"), dials: map[string]string{}}
+	if !slices.Contains(faults, b.fault) {
+		return fmt.Errorf("LAB_FAULT: %q is none of %v", b.fault, faults)
+	}
+	state := os.Getenv("NODE_STATE")
+	if b.fault == lostEntry {
+		old, err := filepath.Glob(filepath.Join(state, "*"))
+		if err != nil {
+			return err
+		}
+		for _, path := range old {
+			if err := os.RemoveAll(path); err != nil {
+				return err
+			}
+		}
+	}
+	given, path := os.Getenv("NODE_CONFIG"), filepath.Join(os.Getenv("TMPDIR"), fmt.Sprintf("faulty-%d.json", os.Getpid()))
+	if err := b.rewrite(given, path); err != nil {
+		return err
+	}
+	cfg, err := relay.ReadConfig(path)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	passed := make(chan os.Signal)
+	go func() {
+		for s := range hup {
+			if err := b.rewrite(given, path); err != nil {
+				fmt.Fprintln(os.Stderr, "faulty:", err)
+				continue
+			}
+			passed <- s
+		}
+	}()
+	return relay.Run(ctx, cfg, state, relay.Reloads(ctx, path, passed))
+}
+
+// between is what stands between the relay and the platform.
+type between struct {
+	fault string
+
+	mu    sync.Mutex
+	dials map[string]string // endpoints' addresses, and those that stand for them
+}
+
+// rewrite gives the relay a configuration that leads it to us.
+func (b *between) rewrite(given, to string) error {
+	text, err := os.ReadFile(given)
+	if err != nil {
+		return err
+	}
+	var c map[string]any
+	if err := json.Unmarshal(text, &c); err != nil {
+		return err
+	}
+	address, _ := c["discovery"].(string)
+	if c["discovery"], err = b.discovery(address); err != nil {
+		return err
+	}
+	if known, ok := c["known"].(map[string]any); ok {
+		if err := b.members(known); err != nil {
+			return err
+		}
+	}
+	if text, err = json.Marshal(c); err != nil {
+		return err
+	}
+	return os.WriteFile(to, text, 0o600)
+}
+
+// members changes a list as the fault has it.
+func (b *between) members(list map[string]any) error {
+	hosts, _ := list["hosts"].([]any)
+	for _, entry := range hosts {
+		h, _ := entry.(map[string]any)
+		if b.fault == ignoredDrain {
+			h["health"] = "SERVING"
+		}
+		if !slices.Contains([]string{secondCopy, ignoredWait, ignoredError}, b.fault) {
+			continue
+		}
+		dial, _ := h["dial"].(string)
+		stand, err := b.endpoint(dial)
+		if err != nil {
+			return err
+		}
+		h["dial"] = stand
+	}
+	return nil
+}
+
+// discovery stands for a discovery address.
+func (b *between) discovery(address string) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() {
+		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost && b.fault == lateEnd {
+				time.Sleep(time.Second)
+			}
+			if err := b.forward(w, r, address); err != nil && !errors.Is(err, context.Canceled) {
+				fmt.Fprintln(os.Stderr, "faulty: discovery:", err)
+			}
+		}))
+	}()
+	return l.Addr().String(), nil
+}
+
+func (b *between) forward(w http.ResponseWriter, r *http.Request, address string) error {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return err
+	}
+	ctx := r.Context()
+	if r.Method == http.MethodPost {
+		ctx = context.WithoutCancel(ctx)
+	}
+	req, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.URL.RequestURI(), bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		w.WriteHeader(http.StatusBadGateway)
+		return err
+	}
+	defer resp.Body.Close()
+	w.WriteHeader(resp.StatusCode)
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, 16<<20)
+	for lines.Scan() {
+		line := lines.Bytes()
+		var list map[string]any
+		if json.Unmarshal(line, &list) == nil {
+			if err := b.members(list); err != nil {
+				return err
+			}
+			if line, err = json.Marshal(list); err != nil {
+				return err
+			}
+		}
+		if _, err := w.Write(append(line, '\n')); err != nil {
+			return err
+		}
+		w.(http.Flusher).Flush()
+	}
+	return lines.Err()
+}
+
+// endpoint stands for an endpoint's address.
+func (b *between) endpoint(address string) (string, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if stand, ok := b.dials[address]; ok {
+		return stand, nil
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go b.carry(c, address)
+		}
+	}()
+	b.dials[address] = l.Addr().String()
+	return b.dials[address], nil
+}
+
+// carry carries a connection of the relay to an endpoint, and spoils what passes.
+func (b *between) carry(c net.Conn, address string) {
+	defer c.Close()
+	up, err := net.Dial("tcp", address)
+	if err != nil {
+		return
+	}
+	defer up.Close()
+	var out io.Writer = up
+	if b.fault == secondCopy {
+		if twin, err := net.Dial("tcp", address); err == nil {
+			defer twin.Close()
+			go func() { _, _ = io.Copy(io.Discard, twin) }()
+			out = io.MultiWriter(twin, up)
+		}
+	}
+	go func() {
+		_, _ = io.Copy(out, c)
+		_ = up.Close()
+	}()
+	buf := make([]byte, 64<<10)
+	for {
+		n, err := up.Read(buf)
+		text := buf[:n]
+		switch b.fault {
+		case ignoredWait:
+			text = bytes.ReplaceAll(text, []byte("X-Retry-In-Ms"), []byte("X-Retry-On-Ms"))
+		case ignoredError:
+			text = bytes.ReplaceAll(text, []byte("HTTP/1.1 500"), []byte("HTTP/1.1 503"))
+		}
+		if _, failed := c.Write(text); err != nil || failed != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/lab.go
@@ -0,0 +1,392 @@
+// Package lab plays scenarios: real relay processes against the platform's stand-ins, with faults between them, on
+// loopback addresses of its own.
+//
+// It promises that a play leaves nothing behind, neither processes nor folders, however it ends; that its verdict
+// comes from the checker alone, which sees nothing but the history; and that a play in which the lab itself was late
+// counts as void. One process may play one scenario after another, or several side by side.
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"milletsail/internal/lab/checker"
+	"milletsail/internal/lab/clients"
+	"milletsail/internal/lab/history"
+	"milletsail/internal/lab/platform"
+	"milletsail/internal/lab/relays"
+	"milletsail/internal/lab/scenario"
+)
+
+// Options are what a play needs beside its scenario.
+type Options struct {
+	Binary   string                 // of the relay
+	Env      []string               // added to the relays' environment
+	History  string                 // file to write; empty for none that stays
+	Logs     string                 // folder that the relays' logs are copied to; empty for none
+	Progress func(at time.Duration) // called each second; nil for no calls
+}
+
+// Result is a play that came to its end.
+type Result struct {
+	Scenario *scenario.Scenario
+	Events   []history.Event
+	Verdict  checker.Verdict
+}
+
+// settle is the time after the last message's end in which calls that are still out may end.
+const settle = 300 * time.Millisecond
+
+// folderPrefix begins the names of the lab's folders; the id of its process follows.
+const folderPrefix = "milletsail-lab-"
+
+// Play plays a scenario to its end. An error says that it could not be played, or was broken off by ctx; a broken
+// rule is in the verdict.
+func Play(ctx context.Context, s *scenario.Scenario, o Options) (result *Result, err error) {
+	dir, err := folder()
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	subnet, err := platform.TakeSubnet()
+	if err != nil {
+		return nil, err
+	}
+	defer subnet.Release()
+	path := o.History
+	if path == "" {
+		path = filepath.Join(dir, "history.jsonl")
+	}
+	file, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	h := history.NewWriter(file, time.Now())
+	defer func() { err = errors.Join(err, h.Close()) }()
+	h.Add(history.Event{T: 1, Kind: history.Run, Facts: factsOf(s)})
+
+	p, err := platform.New(s, h, subnet)
+	if err != nil {
+		return nil, fmt.Errorf("stand-ins: %w", err)
+	}
+	defer p.Close()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	c := clients.New(ctx, s, h, p, subnet)
+	defer c.Close()
+	fleet, err := relays.New(s, h, p, subnet, o.Binary, dir, o.Env)
+	if err != nil {
+		return nil, err
+	}
+	defer fleet.Stop()
+	if o.Logs != "" {
+		defer func() { err = errors.Join(err, copyLogs(dir, o.Logs)) }()
+	}
+	if err := fleet.Start(ctx); err != nil {
+		return nil, err
+	}
+	plan := clients.Plan(s)
+	t := &timeline{s: s, h: h, p: p, c: c, fleet: fleet, begun: time.Now()}
+	faults, stopFaults := context.WithCancel(ctx)
+	defer stopFaults()
+	var work sync.WaitGroup
+	for i := range s.Faults {
+		work.Go(func() { t.play(faults, i) })
+	}
+	if o.Progress != nil {
+		work.Go(func() {
+			for sleep(faults, time.Second) {
+				o.Progress(time.Since(t.begun))
+			}
+		})
+	}
+	c.Run(plan)
+	sleep(ctx, settle)
+	stopFaults()
+	work.Wait()
+	if err := ctx.Err(); err != nil {
+		return nil, err
+	}
+	fleet.Stop()
+	events, late := c.Timed()
+	h.Add(history.Event{Kind: history.End, Events: events, LateN: late})
+	all := h.Events()
+	return &Result{s, all, checker.Check(all, false)}, nil
+}
+
+// folder makes the folder of a play, and removes those of labs that are gone.
+func folder() (string, error) {
+	old, _ := filepath.Glob(filepath.Join(os.TempDir(), folderPrefix+"*"))
+	for _, dir := range old {
+		id, _, _ := strings.Cut(strings.TrimPrefix(filepath.Base(dir), folderPrefix), "-")
+		if pid, err := strconv.Atoi(id); err == nil && errors.Is(syscall.Kill(pid, 0), syscall.ESRCH) {
+			_ = os.RemoveAll(dir)
+		}
+	}
+	return os.MkdirTemp("", folderPrefix+strconv.Itoa(os.Getpid())+"-")
+}
+
+// copyLogs keeps the relays' logs.
+func copyLogs(dir, to string) error {
+	if err := os.MkdirAll(to, 0o755); err != nil {
+		return err
+	}
+	logs, err := filepath.Glob(filepath.Join(dir, "n*", "log"))
+	if err != nil {
+		return err
+	}
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		if err == nil {
+			err = os.WriteFile(filepath.Join(to, filepath.Base(filepath.Dir(path))+".log"), text, 0o644)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// factsOf is what a checker has to know of a scenario.
+func factsOf(s *scenario.Scenario) *history.Facts {
+	r, f := &s.Rules, &s.Fleet
+	facts := &history.Facts{Title: s.Title, Seed: s.Seed, Relays: f.Relays, MaxAttempts: r.MaxAttempts, Patience: history.M(r.Patience.D()),
+		DrainGrace: history.M(r.DrainGrace.D()), ColdShare: r.ColdShare, RampTime: history.M(r.RampTime.D()), OverloadFactor: r.OverloadFactor,
+		OverloadFor: history.M(r.OverloadFor.D()), MemoryMB: f.MemoryMB, DiskMB: f.DiskMB, Sockets: f.Sockets, Length: history.M(s.Length.D()),
+		Classes: map[string]history.Class{}, Hosts: map[string]history.Host{}}
+	for _, c := range s.Classes {
+		facts.Classes[c.Name] = history.Class{Effect: c.Effect, Group: c.Group, Memory: history.M(c.Memory.D()), Aim: history.M(c.Aim.D()),
+			Deadline: history.M(c.Deadline.D()), Worth: c.Worth, LateShare: c.LateShare}
+	}
+	for _, h := range s.Hosts {
+		facts.Hosts[h.Name] = history.Host{Dest: h.Dest, Zone: h.Zone}
+	}
+	return facts
+}
+
+// timeline plays the faults of a scenario.
+type timeline struct {
+	s     *scenario.Scenario
+	h     *history.Writer
+	p     *platform.Platform
+	c     *clients.Clients
+	fleet *relays.Fleet
+	begun time.Time
+}
+
+// drainFor is how long a draining endpoint stays on the list where the scenario does not say.
+const drainFor = 4 * time.Second
+
+// play waits for the time of a fault, and brings it about and to its end.
+func (t *timeline) play(ctx context.Context, i int) {
+	f := &t.s.Faults[i]
+	if !sleep(ctx, time.Until(t.begun.Add(f.At.D()))) {
+		return
+	}
+	now := t.h.Now()
+	t.h.Add(history.Event{T: now, Kind: history.Fault, What: f.Kind, Of: i, Until: now + history.M(f.For.D())})
+	slog.Debug("fault", "kind", f.Kind, "at", f.At.D(), "for", f.For.D())
+	if err := t.strike(ctx, i, f); err != nil && ctx.Err() == nil {
+		slog.Error("fault", "kind", f.Kind, "err", err)
+	}
+}
+
+func (t *timeline) strike(ctx context.Context, i int, f *scenario.Fault) error {
+	lasting := func(begin, end func()) error {
+		begin()
+		sleep(ctx, f.For.D())
+		end()
+		return nil
+	}
+	struck := t.s.StruckRelays(i)
+	switch f.Kind {
+	case "kill", "wipe":
+		return t.relays(ctx, struck, f, func(r *relays.Relay) error {
+			return r.Kill(ctx, f.For.D(), f.Kind == "wipe", func() { t.c.HandOver(r.No) })
+		})
+	case "restart":
+		return t.relays(ctx, struck, f, func(r *relays.Relay) error { return r.Restart(ctx) })
+	case "upgrade":
+		return t.relays(ctx, struck, f, func(r *relays.Relay) error { return r.Upgrade(ctx) })
+	case "reload":
+		return t.relays(ctx, struck, f, func(r *relays.Relay) error { return r.Reload() })
+	case "freeze":
+		return t.relays(ctx, struck, f, func(r *relays.Relay) error { r.Freeze(ctx, f.For.D()); return nil })
+	case "drain":
+		return t.drain(ctx, i, f)
+	case "cut":
+		return t.cut(ctx, i, f, struck)
+	case "delay":
+		hosts := t.s.StruckHosts(i)
+		on := func(r, h int) bool { return slices.Contains(struck, r) && slices.Contains(hosts, h) }
+		return lasting(func() { t.p.Delay(time.Duration(f.Size*float64(time.Second)), on) }, func() { t.p.Delay(0, on) })
+	case "drop-notes", "twin-notes":
+		drop, twin := f.Size, 0.0
+		if f.Kind == "twin-notes" {
+			drop, twin = 0, f.Size
+		}
+		return lasting(func() { each(struck, func(r int) { t.p.SpoilNotes(r, drop, twin) }) },
+			func() { each(struck, func(r int) { t.p.SpoilNotes(r, 0, 0) }) })
+	case "discovery-late", "discovery-silent", "discovery-busy":
+		var late time.Duration
+		if f.Kind == "discovery-late" {
+			late = time.Duration(f.Size * float64(time.Second))
+		}
+		return lasting(func() {
+			each(struck, func(r int) { t.p.Discovery(r, late, f.Kind == "discovery-silent", f.Kind == "discovery-busy") })
+		}, func() { each(struck, func(r int) { t.p.Discovery(r, 0, false, false) }) })
+	case "leave":
+		return lasting(func() { t.c.Change(f.Size, 0) }, func() { t.c.Change(0, 0) })
+	case "repeat":
+		return lasting(func() { t.c.Change(0, f.Size) }, func() { t.c.Change(0, 0) })
+	case "crowd":
+		ctx, cancel := context.WithTimeout(ctx, f.For.D())
+		defer cancel()
+		t.c.Crowd(ctx, i, struck, f.Size)
+		return nil
+	case "burst", "shift": // in the plan
+		return nil
+	}
+	hosts := t.s.StruckHosts(i)
+	return lasting(func() { each(hosts, func(h int) { t.p.Strike(i, h, troubleOf(f)) }) },
+		func() { each(hosts, func(h int) { t.p.Relieve(i, h) }) })
+}
+
+func each(all []int, do func(int)) {
+	for _, n := range all {
+		do(n)
+	}
+}
+
+// troubleOf is what a fault does to an endpoint.
+func troubleOf(f *scenario.Fault) (t platform.Trouble) {
+	switch f.Kind {
+	case "down":
+		t.Down = true
+	case "shut":
+		t.Shut, t.Wait = true, f.Wait.D()
+	case "silent":
+		t.Silent = true
+	case "errors":
+		t.Errors = f.Size
+	case "slow":
+		t.Slow = f.Size
+	case "stall":
+		t.Stall = f.Size
+	case "lose-answers":
+		t.Lose = f.Size
+	case "reset":
+		t.Reset = f.Size
+	case "spoil":
+		t.Spoil = f.Size
+	}
+	return t
+}
+
+// relays does something to relays, one a step, or to all at once.
+func (t *timeline) relays(ctx context.Context, struck []int, f *scenario.Fault, do func(*relays.Relay) error) error {
+	var mu sync.Mutex
+	var all error
+	var work sync.WaitGroup
+	for _, r := range struck {
+		work.Go(func() {
+			err := do(t.fleet.Relays[r])
+			mu.Lock()
+			defer mu.Unlock()
+			all = errors.Join(all, err)
+		})
+		if !sleep(ctx, f.Step.D()) {
+			break
+		}
+	}
+	work.Wait()
+	return all
+}
+
+// drain takes endpoints off the list, each with one that takes its place.
+func (t *timeline) drain(ctx context.Context, i int, f *scenario.Fault) error {
+	stays := f.For.D()
+	if stays == 0 {
+		stays = drainFor
+	}
+	for n, h := range t.s.Hosts {
+		if h.Born != i+1 {
+			continue
+		}
+		if err := errors.Join(t.p.List(n, "SERVING"), t.p.List(h.Old, "DRAINING")); err != nil {
+			return err
+		}
+		time.AfterFunc(stays, func() {
+			if ctx.Err() == nil {
+				_ = t.p.List(h.Old, "DELETED")
+			}
+		})
+		if !sleep(ctx, f.Step.D()) {
+			return nil
+		}
+	}
+	return nil
+}
+
+// cut cuts links. With a zone, those that lead into it or out of it; "to" is then into it, "from" out of it.
+// Otherwise those between the relays and the endpoints that are named.
+func (t *timeline) cut(ctx context.Context, i int, f *scenario.Fault, struck []int) error {
+	hosts := t.s.StruckHosts(i)
+	way := func(direction string) bool {
+		return f.Direction == "" || f.Direction == "both" || f.Direction == direction
+	}
+	zone := func(r int) string { return t.s.Fleet.Zone(r) }
+	crosses := func(from, to string) bool {
+		return from != to && (from == f.Zone && way("from") || to == f.Zone && way("to"))
+	}
+	to := func(r, h int) bool { return way("to") && slices.Contains(struck, r) && slices.Contains(hosts, h) }
+	from := func(r, h int) bool { return way("from") && slices.Contains(struck, r) && slices.Contains(hosts, h) }
+	between := func(int, int) bool { return false }
+	if f.Zone != "" {
+		to = func(r, h int) bool { return crosses(zone(r), t.s.Hosts[h].Zone) }
+		from = func(r, h int) bool { return crosses(t.s.Hosts[h].Zone, zone(r)) }
+		between = func(a, b int) bool { return crosses(zone(a), zone(b)) }
+	}
+	t.p.Cut(1, to, from)
+	t.p.CutNotes(1, between)
+	sleep(ctx, f.For.D())
+	t.p.Cut(-1, to, from)
+	t.p.CutNotes(-1, between)
+	return nil
+}
+
+// Check reads a history and judges it.
+func Check(from io.Reader) ([]history.Event, checker.Verdict, error) {
+	events, cut, err := history.Read(from)
+	if err != nil {
+		return nil, checker.Verdict{}, err
+	}
+	return events, checker.Check(events, cut), nil
+}
+
+// sleep waits for d, and tells whether ctx is still alive after it.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/lab/lab_test.go
@@ -0,0 +1,224 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"milletsail/internal/lab/checker"
+	"milletsail/internal/lab/scenario"
+	"milletsail/scenarios"
+)
+
+// The programs that the tests play with, built as they are released.
+var relayBinary, faultyBinary, labBinary string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "lab-test-")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(dir)
+		relayBinary, faultyBinary, labBinary = filepath.Join(dir, "frostlink"), filepath.Join(dir, "faulty"), filepath.Join(dir, "milletsail")
+		for path, source := range map[string]string{relayBinary: "milletsail/cmd/frostlink", faultyBinary: "milletsail/internal/lab/faulty", labBinary: "milletsail/cmd/milletsail"} {
+			if out, err := exec.Command("go", "build", "-o", path, source).CombinedOutput(); err != nil {
+				fmt.Fprintf(os.Stderr, "%s: %v: %s", source, err, out)
+				return 1
+			}
+		}
+		return m.Run()
+	}())
+}
+
+// mostVoid plays in a row may be void: another program had the processors.
+const mostVoid = 4
+
+// playOut plays a scenario until a play counts.
+func playOut(t *testing.T, s *scenario.Scenario, o Options) *Result {
+	t.Helper()
+	for range mostVoid {
+		r, err := Play(t.Context(), s, o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.Verdict.Void == "" {
+			return r
+		}
+		t.Log(r.Verdict.Void)
+	}
+	t.Fatalf("%d plays are void", mostVoid)
+	return nil
+}
+
+func named(t *testing.T, name string) *scenario.Scenario {
+	t.Helper()
+	text, err := scenarios.Get(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := scenario.Parse(name, text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// The relay keeps all rules while relays are killed, a zone is cut off, destinations fail, endpoints drain, machines
+// are lost, processes are replaced and clients misbehave.
+func TestScenarios(t *testing.T) {
+	for _, name := range []string{"herd", "zone", "outage", "drain", "upgrade", "wipe", "clients"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := playOut(t, named(t, name), Options{Binary: relayBinary})
+			for _, x := range r.Verdict.Violations {
+				t.Errorf("%s: relay %d, message %s: %s (lines %v)", x.Rule, x.Relay, x.ID, x.Text, x.Lines)
+			}
+			if r.Verdict.Messages < 300 || r.Verdict.Calls < 300 {
+				t.Errorf("%d messages followed to their end, %d calls: the play shows little", r.Verdict.Messages, r.Verdict.Calls)
+			}
+		})
+	}
+}
+
+// A relay with a fault planted is caught.
+func TestPlantedFaults(t *testing.T) {
+	for _, c := range []struct{ fault, scenario, rule string }{
+		{"second-copy", "calm", checker.SecondCopy},
+		{"late-end", "overload", checker.Lost},
+		{"ignored-drain", "drain", checker.Drain},
+		{"ignored-wait", "outage", checker.Wait},
+		{"ignored-error", "outage", checker.Repeat},
+		{"lost-entry", "herd", checker.Lost},
+	} {
+		t.Run(c.fault, func(t *testing.T) {
+			t.Parallel()
+			r := playOut(t, named(t, c.scenario), Options{Binary: faultyBinary, Env: []string{"LAB_FAULT=" + c.fault}})
+			found := map[string]int{}
+			for _, x := range r.Verdict.Violations {
+				found[x.Rule]++
+			}
+			if found[c.rule] == 0 {
+				t.Errorf("%s on %s breaks %v, and not %s", c.fault, c.scenario, found, c.rule)
+			}
+		})
+	}
+}
+
+// Whatever ends the lab, its relays end with it, and a lab that is told to end leaves no folder.
+func TestNothingStays(t *testing.T) {
+	for _, sig := range []syscall.Signal{syscall.SIGINT, syscall.SIGTERM, syscall.SIGKILL} {
+		t.Run(sig.String(), func(t *testing.T) {
+			t.Parallel()
+			tmp := t.TempDir()
+			c := exec.Command(labBinary, "lab", "run", "calm", "--quiet", "--relay", relayBinary)
+			c.Env = append(os.Environ(), "TMPDIR="+tmp)
+			if err := c.Start(); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(func() { _ = c.Process.Kill() })
+			var children []int
+			await(t, "all relays run", func() bool {
+				children = childrenOf(c.Process.Pid)
+				return len(children) == 8
+			})
+			if err := c.Process.Signal(sig); err != nil {
+				t.Fatal(err)
+			}
+			_ = c.Wait()
+			await(t, "all relays have ended", func() bool {
+				for _, pid := range children {
+					if alive(pid) {
+						return false
+					}
+				}
+				return true
+			})
+			left, err := filepath.Glob(filepath.Join(tmp, folderPrefix+"*"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if sig != syscall.SIGKILL && len(left) > 0 {
+				t.Errorf("left behind: %v", left)
+			}
+		})
+	}
+}
+
+// The folder of a lab that was killed goes with the next one's start, that of one that runs stays.
+func TestOldFolders(t *testing.T) {
+	t.Setenv("TMPDIR", t.TempDir())
+	dead := exec.Command("true")
+	if err := dead.Run(); err != nil {
+		t.Fatal(err)
+	}
+	stale := filepath.Join(os.TempDir(), folderPrefix+strconv.Itoa(dead.Process.Pid)+"-1")
+	running := filepath.Join(os.TempDir(), folderPrefix+strconv.Itoa(os.Getppid())+"-1")
+	for _, dir := range []string{stale, running} {
+		if err := os.Mkdir(dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if _, err := folder(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(stale); err == nil {
+		t.Error("the folder of a lab that is gone stays")
+	}
+	if _, err := os.Stat(running); err != nil {
+		t.Error(err)
+	}
+}
+
+// A relay that does not start is an error with its own words, and what it was given is taken away.
+func TestNoStart(t *testing.T) {
+	s := named(t, "calm")
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	_, err := Play(ctx, s, Options{Binary: faultyBinary, Env: []string{"LAB_FAULT=no-such-fault"}})
+	if err == nil || !strings.Contains(err.Error(), "no-such-fault") {
+		t.Errorf("%v", err)
+	}
+}
+
+// await waits for something to come true; how long that takes decides nothing.
+func await(t *testing.T, what string, true func() bool) {
+	t.Helper()
+	for end := time.Now().Add(time.Minute); !true(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain: %s", what)
+		}
+	}
+}
+
+// childrenOf lists the processes that a process has started.
+func childrenOf(parent int) (pids []int) {
+	tasks, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/children", parent))
+	for _, path := range tasks {
+		text, _ := os.ReadFile(path)
+		for _, field := range strings.Fields(string(text)) {
+			if pid, err := strconv.Atoi(field); err == nil {
+				pids = append(pids, pid)
+			}
+		}
+	}
+	return pids
+}
+
+// alive tells whether a process runs; one that has ended may still wait to be reaped.
+func alive(pid int) bool {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return false
+	}
+	_, rest, _ := strings.Cut(string(text), ") ")
+	return !strings.HasPrefix(rest, "Z") && !strings.HasPrefix(rest, "X")
+}
--- /dev/null
+++ b/internal/lab/platform/discovery.go
@@ -0,0 +1,357 @@
+package platform
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"milletsail/internal/lab/history"
+)
+
+// The states of an endpoint on the list.
+const (
+	serving  = "SERVING"
+	draining = "DRAINING"
+	deleted  = "DELETED"
+)
+
+const (
+	// listLag is what the agent of a relay has its lists late by, drawn up to it.
+	listLag = 300 * time.Millisecond
+	// emptyLine is the time between the empty lines of a watch on which nothing changes.
+	emptyLine = 2 * time.Second
+	// oldAddress is how long the open connections to a discovery that has moved stay.
+	oldAddress = 1500 * time.Millisecond
+	// busyWait is what an overbooked discovery tells.
+	busyWait = "0.5"
+)
+
+// change is one version of the list: what happened to one endpoint. Version n is change n-1.
+type change struct {
+	at     time.Time
+	host   int
+	health string
+}
+
+// entryOf is one endpoint in discovery's form.
+type entryOf struct {
+	Host   string  `json:"host"`
+	Dial   string  `json:"dial"`
+	Site   string  `json:"site"`
+	Class  string  `json:"class"`
+	Block  int     `json:"block"`
+	Health string  `json:"health"`
+	Share  float64 `json:"share"`
+	BornMS int64   `json:"born_ms"`
+}
+
+// Members is a list, or changes of it, in discovery's form.
+type Members struct {
+	Seq   int       `json:"seq"`
+	Whole bool      `json:"whole"`
+	Hosts []entryOf `json:"hosts"`
+}
+
+// agent is the discovery of one relay.
+type agent struct {
+	p     *Platform
+	relay int
+
+	mu     sync.Mutex
+	moves  int
+	l      net.Listener
+	srv    *http.Server
+	late   time.Duration
+	silent bool
+	busy   bool
+	wake   chan struct{} // closed when something changes
+}
+
+func newAgent(p *Platform, relay int) *agent {
+	return &agent{p: p, relay: relay, wake: make(chan struct{})}
+}
+
+// open listens at the agent's present address.
+func (a *agent) open() error {
+	l, err := net.Listen("tcp", a.p.net.Discovery(a.relay, a.moves))
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: http.HandlerFunc(a.serve)}
+	a.mu.Lock()
+	a.l, a.srv = l, srv
+	a.mu.Unlock()
+	a.p.work.Add(1)
+	go func() {
+		defer a.p.work.Done()
+		_ = srv.Serve(l)
+	}()
+	return nil
+}
+
+func (a *agent) close() {
+	a.mu.Lock()
+	srv := a.srv
+	a.mu.Unlock()
+	if srv != nil {
+		_ = srv.Close()
+	}
+}
+
+// set changes an agent and wakes its watches.
+func (a *agent) set(change func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	change()
+	close(a.wake)
+	a.wake = make(chan struct{})
+}
+
+// state gives what the agent does now, and what tells of a change.
+func (a *agent) state() (late time.Duration, silent, busy bool, wake chan struct{}) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.late, a.silent, a.busy, a.wake
+}
+
+// Discovery changes how the discovery of a relay behaves: lists late by so much more, silent, or overbooked.
+func (p *Platform) Discovery(relay int, late time.Duration, silent, busy bool) {
+	p.agents[relay].set(func() { a := p.agents[relay]; a.late, a.silent, a.busy = late, silent, busy })
+}
+
+// Move gives the discovery of a relay another address. The old one takes nothing new, and its open connections end
+// after a while.
+func (p *Platform) Move(relay int) error {
+	a := p.agents[relay]
+	a.mu.Lock()
+	old, l := a.srv, a.l
+	a.moves++
+	a.mu.Unlock()
+	if err := a.open(); err != nil {
+		return err
+	}
+	_ = l.Close()
+	time.AfterFunc(oldAddress, func() { _ = old.Close() })
+	return nil
+}
+
+// Known gives the list as a relay may have it in its configuration: as of a version, 0 for the first one.
+func (p *Platform) Known(relay, seq int) Members {
+	first := 0
+	for _, h := range p.s.Hosts {
+		if h.Born == 0 {
+			first++
+		}
+	}
+	return p.members(relay, max(seq, first), 0)
+}
+
+// Seq is the present version of the list.
+func (p *Platform) Seq() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.list)
+}
+
+// DiscoveryAddress is where a relay finds its discovery now.
+func (p *Platform) DiscoveryAddress(relay int) string {
+	a := p.agents[relay]
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return p.net.Discovery(relay, a.moves)
+}
+
+// List changes the health of an endpoint on the list; a deleted one's address takes nothing any more, and one that is
+// listed anew is opened.
+func (p *Platform) List(host int, health string) error {
+	h := p.hosts[host]
+	h.mu.Lock()
+	if health == draining {
+		h.refuses = time.Now().Add(p.s.Rules.DrainGrace.D())
+	}
+	fresh := !h.listed && health == serving
+	h.listed = h.listed || fresh
+	h.mu.Unlock()
+	if fresh {
+		for _, o := range h.ports {
+			if err := o.open(); err != nil {
+				return err
+			}
+		}
+	}
+	p.mu.Lock()
+	p.list = append(p.list, change{time.Now(), host, health})
+	seq := len(p.list)
+	p.h.Add(history.Event{Kind: history.List, Seq: seq, Hosts: []history.Listed{{Host: h.Name, Health: health}}})
+	p.mu.Unlock()
+	for _, a := range p.agents {
+		a.set(func() {})
+	}
+	return nil
+}
+
+// members gives the list of a version, or its changes since another where that is above 0.
+func (p *Platform) members(relay, seq, since int) Members {
+	p.mu.Lock()
+	list := append([]change(nil), p.list[:min(seq, len(p.list))]...)
+	p.mu.Unlock()
+	health := map[int]string{}
+	var order []int
+	for i, c := range list {
+		if _, had := health[c.host]; !had && (since == 0 || i >= since) {
+			order = append(order, c.host)
+		}
+		if since == 0 || i >= since {
+			health[c.host] = c.health
+		}
+	}
+	m := Members{Seq: len(list), Whole: since == 0, Hosts: []entryOf{}}
+	for _, no := range order {
+		h := p.hosts[no]
+		if m.Whole && health[no] == deleted {
+			continue
+		}
+		m.Hosts = append(m.Hosts, entryOf{Host: h.Name, Dial: p.net.Host(relay, no), Site: h.Zone,
+			Class: p.Shape(h.Of.Bulk), Block: h.Dest, Health: health[no], Share: p.weight(&h.Host)})
+	}
+	return m
+}
+
+// Shape names the kind of destination whose calls take so many messages at most.
+func (p *Platform) Shape(bulk int) string { return "bulk" + strconv.Itoa(bulk) }
+
+// visible is the newest version that an agent has by now, and when it will have the next; zero for none to come.
+func (a *agent) visible(late time.Duration) (seq int, next time.Time) {
+	lag := late + time.Duration(a.p.s.Draw("lag "+strconv.Itoa(a.relay))*float64(listLag))
+	a.p.mu.Lock()
+	defer a.p.mu.Unlock()
+	for i, c := range a.p.list {
+		if due := c.at.Add(lag); !c.at.IsZero() && time.Now().Before(due) {
+			return i, due
+		}
+	}
+	return len(a.p.list), time.Time{}
+}
+
+func (a *agent) serve(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path == "/v1/outcomes" && r.Method == http.MethodPost:
+		a.outcomes(w, r)
+	case r.URL.Path == "/catalog/members" && r.Method == http.MethodGet:
+		a.members(w, r)
+	default:
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+// outcomes takes notices, which it does while discovery is down as well.
+func (a *agent) outcomes(w http.ResponseWriter, r *http.Request) {
+	type notice struct {
+		ID      string `json:"id"`
+		Status  string `json:"status"`
+		AgainMS int64  `json:"again_ms"`
+	}
+	var all []notice
+	in := bufio.NewScanner(r.Body)
+	in.Buffer(nil, maxBody)
+	for in.Scan() {
+		var n notice
+		if err := json.Unmarshal(in.Bytes(), &n); err != nil || n.ID == "" || n.Status != "undeliverable" && n.Status != "deferred" {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		all = append(all, n)
+	}
+	for _, n := range all {
+		a.p.noticed(a.relay, n.ID, n.Status, time.Duration(n.AgainMS)*time.Millisecond)
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (a *agent) members(w http.ResponseWriter, r *http.Request) {
+	stream := r.URL.Query().Get("stream") == "1"
+	since, err := strconv.Atoi(r.URL.Query().Get("index"))
+	if err != nil || since < 0 {
+		since = 0
+	}
+	for {
+		_, silent, busy, wake := a.state()
+		if busy {
+			w.Header().Set("Retry-After", busyWait)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if !silent {
+			break
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-wake:
+		}
+	}
+	flush := w.(http.Flusher).Flush
+	first := true
+	for {
+		late, silent, _, wake := a.state()
+		seq, next := a.visible(late)
+		wait := emptyLine
+		if !next.IsZero() {
+			wait = min(wait, time.Until(next))
+		}
+		if !silent && (first || seq > since) {
+			if !a.tell(w, seq, since) {
+				return
+			}
+			if !stream {
+				return
+			}
+			flush()
+			since, first = seq, false
+			continue
+		}
+		t := time.NewTimer(wait)
+		select {
+		case <-r.Context().Done():
+			t.Stop()
+			return
+		case <-wake:
+			t.Stop()
+		case <-t.C:
+			if _, silent, _, _ := a.state(); !silent && wait == emptyLine {
+				if _, err := w.Write([]byte("\n")); err != nil {
+					return
+				}
+				flush()
+			}
+		}
+	}
+}
+
+// tell writes a list, or the changes since a version, to the relay.
+func (a *agent) tell(w http.ResponseWriter, seq, since int) bool {
+	if since > seq {
+		since = 0
+	}
+	m := a.p.members(a.relay, seq, since)
+	line, err := json.Marshal(m)
+	if err != nil {
+		return false
+	}
+	event := history.Event{T: a.p.h.Now(), Kind: history.List, Relay: history.N(a.relay), Seq: seq, Told: true}
+	for _, h := range m.Hosts {
+		event.Hosts = append(event.Hosts, history.Listed{Host: h.Host, Health: h.Health})
+	}
+	if m.Whole {
+		event.What = "whole"
+	}
+	if _, err := w.Write(append(line, '\n')); err != nil {
+		return false
+	}
+	a.p.h.Add(event)
+	return true
+}
--- /dev/null
+++ b/internal/lab/platform/hosts.go
@@ -0,0 +1,574 @@
+package platform
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"milletsail/internal/lab/history"
+	"milletsail/internal/lab/scenario"
+)
+
+const (
+	// maxBody bounds the body of a call, as the protocol has it.
+	maxBody = 64 << 10
+	// callTime bounds how long a call may take to come, from its first byte.
+	callTime = 10 * time.Second
+	// coldSlack is what a cold endpoint takes beyond its budget before it falls over, in roots of the budget: the
+	// protocol leaves some room for chance and does not say how much.
+	coldSlack = 2
+	// rateDepth is the time for which a rate limit saves up room.
+	rateDepth = 250 * time.Millisecond
+)
+
+// Trouble is what a fault does to an endpoint. Shares are of its calls or answers.
+type Trouble struct {
+	Down, Shut, Silent                bool
+	Wait                              time.Duration // told while shut; 0 for none
+	Errors, Stall, Lose, Reset, Spoil float64
+	Slow                              float64 // factor on service times; 0 for none
+}
+
+// fails tells whether most calls fail: what follows is a cold return.
+func (t Trouble) fails() bool { return t.Down || t.Shut || t.Silent || t.Errors >= 0.5 }
+
+// host is one endpoint.
+type host struct {
+	p       *Platform
+	no      int
+	ports   []*port // by relay
+	workers chan bool
+
+	scenario.Host
+	mu       sync.Mutex
+	listed   bool
+	refuses  time.Time // a draining endpoint takes nothing from then on; zero for never
+	troubles map[int]Trouble
+	open     int       // connections
+	waiting  int       // calls in the queue
+	back     time.Time // since when it serves again after an outage; zero for long ago
+	fell     bool
+	recent   []time.Time // calls while cold
+}
+
+func newHost(p *Platform, no int) *host {
+	h := &host{p: p, no: no, Host: p.s.Hosts[no], troubles: map[int]Trouble{}}
+	h.listed = h.Born == 0
+	h.workers = make(chan bool, h.Of.Workers)
+	return h
+}
+
+// trouble is all that strikes an endpoint at the moment; the lock is held.
+func (h *host) trouble() (t Trouble) {
+	for _, o := range h.troubles {
+		t.Down, t.Shut, t.Silent = t.Down || o.Down, t.Shut || o.Shut, t.Silent || o.Silent
+		t.Wait, t.Slow = max(t.Wait, o.Wait), max(t.Slow, o.Slow)
+		t.Errors, t.Stall, t.Lose = max(t.Errors, o.Errors), max(t.Stall, o.Stall), max(t.Lose, o.Lose)
+		t.Reset, t.Spoil = max(t.Reset, o.Reset), max(t.Spoil, o.Spoil)
+	}
+	t.Down = t.Down || h.fell
+	return t
+}
+
+// Strike has a fault, by its number, do something to an endpoint until Relieve.
+func (p *Platform) Strike(fault, host int, t Trouble) { p.hosts[host].change(fault, &t) }
+
+// Relieve ends what a fault does to an endpoint.
+func (p *Platform) Relieve(fault, host int) { p.hosts[host].change(fault, nil) }
+
+func (h *host) change(fault int, t *Trouble) {
+	h.mu.Lock()
+	before := h.trouble()
+	if t != nil {
+		h.troubles[fault] = *t
+	} else {
+		delete(h.troubles, fault)
+	}
+	after := h.trouble()
+	switch {
+	case after.fails() && !before.fails():
+		h.p.h.Add(history.Event{Kind: history.Outage, Host: h.Name})
+	case before.fails() && !after.fails():
+		h.back, h.recent = time.Now(), nil
+		h.p.h.Add(history.Event{Kind: history.Back, Host: h.Name, Rate: Capacity(&h.Host)})
+	}
+	h.mu.Unlock()
+	h.reachable(before.Down, after.Down)
+}
+
+// reachable opens or closes the ports of an endpoint that comes up or goes down.
+func (h *host) reachable(before, after bool) {
+	for _, o := range h.ports {
+		if after && !before {
+			o.close()
+		} else if before && !after {
+			if err := o.open(); err != nil {
+				h.p.h.Add(history.Event{Kind: history.Late, What: err.Error()})
+			}
+		}
+	}
+}
+
+// warmth is the share of its capacity that an endpoint has at a moment; the lock is held.
+func (h *host) warmth(at time.Time) float64 {
+	r := &h.p.s.Rules
+	if h.back.IsZero() || r.RampTime <= 0 {
+		return 1
+	}
+	return math.Min(1, r.ColdShare+(1-r.ColdShare)*at.Sub(h.back).Seconds()/r.RampTime.S())
+}
+
+// chill counts a call at a cold endpoint, and pushes it over where calls are too many; the lock is held. It tells
+// whether it fell.
+func (h *host) chill(now time.Time) bool {
+	r := &h.p.s.Rules
+	if h.back.IsZero() || now.Sub(h.back) > r.RampTime.D() {
+		return false
+	}
+	from := now.Add(-r.OverloadFor.D())
+	h.recent = append(h.recent, now)
+	for len(h.recent) > 0 && h.recent[0].Before(from) {
+		h.recent = h.recent[1:]
+	}
+	budget := r.OverloadFactor * Capacity(&h.Host) * h.warmth(now) * r.OverloadFor.S()
+	return float64(len(h.recent)) > budget+coldSlack*math.Sqrt(budget)
+}
+
+// hostConn is a connection of a relay to an endpoint.
+type hostConn struct {
+	net.Conn
+	port   *port
+	ctx    context.Context
+	end    context.CancelFunc
+	in     chan chunk
+	rest   []byte
+	sentAt time.Time // when the relay sent the latest bytes that were read
+	// closedAt is when the relay closed, in nanoseconds since 1970; 0 while it has not.
+	closedAt atomic.Int64
+}
+
+// call is one call at an endpoint.
+type call struct {
+	no    int
+	relay int
+	bulk  bool
+	msgs  []*entry
+	tries []int // calls of each message, this one included
+}
+
+func (c *call) ids() (ids []string) {
+	for _, m := range c.msgs {
+		ids = append(ids, m.ID)
+	}
+	return ids
+}
+
+// answer is what an endpoint says to a call.
+type answer struct {
+	status int
+	wait   time.Duration
+	noSlot bool
+	states []string // of a bulk call that is answered 200
+	ran    bool
+	hangs  bool // never comes
+}
+
+// serve takes calls from a connection, one at a time, until it ends.
+func (c *hostConn) serve() {
+	h := c.port.host
+	h.mu.Lock()
+	h.open++
+	crowded := h.Of.Connections > 0 && h.open > h.Of.Connections
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		h.open--
+		h.mu.Unlock()
+	}()
+	in := bufio.NewReader(c)
+	next := c.peek(in)
+	tooLong := time.AfterFunc(time.Hour, func() { _ = c.Conn.Close() })
+	defer tooLong.Stop()
+	for {
+		tooLong.Reset(h.p.s.Fleet.ConnIdle.D())
+		if err := <-next; err != nil {
+			return
+		}
+		began := c.sentAt
+		tooLong.Reset(callTime)
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(io.LimitReader(req.Body, 2*maxBody))
+		if err != nil {
+			return
+		}
+		tooLong.Stop()
+		whole := c.sentAt
+		next = c.peek(in)
+		if !c.handle(req, body, began, whole, next, crowded) || crowded {
+			return
+		}
+	}
+}
+
+// peek reports when the next byte is there, or the end of the connection.
+func (c *hostConn) peek(in *bufio.Reader) chan error {
+	next := make(chan error, 1)
+	go func() {
+		_, err := in.Peek(1)
+		next <- err
+	}()
+	return next
+}
+
+// handle answers one call and tells whether the connection goes on.
+func (c *hostConn) handle(req *http.Request, body []byte, began, whole time.Time, next chan error, crowded bool) bool {
+	h, p := c.port.host, c.port.p
+	call, a := p.take(c.port.relay, h, req, body, began, whole)
+	if call == nil {
+		return c.write(nil, a)
+	}
+	var left sync.Once
+	leave := func() { left.Do(func() { p.leave(c.port.relay) }) }
+	defer leave()
+	if a.status == 0 {
+		a = h.admit(call, crowded)
+	}
+	ctx, quit := context.WithCancel(c.ctx)
+	defer quit()
+	go func() {
+		select {
+		case err := <-next:
+			next <- err
+			if err != nil {
+				quit()
+			}
+		case <-ctx.Done():
+		}
+	}()
+	if a.status == 0 && !a.hangs {
+		a = h.run(ctx, call)
+	}
+	what, part := h.spoils(call, a)
+	ended := func() bool {
+		_, closed := c.closed()
+		return closed || ctx.Err() != nil
+	}
+	switch {
+	case ended():
+	case what == "":
+		c.port.link.pass(ctx, false)
+		leave() // before the relay can know that the slot is free
+		if !ended() && c.write(call, a) {
+			return true
+		}
+	default:
+		if part != nil {
+			_, _ = c.Write(part)
+		}
+		p.h.Add(history.Event{Kind: history.Broken, Call: call.no, What: what})
+		switch what {
+		case "reset":
+			c.reset()
+			return false
+		case "spoilt":
+			return false
+		}
+		<-ctx.Done() // nothing more comes, until the relay gives the call up
+	}
+	event := history.Event{Kind: history.Gone, Call: call.no} // where a write failed, the relay alone can be the cause
+	if at, closed := c.closed(); closed {
+		event.T = p.h.At(at)
+	} else if c.ctx.Err() != nil {
+		event.Kind, event.What = history.Broken, "closed"
+	}
+	p.h.Add(event)
+	return false
+}
+
+// spoils tells what becomes of an answer instead of its being written, with what is written of it.
+func (h *host) spoils(c *call, a answer) (what string, part []byte) {
+	h.mu.Lock()
+	t := h.trouble()
+	h.mu.Unlock()
+	hits := func(what string, share float64) bool {
+		return share > 0 && h.p.s.Draw(fmt.Sprintf("%s %s %d", what, c.msgs[0].ID, c.tries[0])) < share
+	}
+	switch {
+	case a.hangs:
+		return "silent", nil
+	case !a.ran:
+		return "", nil
+	case hits("lose", t.Lose):
+		return "lost", nil
+	case hits("reset", t.Reset):
+		return "reset", nil
+	case hits("stall", t.Stall):
+		return "stalled", []byte("HTTP/1.1 20")
+	case hits("spoil", t.Spoil):
+		return "spoilt", []byte("HTTQ/7.7 two hundred\r\n\r\n\x00\x00")
+	}
+	return "", nil
+}
+
+// take reads a call and gives it its number; one that can't be read, or holds what no client handed in, gets its
+// answer at once.
+func (p *Platform) take(relay int, h *host, req *http.Request, body []byte, began, whole time.Time) (*call, answer) {
+	c := &call{relay: relay, bulk: req.URL.Path == "/inbox/bulk"}
+	type item struct {
+		ID   string `json:"id"`
+		Key  string `json:"key"`
+		Body []byte `json:"body"`
+	}
+	items := []item{{req.Header.Get("Request-Id"), req.Header.Get("Idempotency-Key"), body}}
+	if c.bulk {
+		items = nil
+		if err := json.Unmarshal(body, &items); err != nil || len(items) == 0 || len(body) > maxBody {
+			return nil, answer{status: http.StatusBadRequest}
+		}
+	}
+	ids := map[string]bool{}
+	event := history.Event{T: p.h.At(whole), Kind: history.Call, Relay: history.N(relay), Host: h.Name, Began: p.h.At(began)}
+	known := true
+	p.mu.Lock()
+	p.calls++
+	c.no = p.calls
+	for _, it := range items {
+		e := p.messages[it.ID]
+		event.IDs = append(event.IDs, it.ID)
+		if e == nil || e.Key != it.Key || !bytes.Equal(e.Body, it.Body) || ids[it.ID] {
+			known = false
+			continue
+		}
+		ids[it.ID] = true
+		e.calls++
+		c.msgs, c.tries = append(c.msgs, e), append(c.tries, e.calls)
+	}
+	p.out[relay]++
+	out := p.out[relay]
+	p.mu.Unlock()
+	event.Call = c.no
+	p.h.Add(event)
+	switch {
+	case !known:
+		p.h.Add(history.Event{Kind: history.Reply, Call: c.no, Status: "400", What: "unknown"})
+		p.leave(relay)
+		return nil, answer{status: http.StatusBadRequest}
+	case len(items) > h.Of.Bulk:
+		return c, answer{status: http.StatusRequestEntityTooLarge}
+	case out > p.s.Fleet.Slots:
+		return c, answer{status: http.StatusServiceUnavailable, noSlot: true}
+	}
+	if !c.bulk {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		switch m := c.msgs[0]; {
+		case m.over && !m.delivered:
+			return c, answer{status: http.StatusGone}
+		case m.calls > p.s.Rules.MaxAttempts:
+			return c, answer{status: http.StatusGatewayTimeout}
+		}
+	}
+	return c, answer{}
+}
+
+// leave frees the slot of a call.
+func (p *Platform) leave(relay int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.out[relay]--
+}
+
+// admit turns a call away, or gives no answer yet.
+func (h *host) admit(c *call, crowded bool) answer {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.trouble()
+	if t.Silent {
+		return answer{hangs: true}
+	}
+	if !t.fails() && h.chill(now) {
+		h.fell = true
+		h.p.h.Add(history.Event{Kind: history.Fell, Host: h.Name})
+		go h.reachable(false, true)
+	}
+	full := answer{status: http.StatusServiceUnavailable}
+	switch {
+	case t.Shut && t.Wait > 0:
+		return answer{status: http.StatusTooManyRequests, wait: t.Wait}
+	case t.Shut, crowded, !h.refuses.IsZero() && now.After(h.refuses):
+		return full
+	}
+	if wait, ok := h.p.dests[h.Dest].room(h.Of, now); !ok {
+		if h.Of.TellsWait {
+			return answer{status: http.StatusTooManyRequests, wait: wait}
+		}
+		return full
+	}
+	if h.waiting >= h.Of.Queue && len(h.workers) == cap(h.workers) {
+		return full
+	}
+	if h.p.s.Draw(fmt.Sprintf("error %s %d", c.msgs[0].ID, c.tries[0])) < t.Errors {
+		return answer{status: http.StatusInternalServerError}
+	}
+	return answer{}
+}
+
+// run serves a call, and gives its answer once it has run. It stops where the relay leaves while it waits for a
+// worker; what is being served is served to its end.
+func (h *host) run(ctx context.Context, c *call) answer {
+	h.mu.Lock()
+	h.waiting++
+	h.mu.Unlock()
+	ok := true
+	select {
+	case h.workers <- true:
+	case <-ctx.Done():
+		ok = false
+	}
+	h.mu.Lock()
+	h.waiting--
+	t, warmth := h.trouble(), h.warmth(time.Now())
+	h.mu.Unlock()
+	if !ok {
+		return answer{}
+	}
+	service := h.service(c) / warmth * max(1, t.Slow)
+	sleep(h.p.ctx, time.Duration(service*float64(time.Second)))
+	<-h.workers
+	return answer{status: http.StatusOK, states: h.p.ran(c), ran: true}
+}
+
+// service draws the time of a call in seconds: lognormal, by its first message and which of its calls this is.
+func (h *host) service(c *call) float64 {
+	d, mean := h.Of, h.Of.Service.S()*(1+h.Of.ItemCost*float64(len(c.msgs)-1))
+	if d.ServiceCV == 0 {
+		return mean
+	}
+	words := fmt.Sprintf("service %s %d", c.msgs[0].ID, c.tries[0])
+	u, v := h.p.s.Draw(words+" u"), h.p.s.Draw(words+" v")
+	normal := math.Sqrt(-2*math.Log(1-u)) * math.Cos(2*math.Pi*v)
+	sigma := math.Sqrt(math.Log(1 + d.ServiceCV*d.ServiceCV))
+	return mean * math.Exp(sigma*normal-sigma*sigma/2)
+}
+
+// ran notes that the messages of a call have run, and gives their states.
+func (p *Platform) ran(c *call) (states []string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range c.msgs {
+		switch {
+		case m.over && !m.delivered:
+			states = append(states, "over")
+		default:
+			m.ran = true
+			states = append(states, "delivered")
+		}
+	}
+	return states
+}
+
+// write writes an answer, and tells whether the connection may carry another call.
+func (c *hostConn) write(call *call, a answer) bool {
+	var out bytes.Buffer
+	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\n", a.status, http.StatusText(a.status))
+	if a.wait > 0 {
+		fmt.Fprintf(&out, "X-Retry-In-Ms: %d\r\n", a.wait.Milliseconds())
+	}
+	if a.noSlot {
+		out.WriteString("X-No-Slot: 1\r\n")
+	}
+	var body []byte
+	if call != nil && call.bulk && a.status == http.StatusOK {
+		ends := make([]map[string]string, len(call.msgs))
+		for i, id := range call.ids() {
+			ends[i] = map[string]string{"id": id, "state": a.states[i]}
+		}
+		body, _ = json.Marshal(ends)
+	}
+	out.WriteString("Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n")
+	out.Write(body)
+	p := c.port.p
+	if call == nil {
+		_, err := c.Write(out.Bytes())
+		return err == nil
+	}
+	// What a relay does on this answer may come before the lab's next step: it is noted before it is written.
+	at := p.h.Now()
+	if _, err := c.Conn.Write(out.Bytes()); err != nil {
+		return false
+	}
+	event := history.Event{T: at, Kind: history.Reply, Call: call.no, Status: strconv.Itoa(a.status), After: history.M(a.wait)}
+	if a.noSlot {
+		event.What = "no slot"
+	}
+	var done []string
+	for i, id := range call.ids() {
+		if a.status == http.StatusOK && (!call.bulk || a.states[i] == "delivered") {
+			done = append(done, id)
+		}
+	}
+	if call.bulk && a.status == http.StatusOK {
+		event.States = a.states
+	}
+	p.h.Add(event)
+	p.delivered(done, at)
+	return true
+}
+
+// dest is what the endpoints of one destination share: its limit.
+type dest struct {
+	mu     sync.Mutex
+	at     time.Time
+	tokens float64
+	window time.Time
+	count  float64
+}
+
+// room takes the room of a call under the limit, or tells when there is some again.
+func (d *dest) room(of *scenario.Destination, now time.Time) (wait time.Duration, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	seconds := func(v float64) time.Duration { return time.Duration(math.Max(v, 0.001) * float64(time.Second)) }
+	switch of.Limit {
+	case "rate":
+		depth := math.Max(1, of.Rate*rateDepth.Seconds())
+		if d.at.IsZero() {
+			d.tokens = depth
+		} else {
+			d.tokens = math.Min(depth, d.tokens+of.Rate*now.Sub(d.at).Seconds())
+		}
+		d.at = now
+		if d.tokens >= 1 {
+			d.tokens--
+			return 0, true
+		}
+		if of.RefusedCount {
+			d.tokens = math.Max(-depth, d.tokens-1)
+		}
+		return seconds((1 - d.tokens) / of.Rate), false
+	case "window":
+		if now.Sub(d.window) >= of.Window.D() {
+			d.window, d.count = now, 0
+		}
+		fits := d.count+1 <= math.Max(1, of.Rate*of.Window.S())
+		if fits || of.RefusedCount {
+			d.count++
+		}
+		return d.window.Add(of.Window.D()).Sub(now), fits
+	}
+	return 0, true
+}
--- /dev/null
+++ b/internal/lab/relays/relays.go
@@ -0,0 +1,524 @@
+// Package relays runs the relays of a lab: real processes of the relay's own binary, each with a folder that lasts,
+// and does to them what an operator or a failing machine would.
+//
+// It promises that it signals only processes that it started, by their ids; that none of them outlives the lab,
+// whatever ends that (the kernel kills them when the thread that started them is gone); and that starts, ends and
+// signals stand in the history before a relay can act on them. A Relay's methods may be called from any goroutine.
+package relays
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"milletsail/internal/lab/history"
+	"milletsail/internal/lab/platform"
+	"milletsail/internal/lab/scenario"
+)
+
+const (
+	// killAfter is the time from SIGTERM to SIGKILL, backAfter from the end of a process to the next start.
+	killAfter = 3700 * time.Millisecond
+	backAfter = 600 * time.Millisecond
+	// yesWithin is how long a process of an upgrade has until it takes clients.
+	yesWithin = 6 * time.Second
+	// startWithin is how long a start may take until it counts as refused.
+	startWithin = 15 * time.Second
+	// askAgain is the time between looks whether a relay is ready.
+	askAgain = 20 * time.Millisecond
+	// usageEvery is the time between looks at what a relay uses.
+	usageEvery = time.Second
+)
+
+// Fleet is the relays of one run.
+type Fleet struct {
+	Relays []*Relay
+
+	s      *scenario.Scenario
+	h      *history.Writer
+	p      *platform.Platform
+	subnet *platform.Subnet
+	binary string
+	env    []string
+	spawn  chan func()
+	ctx    context.Context
+	stop   context.CancelFunc
+	work   sync.WaitGroup
+	ended  sync.Once
+}
+
+// Relay is one relay over its processes.
+type Relay struct {
+	No    int
+	fleet *Fleet
+	dir   string
+
+	mu     sync.Mutex
+	socket *os.File // of the clients, where the platform holds it
+	starts int
+	now    *process // the one that serves, or is about to
+	down   bool     // a fault holds it down
+}
+
+// process is one process of a relay.
+type process struct {
+	cmd    *exec.Cmd
+	admin  string
+	exited chan struct{}
+	meant  bool // its end is, or may be: it is no crash
+	ready  bool
+	log    *os.File
+}
+
+// New prepares the relays in a folder; nothing is started. env is added to the processes' environment.
+func New(s *scenario.Scenario, h *history.Writer, p *platform.Platform, subnet *platform.Subnet, binary, dir string, env []string) (*Fleet, error) {
+	binary, err := filepath.Abs(binary)
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{s: s, h: h, p: p, subnet: subnet, binary: binary, env: env, spawn: make(chan func())}
+	f.ctx, f.stop = context.WithCancel(context.Background())
+	for i := range s.Fleet.Relays {
+		r := &Relay{No: i, fleet: f, dir: filepath.Join(dir, fmt.Sprintf("n%d", i))}
+		f.Relays = append(f.Relays, r)
+		for _, sub := range []string{"state", "tmp"} {
+			if err := os.MkdirAll(filepath.Join(r.dir, sub), 0o700); err != nil {
+				return nil, err
+			}
+		}
+		if s.Fleet.SharedSocket {
+			if err := r.holdSocket(); err != nil {
+				return nil, err
+			}
+		}
+	}
+	go f.spawner()
+	return f, nil
+}
+
+// spawner starts all processes from one thread that lasts as long as the lab: the kernel ends them with it.
+func (f *Fleet) spawner() {
+	runtime.LockOSThread()
+	for start := range f.spawn {
+		start()
+	}
+}
+
+func (r *Relay) holdSocket() error {
+	l, err := net.Listen("tcp", r.fleet.subnet.Clients(r.No))
+	if err != nil {
+		return err
+	}
+	defer l.Close()
+	r.socket, err = l.(*net.TCPListener).File()
+	return err
+}
+
+// Start starts all relays and waits until each takes clients.
+func (f *Fleet) Start(ctx context.Context) error {
+	var mu sync.Mutex
+	var all error
+	var work sync.WaitGroup
+	limit := make(chan bool, 2*runtime.NumCPU())
+	for _, r := range f.Relays {
+		work.Go(func() {
+			limit <- true
+			defer func() { <-limit }()
+			err := r.start(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			all = errors.Join(all, err)
+		})
+	}
+	work.Wait()
+	f.work.Go(f.watchUsage)
+	return all
+}
+
+// Stop ends all relays and waits for their ends. Further calls do nothing.
+func (f *Fleet) Stop() { f.ended.Do(f.end) }
+
+func (f *Fleet) end() {
+	f.stop()
+	for _, r := range f.Relays {
+		r.mu.Lock()
+		p := r.now
+		r.mu.Unlock()
+		if p != nil {
+			r.end(p, syscall.SIGKILL)
+		}
+	}
+	f.work.Wait()
+	for _, r := range f.Relays {
+		if r.socket != nil {
+			_ = r.socket.Close()
+		}
+	}
+	close(f.spawn)
+}
+
+func (r *Relay) note(what string) {
+	r.fleet.h.Add(history.Event{Kind: history.Relay, Relay: history.N(r.No), What: what})
+}
+
+// launch starts a process.
+func (r *Relay) launch() (*process, error) {
+	f := r.fleet
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if err := r.writeConfig(); err != nil {
+		return nil, err
+	}
+	log, err := os.OpenFile(filepath.Join(r.dir, "log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	p := &process{cmd: exec.Command(f.binary), admin: f.subnet.Admin(r.No, r.starts), exited: make(chan struct{}), log: log}
+	p.cmd.Dir, p.cmd.Stdout, p.cmd.Stderr = r.dir, log, log
+	p.cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + filepath.Join(r.dir, "tmp"), "NODE_NAME=" + fmt.Sprintf("n%d", r.No),
+		"NODE_LISTEN=" + f.subnet.Clients(r.No), "NODE_DISCOVERY=" + f.p.DiscoveryAddress(r.No),
+		"NODE_STATE=" + filepath.Join(r.dir, "state"), "NODE_CONFIG=" + r.configPath(), "NODE_ADMIN=" + p.admin}, f.env...)
+	if r.socket != nil {
+		p.cmd.ExtraFiles, p.cmd.Env = []*os.File{r.socket}, append(p.cmd.Env, "NODE_FD=3")
+	}
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL, Setpgid: true}
+	r.note("started")
+	begun := make(chan error)
+	f.spawn <- func() { begun <- p.cmd.Start() }
+	if err := <-begun; err != nil {
+		_ = log.Close()
+		return nil, fmt.Errorf("relay %d: %w", r.No, err)
+	}
+	r.now = p
+	f.work.Go(func() {
+		_ = p.cmd.Wait()
+		_ = log.Close()
+		r.mu.Lock()
+		meant, stopped := p.meant, f.ctx.Err() != nil
+		r.mu.Unlock()
+		if !stopped {
+			what := "ended"
+			if !meant {
+				what = "crashed"
+			}
+			f.h.Add(history.Event{Kind: history.Relay, Relay: history.N(r.No), What: what, Status: p.cmd.ProcessState.String()})
+		}
+		close(p.exited)
+	})
+	return p, nil
+}
+
+// start starts a process and waits until it takes clients.
+func (r *Relay) start(ctx context.Context) error {
+	p, err := r.launch()
+	if err != nil {
+		return err
+	}
+	return r.await(ctx, p, startWithin, func() bool { return healthy(r.fleet.subnet.Clients(r.No)) })
+}
+
+// await waits until a process is ready.
+func (r *Relay) await(ctx context.Context, p *process, within time.Duration, ready func() bool) error {
+	for end := time.Now().Add(within); ; {
+		if ready() {
+			r.mu.Lock()
+			p.ready = true
+			r.mu.Unlock()
+			r.note("ready")
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-r.fleet.ctx.Done():
+			return context.Canceled
+		case <-p.exited:
+			r.mu.Lock()
+			meant := p.meant
+			r.mu.Unlock()
+			if meant {
+				return nil
+			}
+			r.note("refused-start")
+			return fmt.Errorf("relay %d ended at its start: %s", r.No, r.lastWords())
+		case <-time.After(askAgain):
+		}
+		if time.Now().After(end) {
+			r.note("refused-start")
+			return fmt.Errorf("relay %d does not take clients within %v: %s", r.No, within, r.lastWords())
+		}
+	}
+}
+
+// lastWords is the end of a relay's log.
+func (r *Relay) lastWords() string {
+	text, _ := os.ReadFile(filepath.Join(r.dir, "log"))
+	lines := bytes.Split(bytes.TrimSpace(text), []byte("\n"))
+	return string(lines[len(lines)-1])
+}
+
+// healthy asks a relay whether it takes clients.
+func healthy(addr string) bool {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + addr + "/_health")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// yes asks the door of a process whether it takes clients.
+func yes(admin string) bool {
+	reply, err := Ask(admin, "health")
+	return err == nil && strings.HasPrefix(reply, "OK")
+}
+
+// Ask puts one call to the operators' door at an address, and gives the reply.
+func Ask(admin, call string) (string, error) {
+	c, err := net.DialTimeout("tcp", admin, time.Second)
+	if err != nil {
+		return "", err
+	}
+	defer c.Close()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	if _, err := io.WriteString(c, call+"\n"); err != nil {
+		return "", err
+	}
+	reply, err := io.ReadAll(c)
+	return string(reply), err
+}
+
+// Admin is the door of the process that serves.
+func (r *Relay) Admin() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.now == nil {
+		return ""
+	}
+	return r.now.admin
+}
+
+// end sends a process a signal that it should end on, and waits until it has; SIGKILL follows where it does not.
+func (r *Relay) end(p *process, sig syscall.Signal) {
+	r.mu.Lock()
+	p.meant = true
+	r.mu.Unlock()
+	_ = p.cmd.Process.Signal(sig)
+	select {
+	case <-p.exited:
+		return
+	case <-time.After(killAfter):
+	case <-r.fleet.ctx.Done():
+	}
+	_ = p.cmd.Process.Kill()
+	<-p.exited
+}
+
+// current is the process that serves, or nil while a fault holds the relay down.
+func (r *Relay) current() *process {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return nil
+	}
+	return r.now
+}
+
+// hold marks a relay as down for a fault, or tells that another one has it already.
+func (r *Relay) hold() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return false
+	}
+	r.down = true
+	return true
+}
+
+// back starts a relay again after a wait.
+func (r *Relay) back(ctx context.Context, after time.Duration) error {
+	if !sleep(ctx, after) {
+		return ctx.Err()
+	}
+	r.mu.Lock()
+	r.down = false
+	r.mu.Unlock()
+	return r.start(ctx)
+}
+
+// Kill kills a relay outright and starts it again after a while. Where wipe is set its folder is lost, and lost is
+// called when it is.
+func (r *Relay) Kill(ctx context.Context, after time.Duration, wipe bool, lost func()) error {
+	p := r.current()
+	if p == nil || !r.hold() {
+		return nil
+	}
+	r.note("killed")
+	r.end(p, syscall.SIGKILL)
+	if wipe {
+		state := filepath.Join(r.dir, "state")
+		if err := errors.Join(os.RemoveAll(state), os.MkdirAll(state, 0o700)); err != nil {
+			return err
+		}
+		r.note("wiped")
+		lost()
+	}
+	if after <= 0 {
+		after = backAfter
+	}
+	return r.back(ctx, after)
+}
+
+// Restart ends a relay as planned, and starts it again.
+func (r *Relay) Restart(ctx context.Context) error {
+	p := r.current()
+	if p == nil || !r.hold() {
+		return nil
+	}
+	r.note("term")
+	r.end(p, syscall.SIGTERM)
+	return r.back(ctx, backAfter)
+}
+
+// Freeze stops a relay's process for a while.
+func (r *Relay) Freeze(ctx context.Context, d time.Duration) {
+	p := r.current()
+	if p == nil {
+		return
+	}
+	r.note("frozen")
+	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
+	sleep(ctx, d)
+	r.note("thawed")
+	_ = p.cmd.Process.Signal(syscall.SIGCONT)
+}
+
+// Reload moves a relay's discovery, writes a configuration that names the new address, and sends SIGHUP.
+func (r *Relay) Reload() error {
+	p := r.current()
+	if p == nil {
+		return nil
+	}
+	if err := r.fleet.p.Move(r.No); err != nil {
+		return err
+	}
+	r.mu.Lock()
+	ready := p.ready
+	err := r.writeConfig()
+	r.mu.Unlock()
+	if err != nil || !ready {
+		return err
+	}
+	r.note("hup")
+	return p.cmd.Process.Signal(syscall.SIGHUP)
+}
+
+// Upgrade starts a new process beside the one that serves, waits until it takes clients, and ends the old one.
+func (r *Relay) Upgrade(ctx context.Context) error {
+	old := r.current()
+	if old == nil {
+		return nil
+	}
+	r.mu.Lock()
+	old.meant = true // it may leave early
+	r.mu.Unlock()
+	p, err := r.launch()
+	if err != nil {
+		return err
+	}
+	if err := r.await(ctx, p, yesWithin, func() bool { return yes(p.admin) }); err != nil {
+		return err
+	}
+	r.note("term")
+	r.end(old, syscall.SIGTERM)
+	return nil
+}
+
+// watchUsage notes what each relay uses, from time to time.
+func (f *Fleet) watchUsage() {
+	for sleep(f.ctx, usageEvery) {
+		for _, r := range f.Relays {
+			if p := r.current(); p != nil {
+				if e, err := r.usage(p); err == nil {
+					f.h.Add(e)
+				}
+			}
+		}
+	}
+}
+
+// usage reads what a process uses from the system's own accounts.
+func (r *Relay) usage(p *process) (history.Event, error) {
+	e := history.Event{Kind: history.Usage, Relay: history.N(r.No)}
+	proc := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
+	status, err := os.ReadFile(proc + "status")
+	if err != nil {
+		return e, err
+	}
+	for line := range strings.Lines(string(status)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			e.MemoryMB = kb / 1024
+		}
+	}
+	stat, err := os.ReadFile(proc + "stat")
+	if err != nil {
+		return e, err
+	}
+	// The name in parentheses may hold anything; utime and stime are fields 14 and 15, in hundredths of a second.
+	fields := strings.Fields(string(stat[bytes.LastIndexByte(stat, ')')+1:]))
+	if len(fields) > 12 {
+		user, _ := strconv.ParseFloat(fields[11], 64)
+		system, _ := strconv.ParseFloat(fields[12], 64)
+		e.CPU = (user + system) / 100
+	}
+	fds, err := os.ReadDir(proc + "fd")
+	if err != nil {
+		return e, err
+	}
+	e.FDs = len(fds)
+	e.DiskMB = diskMB(filepath.Join(r.dir, "state"))
+	return e, nil
+}
+
+// diskMB is what a folder holds, every file counted in whole 512 bytes.
+func diskMB(dir string) float64 {
+	var sum int64
+	_ = filepath.WalkDir(dir, func(_ string, d fs.DirEntry, err error) error {
+		if err != nil || !d.Type().IsRegular() {
+			return nil // it may have gone while we looked
+		}
+		if info, err := d.Info(); err == nil {
+			sum += (info.Size() + 511) / 512 * 512
+		}
+		return nil
+	})
+	return float64(sum) / (1 << 20)
+}
+
+// sleep waits for d, and tells whether ctx is still alive after it.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/lab/report/report.go
@@ -0,0 +1,381 @@
+// Package report turns a history into the figures that people read: what was served and refused, how fast, at what
+// cost, and how quickly service came back after each fault. It needs the history alone.
+package report
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"math"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"milletsail/internal/lab/checker"
+	"milletsail/internal/lab/history"
+)
+
+const (
+	// bucket is the step of the service over time.
+	bucket = 500 * time.Millisecond
+	// before is the span before a fault that its service is compared with, backShare the share of that which counts as
+	// back, for backFor at least.
+	before, backShare, backFor = 4 * time.Second, 0.95, time.Second
+)
+
+// The ends of a message, as the client sees them.
+const (
+	InAim         = "in aim"
+	InTime        = "late"
+	Refused       = "refused"
+	HandedBack    = "handed back"
+	Undeliverable = "undeliverable"
+	Failed        = "failed"
+	LeftWaiting   = "no answer"
+	NoEnd         = "no end"
+)
+
+// Ends are all of them, in the order of a report.
+var Ends = []string{InAim, InTime, Refused, HandedBack, Undeliverable, Failed, LeftWaiting, NoEnd}
+
+// Figures are what a play comes to. Times are in seconds, shares from 0 to 1.
+type Figures struct {
+	Title    string `json:"title"`
+	Seed     uint64 `json:"seed"`
+	Relays   int    `json:"relays"`
+	Messages int    `json:"messages"`
+
+	Served   float64            `json:"served"`    // worth served, by the worth asked for
+	Ends     map[string]float64 `json:"ends"`      // shares of the messages
+	ByClass  map[string]float64 `json:"by_class"`  // worth served
+	Latency  map[string]float64 `json:"latency"`   // of the delivered, since they were first handed in
+	Answer   map[string]float64 `json:"answer"`    // of the relays' answers to clients
+	Attempts float64            `json:"attempts"`  // messages in calls, a message
+	Turned   float64            `json:"turned"`    // calls turned away, a call
+	Connects float64            `json:"connects"`  // new connections, a message
+	CPU      Spread             `json:"cpu"`       // seconds a relay, over its processes
+	MemoryMB Spread             `json:"memory_mb"` // most, a relay
+	DiskMB   Spread             `json:"disk_mb"`
+
+	Faults  []FaultFigures  `json:"faults"`
+	Service []Point         `json:"service"`
+	Verdict checker.Verdict `json:"verdict"`
+	Lab     Lab             `json:"lab"`
+}
+
+// Lab is how well the lab itself kept its times.
+type Lab struct {
+	Events   int     `json:"events"` // that it had to do at a time of its own
+	Late     int     `json:"late"`
+	LateMost float64 `json:"late_most"`
+}
+
+// Spread is a figure over the relays.
+type Spread struct {
+	Mean float64 `json:"mean"`
+	Most float64 `json:"most"`
+}
+
+// Point is the service to the messages that arrived in one step of time.
+type Point struct {
+	At     float64 `json:"at"`
+	Asked  float64 `json:"asked"` // worth
+	Served float64 `json:"served"`
+}
+
+// FaultFigures is what a fault did to the service.
+type FaultFigures struct {
+	Kind   string   `json:"kind"`
+	At     float64  `json:"at"`
+	Until  float64  `json:"until"`
+	Before float64  `json:"before"`         // share of the worth served
+	Worst  float64  `json:"worst"`          // in one step, up to the next fault
+	Back   *float64 `json:"back,omitempty"` // seconds from its begin until 95% of Before; none if it did not come back
+}
+
+// fate is one message over all its hand-ins.
+type fate struct {
+	class     string
+	at, first history.Micros // delivered; first handed in
+	end       string
+	ids       []string
+}
+
+// Of computes the figures of a history.
+func Of(events []history.Event, v checker.Verdict) *Figures {
+	facts := events[0].Facts
+	f := &Figures{Title: facts.Title, Seed: facts.Seed, Relays: facts.Relays, Verdict: v, Ends: map[string]float64{}, ByClass: map[string]float64{}}
+	msgs, byID := map[int]*fate{}, map[string]*fate{}
+	var order []*fate
+	sent := map[string]history.Micros{}
+	latency, answers := hdrhistogram.New(1, time.Hour.Microseconds(), 3), hdrhistogram.New(1, time.Hour.Microseconds(), 3)
+	calls := map[int][]string{}
+	var attempts, nCalls, turned, connects int
+	cpu, memory, disk := newPeaks(facts.Relays), newPeaks(facts.Relays), newPeaks(facts.Relays)
+	for i := range events {
+		e := &events[i]
+		switch e.Kind {
+		case history.HandIn:
+			m := msgs[e.Msg]
+			if m == nil {
+				m = &fate{class: e.Class, first: e.T}
+				msgs[e.Msg] = m
+				order = append(order, m)
+			}
+			m.ids = append(m.ids, e.ID)
+			byID[e.ID] = m
+			sent[e.ID] = e.T
+			m.end = cmp.Or(deliveredEnd(m), NoEnd)
+		case history.Answer:
+			_ = answers.RecordValue(max(1, int64(e.T-sent[e.ID])))
+			if m := byID[e.ID]; m != nil && m.at == 0 {
+				switch e.Status {
+				case "200", "202":
+				case "429", "503":
+					m.end = Refused
+				default:
+					m.end = Failed
+				}
+			}
+		case history.Left:
+			if m := byID[e.ID]; m != nil && m.at == 0 {
+				m.end = LeftWaiting
+			}
+		case history.Notice:
+			if m := byID[e.ID]; m != nil && m.at == 0 && e.ID == m.ids[len(m.ids)-1] {
+				m.end = HandedBack
+				if e.Status == "undeliverable" {
+					m.end = Undeliverable
+				}
+			}
+		case history.Call:
+			calls[e.Call] = e.IDs
+			attempts += len(e.IDs)
+			nCalls++
+		case history.Reply:
+			if e.Status == "429" || e.Status == "503" {
+				turned++
+			}
+			for n, id := range calls[e.Call] {
+				m := byID[id]
+				if e.Status != "200" || len(e.States) > n && e.States[n] != "delivered" || m == nil || m.at > 0 {
+					continue
+				}
+				m.at = e.T
+				m.end = deliveredIn(m, facts.Classes[m.class])
+				_ = latency.RecordValue(max(1, int64(m.at-m.first)))
+			}
+		case history.Connect:
+			connects++
+		case history.Usage:
+			cpu.see(*e.Relay, e.CPU)
+			memory.see(*e.Relay, e.MemoryMB)
+			disk.see(*e.Relay, e.DiskMB)
+		case history.Late:
+			f.Lab.LateMost = math.Max(f.Lab.LateMost, e.By.D().Seconds())
+		case history.End:
+			f.Lab.Events, f.Lab.Late = e.Events, e.LateN
+		}
+	}
+	f.Messages = len(order)
+	f.worth(order, facts)
+	f.Latency, f.Answer = percentiles(latency), percentiles(answers)
+	n := math.Max(1, float64(f.Messages))
+	f.Attempts, f.Connects, f.Turned = float64(attempts)/n, float64(connects)/n, float64(turned)/math.Max(1, float64(nCalls))
+	f.CPU, f.MemoryMB, f.DiskMB = cpu.total(), memory.spread(), disk.spread()
+	f.faults(events)
+	return f
+}
+
+func deliveredEnd(m *fate) string {
+	if m.at > 0 {
+		return m.end
+	}
+	return ""
+}
+
+func deliveredIn(m *fate, c history.Class) string {
+	if m.at-m.first <= c.Aim {
+		return InAim
+	}
+	return InTime
+}
+
+// share is what a delivery is worth, by its class's worth.
+func share(m *fate, c history.Class) float64 {
+	age := m.at - m.first
+	switch {
+	case m.at == 0 || age > c.Deadline:
+		return 0
+	case age <= c.Aim:
+		return 1
+	}
+	return 1 - (1-c.LateShare)*float64(age-c.Aim)/math.Max(1, float64(c.Deadline-c.Aim))
+}
+
+// worth adds up what was asked for and served.
+func (f *Figures) worth(order []*fate, facts *history.Facts) {
+	var asked, served float64
+	byClass := map[string][2]float64{}
+	steps := map[int]*Point{}
+	var begun history.Micros
+	if len(order) > 0 {
+		begun = order[0].first
+	}
+	for _, m := range order {
+		c := facts.Classes[m.class]
+		got := c.Worth * share(m, c)
+		asked += c.Worth
+		served += got
+		sum := byClass[m.class]
+		byClass[m.class] = [2]float64{sum[0] + c.Worth, sum[1] + got}
+		f.Ends[m.end] += 1 / float64(len(order))
+		n := int((m.first - begun).D() / bucket)
+		if steps[n] == nil {
+			steps[n] = &Point{At: (begun.D() + time.Duration(n)*bucket).Seconds()}
+		}
+		steps[n].Asked += c.Worth
+		steps[n].Served += got
+	}
+	f.Served = served / math.Max(1e-9, asked)
+	for class, sum := range byClass {
+		f.ByClass[class] = sum[1] / math.Max(1e-9, sum[0])
+	}
+	for _, p := range steps {
+		f.Service = append(f.Service, *p)
+	}
+	slices.SortFunc(f.Service, func(a, b Point) int { return cmp.Compare(a.At, b.At) })
+}
+
+// between is the share served of what was asked for in a span, in seconds.
+func (f *Figures) between(from, to float64) (float64, bool) {
+	var asked, served float64
+	for _, p := range f.Service {
+		if p.At >= from && p.At < to {
+			asked, served = asked+p.Asked, served+p.Served
+		}
+	}
+	return served / math.Max(1e-9, asked), asked > 0
+}
+
+// faults finds how the service fared after each fault.
+func (f *Figures) faults(events []history.Event) {
+	for _, e := range events {
+		if e.Kind != history.Fault {
+			continue
+		}
+		x := FaultFigures{Kind: e.What, At: e.T.D().Seconds(), Until: max(e.Until, e.T).D().Seconds()}
+		x.Before, _ = f.between(x.At-before.Seconds(), x.At)
+		x.Worst = 1
+		for _, p := range f.Service {
+			if p.At < x.At-bucket.Seconds() {
+				continue
+			}
+			if p.Asked > 0 && x.Back == nil {
+				x.Worst = math.Min(x.Worst, p.Served/p.Asked)
+			}
+			// A fault that is not felt at once may be felt at its end: what comes back counts from then on.
+			if got, ok := f.between(p.At, p.At+backFor.Seconds()); ok && x.Back == nil && p.At >= x.Until && got >= backShare*x.Before {
+				back := math.Max(0, p.At-x.At)
+				x.Back = &back
+			}
+		}
+		f.Faults = append(f.Faults, x)
+	}
+}
+
+func percentiles(h *hdrhistogram.Histogram) map[string]float64 {
+	all := map[string]float64{}
+	for _, p := range []float64{50, 90, 99, 99.9} {
+		all[fmt.Sprintf("p%g", p)] = float64(h.ValueAtPercentile(p)) / 1e6
+	}
+	return all
+}
+
+// peaks sums up a figure that grows within a process and begins anew with the next.
+type peaks struct{ past, last, most []float64 }
+
+func newPeaks(n int) *peaks {
+	return &peaks{make([]float64, n), make([]float64, n), make([]float64, n)}
+}
+
+func (p *peaks) see(relay int, v float64) {
+	if v < p.last[relay] {
+		p.past[relay] += p.last[relay]
+	}
+	p.last[relay] = v
+	p.most[relay] = math.Max(p.most[relay], v)
+}
+
+// spread is the mean and the most over the relays of the highest values.
+func (p *peaks) spread() (s Spread) {
+	for _, v := range p.most {
+		s.Mean += v / float64(len(p.most))
+		s.Most = math.Max(s.Most, v)
+	}
+	return s
+}
+
+// total is the same for the sums over the processes.
+func (p *peaks) total() (s Spread) {
+	for i := range p.last {
+		v := p.past[i] + p.last[i]
+		s.Mean += v / float64(len(p.last))
+		s.Most = math.Max(s.Most, v)
+	}
+	return s
+}
+
+// Text writes the figures for a terminal.
+func (f *Figures) Text(to io.Writer) error {
+	w := tabwriter.NewWriter(to, 0, 4, 2, ' ', 0)
+	line := func(name, format string, args ...any) { fmt.Fprintf(w, "%s\t%s\n", name, fmt.Sprintf(format, args...)) }
+	fmt.Fprintf(w, "%s (seed %d, %d relays, %d messages)\n", f.Title, f.Seed, f.Relays, f.Messages)
+	line("worth served", "%.1f%%", 100*f.Served)
+	var parts []string
+	for _, class := range sortedKeys(f.ByClass) {
+		parts = append(parts, fmt.Sprintf("%s %.1f%%", class, 100*f.ByClass[class]))
+	}
+	line("by class", "%s", strings.Join(parts, ", "))
+	parts = nil
+	for _, end := range Ends {
+		if v, ok := f.Ends[end]; ok {
+			parts = append(parts, fmt.Sprintf("%s %.1f%%", end, 100*v))
+		}
+	}
+	line("messages", "%s", strings.Join(parts, ", "))
+	for _, l := range []struct {
+		name string
+		of   map[string]float64
+	}{{"delivered after", f.Latency}, {"answered after", f.Answer}} {
+		line(l.name, "p50 %s, p90 %s, p99 %s, p99.9 %s", seconds(l.of["p50"]), seconds(l.of["p90"]), seconds(l.of["p99"]), seconds(l.of["p99.9"]))
+	}
+	line("a message", "%.2f attempts, %.2f new connections; %.1f%% of the calls turned away", f.Attempts, f.Connects, 100*f.Turned)
+	line("a relay", "%.2f s of CPU (%.2f at most), %.0f MB (%.0f at most), %.2f MB of disk at most", f.CPU.Mean, f.CPU.Most, f.MemoryMB.Mean, f.MemoryMB.Most, f.DiskMB.Most)
+	for _, x := range f.Faults {
+		back := "not back to 95% of that"
+		if x.Back != nil {
+			back = fmt.Sprintf("back to 95%% of that after %s", seconds(*x.Back))
+		}
+		line(fmt.Sprintf("%s at %.1f s", x.Kind, x.At), "served %.1f%% before, %.1f%% at worst, %s", 100*x.Before, 100*x.Worst, back)
+	}
+	line("the lab", "late for %d of %d events, by %s at most", f.Lab.Late, f.Lab.Events, seconds(f.Lab.LateMost))
+	line("verdict", "%s (%d messages taken on and followed to their end, %d calls)", f.Verdict.String(), f.Verdict.Messages, f.Verdict.Calls)
+	return w.Flush()
+}
+
+func seconds(v float64) string {
+	return time.Duration(v * float64(time.Second)).Round(100 * time.Microsecond).String()
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
