--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -1,4 +1,5 @@
-package relay
+// Package journal keeps what a relay has taken on in a file that outlasts its process.
+package journal
 
 import (
 	"encoding/binary"
@@ -50,6 +51,19 @@
 	Unrun bool // proved never to have run
 }
 
+// Notice tells the platform that a message ended undelivered.
+type Notice struct {
+	ID      string `json:"id"`
+	Status  string `json:"status"`
+	AgainMS int64  `json:"again_ms,omitempty"`
+}
+
+// List is the list of hosts as last told, in its owner's own form.
+type List struct {
+	Text  json.RawMessage
+	Hosts int // that it names
+}
+
 // Health is what is remembered of a host's outage.
 type Health struct {
 	Sick bool      `json:"sick,omitempty"`
@@ -58,15 +72,16 @@
 
 // record is one line of the journal. Times in it are those of the wall clock, since another process reads it.
 type record struct {
-	Op     string    `json:"op"`
-	Entry  *Entry    `json:"entry,omitempty"`
-	ID     string    `json:"id,omitempty"`
-	Host   string    `json:"host,omitempty"`
-	At     time.Time `json:"at,omitzero"`
-	Unrun  bool      `json:"unrun,omitempty"`
-	Notice *Notice   `json:"notice,omitempty"`
-	Health *Health   `json:"health,omitempty"`
-	List   *Members  `json:"list,omitempty"`
+	Op     string          `json:"op"`
+	Entry  *Entry          `json:"entry,omitempty"`
+	ID     string          `json:"id,omitempty"`
+	Host   string          `json:"host,omitempty"`
+	At     time.Time       `json:"at,omitzero"`
+	Unrun  bool            `json:"unrun,omitempty"`
+	Notice *Notice         `json:"notice,omitempty"`
+	Health *Health         `json:"health,omitempty"`
+	List   json.RawMessage `json:"list,omitempty"`
+	Hosts  int             `json:"hosts,omitempty"`
 }
 
 // The kinds of record.
@@ -94,12 +109,12 @@
 	entries  map[string]*Entry
 	order    []*Entry // as taken; those that are over leave at the next compaction
 	health   map[string]Health
-	list     *Members // as last told; nil for never
-	listLen  int      // of its record
+	list     List // as last told; without a text for never
+	listLen  int  // of its record
 }
 
-// OpenJournal replays the journal in a folder, drops what can't be read at its end, and makes it ready.
-func OpenJournal(dir string, diskMB float64) (*Journal, error) {
+// Open replays the journal in a folder, drops what can't be read at its end, and makes it ready.
+func Open(dir string, diskMB float64) (*Journal, error) {
 	j := &Journal{path: filepath.Join(dir, journalName), limit: int(diskShare * diskMB * 1e6),
 		entries: map[string]*Entry{}, health: map[string]Health{}}
 	// A process that ended while it compacted leaves a file that was never used.
@@ -119,6 +134,17 @@
 	return j, nil
 }
 
+// Read gives what the journal in a folder holds, and changes nothing there. What it gives can't be written to.
+func Read(dir string) (*Journal, error) {
+	j := &Journal{path: filepath.Join(dir, journalName), entries: map[string]*Entry{}, health: map[string]Health{}}
+	raw, err := os.ReadFile(j.path)
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, fmt.Errorf("journal: %w", err)
+	}
+	j.replay(raw)
+	return j, nil
+}
+
 // Close closes the file.
 func (j *Journal) Close() error { return j.file.Close() }
 
@@ -172,10 +198,10 @@
 func (j *Journal) Forget(host string) { delete(j.health, host) }
 
 // List notes the list of hosts as discovery has now told it.
-func (j *Journal) List(m Members) { j.note(record{Op: opList, List: &m}, nil) }
+func (j *Journal) List(l List) { j.note(record{Op: opList, List: l.Text, Hosts: l.Hosts}, nil) }
 
-// Listed is the list as last told to this process or an earlier one, or nil.
-func (j *Journal) Listed() *Members { return j.list }
+// Listed is the list as last told to this process or an earlier one; without a text for never.
+func (j *Journal) Listed() List { return j.list }
 
 // note applies a record and buffers it.
 func (j *Journal) note(r record, body []byte) {
@@ -225,8 +251,8 @@
 			b = appendRecord(b, record{Op: opOwed, ID: e.ID, Notice: e.Owed}, nil)
 		}
 	}
-	if j.list != nil {
-		b = appendRecord(b, record{Op: opList, List: j.list}, nil)
+	if j.list.Text != nil {
+		b = appendRecord(b, record{Op: opList, List: j.list.Text, Hosts: j.list.Hosts}, nil)
 	}
 	for host, h := range j.health {
 		b = appendRecord(b, record{Op: opHealth, Host: host, Health: &h}, nil)
@@ -277,7 +303,7 @@
 		return
 	case r.Op == opList && r.List != nil:
 		j.live -= j.listLen
-		j.list, j.listLen = r.List, len(r.List.Hosts)*memberRoom
+		j.list, j.listLen = List{r.List, r.Hosts}, max(len(r.List), r.Hosts*memberRoom)
 		j.live += j.listLen
 		return
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -1,4 +1,4 @@
-package relay
+package journal
 
 import (
 	"bytes"
@@ -9,9 +9,12 @@
 	"time"
 )
 
+// maxBody is the largest body of a message.
+const maxBody = 64 << 10
+
 func openJournal(t *testing.T, dir string, mb float64) *Journal {
 	t.Helper()
-	j, err := OpenJournal(dir, mb)
+	j, err := Open(dir, mb)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +41,7 @@
 	j.Begin(e, "h1", at)
 	j.End(e, true)
 	j.Begin(e, "h2", at.Add(time.Second))
-	j.Owe(j.Get("owing"), Notice{ID: "owing", Status: deferred, AgainMS: 30})
+	j.Owe(j.Get("owing"), Notice{ID: "owing", Status: "deferred", AgainMS: 30})
 	j.Remember("h2", Health{Sick: true, At: at})
 	commit(t, j)
 }
@@ -61,7 +64,7 @@
 			!e.Attempts[1].Begun.Equal(at.Add(time.Second)) {
 			t.Errorf("attempts: %+v", e.Attempts)
 		}
-		if n := list[1].Owed; n == nil || *n != (Notice{ID: "owing", Status: deferred, AgainMS: 30}) {
+		if n := list[1].Owed; n == nil || *n != (Notice{ID: "owing", Status: "deferred", AgainMS: 30}) {
 			t.Errorf("notice: %v", n)
 		}
 		if h := j.Health()["h2"]; !h.Sick || !h.At.Equal(at) {
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -16,6 +16,7 @@
 	"sync"
 	"time"
 
+	"milletsail/internal/journal"
 	"milletsail/internal/settings"
 	"milletsail/policy"
 )
@@ -74,6 +75,21 @@
 	return e
 }
 
+// kept is the list as the journal keeps it.
+func (m Members) kept() journal.List {
+	text, err := json.Marshal(m)
+	if err != nil {
+		panic(err) // what was read from JSON has a form in it
+	}
+	return journal.List{Text: text, Hosts: len(m.Hosts)}
+}
+
+// remembered is the list that a journal has kept, if there is one.
+func remembered(l journal.List) (m Members, ok bool) {
+	err := json.Unmarshal(l.Text, &m)
+	return m, l.Text != nil && err == nil
+}
+
 // watcher keeps a watch on discovery's list. It starts one each time that it is asked, and reports when it
 // ends; whether and when to ask again is the module's decision, a back-off while discovery is down ours.
 type watcher struct {
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -88,8 +88,8 @@
 	old.Health = draining
 	p.lines <- hostLine(t, 42, old)
 	p.until("the change is noted", func() bool {
-		list := readJournal(t, p.dir).Listed()
-		return list != nil && list.Seq == 42
+		list, ok := remembered(readJournal(t, p.dir).Listed())
+		return ok && list.Seq == 42
 	})
 	p.kill(c)
 	p.set(func() { p.down = true })
@@ -270,8 +270,8 @@
 	p.called()
 	reload(text)
 	p.until("the new list is in force", func() bool {
-		list := readJournal(t, p.dir).Listed()
-		return list != nil && len(list.Hosts) == 1 && list.Hosts[0].Host == fresh.Host
+		list, ok := remembered(readJournal(t, p.dir).Listed())
+		return ok && len(list.Hosts) == 1 && list.Hosts[0].Host == fresh.Host
 	})
 	next.answer = func(*http.Request) int { return 0 }
 	r := p.handIn("order", "b", "0.4", func(r *http.Request) { r.Header.Set("X-Envelope", "dest=8") })
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"milletsail/internal/journal"
 	"milletsail/policy"
 )
 
@@ -80,9 +81,9 @@
 
 // handedOver is a message that a client handed in to the old process after the handover.
 type handedOver struct {
-	No    int    `json:"no"`
-	Entry *Entry `json:"entry"`
-	Body  []byte `json:"body"`
+	No    int            `json:"no"`
+	Entry *journal.Entry `json:"entry"`
+	Body  []byte         `json:"body"`
 }
 
 // ruling is the answer to such a message.
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"milletsail/internal/journal"
 )
 
 // inherits has the platform hold the clients' socket.
@@ -142,7 +144,7 @@
 		t.Errorf("%s is sent again", id)
 	}
 	p.until("both are over", func() bool { return len(readEntries(t, p.dir)) == 0 })
-	if n := p.told(); len(n) != 1 || n[0] != (Notice{ID: "unsafe", Status: undeliverable}) {
+	if n := p.told(); len(n) != 1 || n[0] != (journal.Notice{ID: "unsafe", Status: undeliverable}) {
 		t.Errorf("notices %v", n)
 	}
 }
@@ -302,7 +304,7 @@
 			p.addHost("h1", 7)
 			p.inherits()
 			j := openJournal(t, p.dir, 3)
-			j.Take(&Entry{ID: "m", Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)})
+			j.Take(&journal.Entry{ID: "m", Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)})
 			commit(t, j)
 			c := exec.Command(os.Args[0])
 			c.Env = append(os.Environ(), childDies+"="+step, childState+"="+p.dir)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"milletsail/internal/journal"
 	"milletsail/policy"
 )
 
@@ -22,7 +23,7 @@
 type (
 	// arrival is a message that a client hands in.
 	arrival struct {
-		entry   *Entry
+		entry   *journal.Entry
 		verdict chan verdict // room for one
 		left    chan bool    // closed when the client has left, where another process has its connection
 	}
@@ -58,7 +59,7 @@
 
 // message is what the loop holds of a message taken on.
 type message struct {
-	*Entry
+	*journal.Entry
 	replies []chan verdict     // of those that handed it in, until they are answered
 	copied  bool               // a further copy of it was answered 202
 	call    int                // the module's number of the call out
@@ -72,7 +73,7 @@
 type loop struct {
 	cfg      *Config
 	d        *policy.Dispatcher
-	journal  *Journal
+	journal  *journal.Journal
 	inbox    chan any
 	pool     *pool
 	watch    *watcher
@@ -131,10 +132,10 @@
 // out, where that one handed over.
 func (l *loop) restore(k *link, off *offer) {
 	list := l.cfg.Known
-	if told := l.journal.Listed(); told != nil && told.Seq > list.Seq {
+	if told, ok := remembered(l.journal.Listed()); ok && told.Seq > list.Seq {
 		// The configuration's list may be older than what an earlier process was told: a host that drains
 		// gets nothing new from this one either.
-		list = *told
+		list = told
 	}
 	list.Whole = true
 	l.told(list)
@@ -179,7 +180,7 @@
 	for _, o := range out { // their messages are over, but they hold slots
 		m := l.messages[o.ID]
 		if m == nil {
-			m = &message{Entry: &Entry{ID: o.ID, Class: o.Class, Dest: o.Dest, Attempts: make([]Attempt, o.Attempt+1)}, over: true}
+			m = &message{Entry: &journal.Entry{ID: o.ID, Class: o.Class, Dest: o.Dest, Attempts: make([]journal.Attempt, o.Attempt+1)}, over: true}
 			l.messages[o.ID] = m
 		}
 		a := policy.Arrived{ID: o.ID, Class: l.class(o.Class), Destination: o.Dest, Resumed: true, Over: true,
@@ -290,7 +291,7 @@
 				}
 			}
 		}
-		l.journal.List(Members{Seq: e.Seq, Whole: true, Hosts: slices.Collect(maps.Values(l.hosts))})
+		l.journal.List(Members{Seq: e.Seq, Whole: true, Hosts: slices.Collect(maps.Values(l.hosts))}.kept())
 	case heard:
 		l.events = append(l.events, policy.Heard{Note: e.note})
 	case watchEnded:
@@ -355,7 +356,7 @@
 }
 
 // bundled is the room that a message takes up in the body of a call with several.
-func bundled(e *Entry) int {
+func bundled(e *journal.Entry) int {
 	return len(`{"id":"","key":"","body":""},`) + jsonGrowth*(len(e.ID)+len(e.Key)) + base64.StdEncoding.EncodedLen(len(e.Body))
 }
 
@@ -507,7 +508,7 @@
 	}
 	m.over = true
 	l.settle(m)
-	n := Notice{ID: m.ID, Status: status, AgainMS: v.after.Milliseconds()}
+	n := journal.Notice{ID: m.ID, Status: status, AgainMS: v.after.Milliseconds()}
 	l.journal.Owe(m.Entry, n)
 	l.effects = append(l.effects, func() { l.notices.owe(n) })
 }
@@ -538,7 +539,7 @@
 		l.effects = append(l.effects, func() { l.peers.tell(a.Note) })
 	case policy.Remember:
 		if _, ok := l.hosts[a.Endpoint]; ok {
-			l.journal.Remember(a.Endpoint, Health{Sick: a.Sick, At: l.wall(a.At)})
+			l.journal.Remember(a.Endpoint, journal.Health{Sick: a.Sick, At: l.wall(a.At)})
 		}
 	}
 }
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"milletsail/internal/journal"
 )
 
 // The ends of a message that was taken on and not delivered.
@@ -26,13 +28,6 @@
 	postAgain = 50 * time.Millisecond
 )
 
-// Notice tells the platform that a message ended undelivered.
-type Notice struct {
-	ID      string `json:"id"`
-	Status  string `json:"status"`
-	AgainMS int64  `json:"again_ms,omitempty"`
-}
-
 // notifier posts notices to the platform until it has them.
 type notifier struct {
 	client   *http.Client
@@ -41,7 +36,7 @@
 
 	mu   sync.Mutex
 	url  string
-	owed []Notice
+	owed []journal.Notice
 }
 
 // newNotifier posts to discovery's address, and reports what arrived there to received.
@@ -60,7 +55,7 @@
 }
 
 // owe wants a notice posted; it never blocks, since run may be waiting for the caller.
-func (n *notifier) owe(notice Notice) {
+func (n *notifier) owe(notice journal.Notice) {
 	n.mu.Lock()
 	n.owed = append(n.owed, notice)
 	n.mu.Unlock()
--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"milletsail/internal/journal"
 )
 
 // A body holds what the protocol allows, and the rest of what is owed waits for the next one.
@@ -15,7 +17,7 @@
 	n := newNotifier("127.0.0.1:0", nil)
 	const owed = 1000
 	for i := range owed {
-		n.owe(Notice{ID: fmt.Sprintf("%04d%s", i, strings.Repeat("\x01", 100)), Status: deferred, AgainMS: 5})
+		n.owe(journal.Notice{ID: fmt.Sprintf("%04d%s", i, strings.Repeat("\x01", 100)), Status: deferred, AgainMS: 5})
 	}
 	ids, body := n.next()
 	if len(ids) == 0 || len(ids) == owed || len(body) > maxBody {
@@ -26,7 +28,7 @@
 		t.Fatalf("%d lines for %d ids", len(lines), len(ids))
 	}
 	for i, line := range lines {
-		var notice Notice
+		var notice journal.Notice
 		if err := json.Unmarshal([]byte(line), &notice); err != nil || notice.ID != ids[i] || notice.AgainMS != 5 {
 			t.Fatalf("line %d: %s (%v)", i, line, err)
 		}
@@ -53,7 +55,7 @@
 		})
 		go n.run(t.Context())
 		owed := time.Now()
-		n.owe(Notice{ID: "m", Status: deferred})
+		n.owe(journal.Notice{ID: "m", Status: deferred})
 		if ids := <-got; len(ids) != 1 || ids[0] != "m" {
 			t.Errorf("received %v", ids)
 		}
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -19,6 +19,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"milletsail/internal/journal"
 )
 
 // childConfig and childState make the test program a relay, so that tests can kill one; childDies makes it a process
@@ -80,7 +82,7 @@
 	answer  func(*http.Request) int // a host's status; 0 for no answer while the call lasts
 	calls   []string                // ids that hosts were sent
 	began   chan string             // the same, as they come
-	notices []Notice
+	notices []journal.Notice
 	deaf    int // so many posts of notices fail
 
 	lines    chan string // further lines of the watch
@@ -162,7 +164,7 @@
 			return
 		}
 		for lines := bufio.NewScanner(r.Body); lines.Scan(); {
-			var n Notice
+			var n journal.Notice
 			if err := json.Unmarshal(lines.Bytes(), &n); err != nil {
 				w.WriteHeader(http.StatusBadRequest)
 				return
@@ -293,10 +295,10 @@
 	return append([]string(nil), p.calls...)
 }
 
-func (p *platform) told() []Notice {
+func (p *platform) told() []journal.Notice {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return append([]Notice(nil), p.notices...)
+	return append([]journal.Notice(nil), p.notices...)
 }
 
 // handIn hands a message in and returns the answer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"milletsail/internal/journal"
 	"milletsail/internal/settings"
 	"milletsail/policy"
 )
@@ -50,7 +51,7 @@
 		return err
 	}
 	defer owner.release()
-	journal, err := OpenJournal(dir, cfg.Limits.DiskMB)
+	journal, err := journal.Open(dir, cfg.Limits.DiskMB)
 	if err != nil {
 		return err
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -15,6 +14,7 @@
 	"testing/synctest"
 	"time"
 
+	"milletsail/internal/journal"
 	"milletsail/policy"
 )
 
@@ -35,23 +35,39 @@
 }
 
 // readJournal reads a journal that a relay may be writing.
-func readJournal(t *testing.T, dir string) *Journal {
+func readJournal(t *testing.T, dir string) *journal.Journal {
 	t.Helper()
-	raw, err := os.ReadFile(filepath.Join(dir, journalName))
+	j, err := journal.Read(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
-	j := &Journal{entries: map[string]*Entry{}, health: map[string]Health{}}
-	j.replay(raw)
 	return j
 }
 
-func readEntries(t *testing.T, dir string) []*Entry {
+// openJournal opens a journal of the test's own.
+func openJournal(t *testing.T, dir string, mb float64) *journal.Journal {
+	t.Helper()
+	j, err := journal.Open(dir, mb)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = j.Close() })
+	return j
+}
+
+func commit(t *testing.T, j *journal.Journal) {
+	t.Helper()
+	if err := j.Commit(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func readEntries(t *testing.T, dir string) []*journal.Entry {
 	t.Helper()
 	return readJournal(t, dir).Entries()
 }
 
-func readHealth(t *testing.T, dir string) map[string]Health {
+func readHealth(t *testing.T, dir string) map[string]journal.Health {
 	t.Helper()
 	return readJournal(t, dir).Health()
 }
@@ -142,7 +158,7 @@
 	p.start()
 	p.take("order", "m", "0.4")
 	p.until("the notice is received", func() bool { return len(p.told()) > 0 })
-	if n := p.told(); len(n) != 1 || n[0] != (Notice{ID: "m", Status: undeliverable}) {
+	if n := p.told(); len(n) != 1 || n[0] != (journal.Notice{ID: "m", Status: undeliverable}) {
 		t.Errorf("notices: %v", n)
 	}
 	if p.deaf != 0 {
@@ -362,13 +378,13 @@
 func TestClassGone(t *testing.T) {
 	dir := t.TempDir()
 	j := openJournal(t, dir, 3)
-	j.Take(&Entry{ID: "m", Class: "parcel", Dest: 7, Expires: time.Now().Add(time.Minute)})
+	j.Take(&journal.Entry{ID: "m", Class: "parcel", Dest: 7, Expires: time.Now().Add(time.Minute)})
 	commit(t, j)
 	p := newPlatform(t)
 	p.dir = dir
 	p.start()
 	p.until("its notice is received", func() bool { return len(p.told()) == 1 })
-	if n := p.told()[0]; n != (Notice{ID: "m", Status: undeliverable}) {
+	if n := p.told()[0]; n != (journal.Notice{ID: "m", Status: undeliverable}) {
 		t.Errorf("notice %v", n)
 	}
 }
@@ -378,7 +394,7 @@
 	p := newPlatform(t)
 	p.addHost("h1", 7)
 	j := openJournal(t, p.dir, 3)
-	j.Take(&Entry{ID: "m", Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)})
+	j.Take(&journal.Entry{ID: "m", Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)})
 	commit(t, j)
 	taken, err := net.Listen("tcp", p.addr)
 	if err != nil {
@@ -409,7 +425,7 @@
 	t.Helper()
 	j := openJournal(t, p.dir, 3)
 	for _, id := range ids {
-		j.Take(&Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute), Body: []byte(id)})
+		j.Take(&journal.Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute), Body: []byte(id)})
 	}
 	commit(t, j)
 }
@@ -443,7 +459,7 @@
 	}
 	j := openJournal(t, p.dir, 3)
 	for id, left := range map[string]time.Duration{"short": time.Second, "other": time.Minute} {
-		j.Take(&Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(left)})
+		j.Take(&journal.Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(left)})
 	}
 	commit(t, j)
 	p.start()
@@ -519,7 +535,7 @@
 	l.cfg.policy.Classes = []policy.Class{{Name: "status"}}
 	copyOf := func(id string) *arrival {
 		return &arrival{verdict: make(chan verdict, 1),
-			entry: &Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)}}
+			entry: &journal.Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)}}
 	}
 	status := func(a *arrival) int {
 		select {
@@ -566,7 +582,7 @@
 	l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3), start: time.Now(), messages: map[string]*message{}}
 	timer := l.now() + time.Minute
 	l.wakeAt = timer
-	m := &message{Entry: &Entry{ID: "m"}}
+	m := &message{Entry: &journal.Entry{ID: "m"}}
 	l.messages["m"] = m
 	l.unsent(send{m: m})
 	if due := l.due(); due != 0 {
@@ -592,7 +608,7 @@
 			start: time.Now(), messages: map[string]*message{}, dests: map[int]bool{7: true}, notices: &notifier{}}
 		l.cfg.policy.Classes = []policy.Class{{Name: "status"}}
 		hand := func(id string, left time.Duration) *arrival {
-			a := &arrival{verdict: make(chan verdict, 1), entry: &Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(left)}}
+			a := &arrival{verdict: make(chan verdict, 1), entry: &journal.Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(left)}}
 			l.accept(a)
 			return a
 		}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"milletsail/internal/journal"
 	"milletsail/internal/settings"
 	"milletsail/policy"
 )
@@ -169,6 +170,6 @@
 	}
 	// The client counts from when it sent; no class gives a message more than its deadline.
 	expires := now.Add(settings.Seconds(min(left, class.Deadline.Seconds())))
-	return &arrival{verdict: make(chan verdict, 1), entry: &Entry{ID: id, Class: name, Dest: no, Key: key,
+	return &arrival{verdict: make(chan verdict, 1), entry: &journal.Entry{ID: id, Class: name, Dest: no, Key: key,
 		Expires: expires, Body: body}}, 0, nil
 }
