Have the module hold what may not be repeated while attempts leave no record

Only what a later process may send again can go out without a record.

Change: an event Stored says whether attempts can be recorded; while not, only safe classes are sent (policy.go, sendable). An attempt of an earlier process at an endpoint that is not listed any more had zone 0, which let a message whose receivers share their memory by zone be repeated in zone 0; it has none now (state.go, resume).

--- a/policy/api.go
+++ b/policy/api.go
@@ -197,6 +197,8 @@
 	}
 	// Heard brings what another relay told.
 	Heard struct{ Note []byte }
+	// Stored says whether attempts can be recorded for a later process; they can until it says otherwise.
+	Stored struct{ Writable bool }
 	// Stopping says that this process is about to end: nothing more is sent.
 	Stopping struct{}
 	// Woken says that a timer fell due.
@@ -211,6 +213,7 @@
 func (Recalled) event()   {}
 func (Learned) event()    {}
 func (Heard) event()      {}
+func (Stored) event()     {}
 func (Stopping) event()   {}
 func (Woken) event()      {}
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -113,6 +113,8 @@
 			d.inherit(e)
 		case Heard:
 			d.heard(e.Note)
+		case Stored:
+			d.unrecorded = !e.Writable
 		case Stopping:
 			d.stopping = true
 		}
@@ -389,6 +391,9 @@
 	if len(m.attempts) >= d.s.MaxAttempts || d.now >= m.expires {
 		return false
 	}
+	if d.unrecorded && m.class.Effect != Safe { // a later process might send it again
+		return false
+	}
 	if m.class.Ordered && m.Key != "" {
 		if line := d.keys[m.Key]; line[0] != m {
 			return false
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -127,3 +127,22 @@
 	}
 	expect(t, "a third where two may be held", d.Handle(time.Second, events), "refuse l m>b")
 }
+
+// While attempts leave no record, only what a later process may send again goes out; the rest waits, and goes once
+// they do.
+func TestUnrecorded(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"})
+	d.Handle(0, []Event{Stored{Writable: false}})
+	expect(t, "no record", d.Handle(time.Second, []Event{resumed("safe", 0), resumed("keyed", 1), resumed("unsafe", 2)}), "safe>a")
+	expect(t, "records again", d.Handle(2*time.Second, []Event{Ended{ID: "safe", Endpoint: "a", Over: true}, Stored{Writable: true}}), "keyed>a unsafe>a")
+}
+
+// An attempt whose endpoint is not known any more was in no zone that another shares its memory with.
+func TestUnknownZone(t *testing.T) {
+	s := plain()
+	s.Classes[1].ByZone = true
+	for _, zone := range []int{0, 1} {
+		d := start(t, s, Endpoint{ID: "a", Zone: zone})
+		expect(t, "keyed by zone", d.Handle(time.Hour, []Event{resumed("m", 1, Tried{Sent: time.Hour - time.Second})}), "")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -34,6 +34,7 @@
 	wakeAt     time.Duration // when the next timer is due; 0 for none
 	heardAt    time.Duration // when the last note came
 	stopping   bool          // send nothing more
+	unrecorded bool          // attempts leave no trace for a later process
 	actions    []Action
 	chance     *rand.Rand
 	pools      map[int]*latencies // by kind of destination
@@ -248,7 +249,8 @@
 	for _, t := range m.Tried {
 		ep := d.endpoints[t.Endpoint]
 		if ep == nil {
-			ep = &endpoint{Endpoint: Endpoint{ID: t.Endpoint, Destination: m.Destination, Gone: true},
+			// Its zone is not known any more: no other is known to share its memory.
+			ep = &endpoint{Endpoint: Endpoint{ID: t.Endpoint, Destination: m.Destination, Zone: -1, Gone: true},
 				q: d.dest(m.Destination).queues[0], strikes: make([]float64, len(d.s.Classes))}
 		}
 		c := &call{ep: ep, sent: t.Sent}
