--- a/cmd/milletsail/main.go
+++ b/cmd/milletsail/main.go
@@ -1,5 +1,5 @@
-// Command milletsail is for operators and experimenters: it plays scenarios on the fleet lab, judges histories and
-// compares versions of the relay. The relay itself is frostlink.
+// Command milletsail is for operators and experimenters: it plays scenarios on the fleet lab, judges histories,
+// compares versions of the relay, and looks after relays' folders. The relay itself is frostlink.
 package main
 
 import (
@@ -52,7 +52,7 @@
 		PersistentPreRunE: func(c *cobra.Command, _ []string) error { return logTo(c, format, level) }}
 	c.PersistentFlags().StringVar(&format, "log-format", "text", "form of the log on standard error: text or json")
 	c.PersistentFlags().StringVar(&level, "log-level", "warn", "least level of the log: debug, info, warn or error")
-	c.AddCommand(labCommand(), demoCommand(), versionCommand())
+	c.AddCommand(labCommand(), demoCommand(), journalCommand(), versionCommand())
 	return c
 }
 
--- /dev/null
+++ b/internal/journal/bench_test.go
@@ -0,0 +1,220 @@
+package journal
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// The version before wrote format 1, whose code is still here: it is measured in the same run.
+
+const benchMB = 4000
+
+func message(i int) *Entry {
+	return &Entry{ID: fmt.Sprintf("%016x", i), Class: "payment", Dest: 7, Key: "5c0f6e1a2b3d4c59a8b7c6d5e4f30211",
+		Expires: time.Unix(2e9, 0), Taken: time.Unix(1e9, 0), Body: make([]byte, 200)}
+}
+
+// sink is the log of format 1.
+type sink struct {
+	f    *os.File
+	b    []byte
+	size int
+}
+
+func (s *sink) add(r recordV1, body []byte) { s.b, _ = appendV1(s.b, r, body) }
+
+func (s *sink) commit(b *testing.B) {
+	n, err := s.f.Write(s.b)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.size += n
+	s.b = s.b[:0]
+}
+
+// BenchmarkCommit: so many messages at once are taken on, tried, and end, in three commits.
+func BenchmarkCommit(b *testing.B) {
+	host := "s-3740d6df"
+	for _, n := range []int{1, 64, 1000} {
+		b.Run(fmt.Sprintf("before/%d", n), func(b *testing.B) {
+			f, err := os.Create(filepath.Join(b.TempDir(), v1Name))
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer f.Close()
+			s := &sink{f: f}
+			for b.Loop() {
+				for i := range n {
+					e := message(i)
+					s.add(recordV1{Op: "taken", Entry: &entryV1{e.ID, e.Class, e.Dest, e.Key, e.Expires}}, e.Body)
+				}
+				s.commit(b)
+				for i := range n {
+					s.add(recordV1{Op: "begun", ID: message(i).ID, Host: host, At: time.Now()}, nil)
+				}
+				s.commit(b)
+				for i := range n {
+					s.add(recordV1{Op: "ended", ID: message(i).ID}, nil)
+					s.add(recordV1{Op: "over", ID: message(i).ID}, nil)
+				}
+				s.commit(b)
+			}
+			figures(b, n, s.size)
+		})
+		for _, mode := range []string{"process", "power"} {
+			b.Run(fmt.Sprintf("%s/%d", mode, n), func(b *testing.B) {
+				j, _, err := Open(b.TempDir(), Options{DiskMB: benchMB, Power: mode == "power"})
+				if err != nil {
+					b.Fatal(err)
+				}
+				defer j.Close()
+				written := 0
+				commit := func() {
+					written += len(j.pending)
+					if err := j.Commit(); err != nil {
+						b.Fatal(err)
+					}
+				}
+				all := make([]*Entry, n)
+				for b.Loop() {
+					for i := range n {
+						all[i] = message(i)
+						j.Take(all[i])
+					}
+					commit()
+					for _, e := range all {
+						j.Begin(e, host, time.Now())
+					}
+					commit()
+					for _, e := range all {
+						j.End(e, false)
+						j.Over(e)
+					}
+					commit()
+				}
+				figures(b, n, written)
+			})
+		}
+	}
+	b.Run("one sync a message/64", func(b *testing.B) {
+		j, _, err := Open(b.TempDir(), Options{DiskMB: benchMB, Power: true})
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer j.Close()
+		for b.Loop() {
+			for i := range 64 {
+				e := message(i)
+				for _, step := range []func(){func() { j.Take(e) }, func() { j.Begin(e, host, time.Now()) }, func() { j.End(e, false); j.Over(e) }} {
+					step()
+					if err := j.Commit(); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+		}
+		figures(b, 64, 0)
+	})
+}
+
+func figures(b *testing.B, n, written int) {
+	messages := float64(n) * float64(b.N)
+	b.ReportMetric(4*messages/b.Elapsed().Seconds(), "records/s")
+	b.ReportMetric(b.Elapsed().Seconds()*1e6/messages, "µs/message")
+	if written > 0 {
+		b.ReportMetric(float64(written)/messages, "bytes/message")
+	}
+}
+
+// BenchmarkOpen: a folder with so many live messages and an attempt each is opened; the most that was in memory
+// meanwhile, by what is live after it.
+func BenchmarkOpen(b *testing.B) {
+	for _, live := range []int{0, 5000, 100_000, 500_000} {
+		s := newState()
+		for i := range live {
+			e := message(i)
+			s.apply(&record{op: opTaken, ref: uint64(i + 1), entry: e})
+			e.Attempts = []Attempt{{Host: "s-3740d6df", Begun: time.Unix(1e9, 0)}}
+		}
+		old, err := s.encodeV1()
+		if err != nil {
+			b.Fatal(err)
+		}
+		j := &Journal{state: s, o: Options{Boot: bootID()}}
+		now := header{format: Format, segment: 1, first: 1, boot: bootID()}.encode()
+		var seq uint64
+		var before uint32
+		add := func(r record) {
+			seq++
+			now, _ = frame(now, &r, seq, before)
+			before = r.gist()
+		}
+		add(record{op: opSnapshot})
+		for _, e := range j.all() {
+			add(record{op: opTaken, ref: e.ref, entry: e})
+			add(record{op: opBegun, ref: e.ref, host: e.Attempts[0].Host, at: e.Attempts[0].Begun})
+		}
+		s, j = nil, nil
+		for name, c := range map[string]struct {
+			file string
+			raw  []byte
+		}{"before": {v1Name, old}, "now": {segmentFile(1), now}} {
+			b.Run(fmt.Sprintf("%s/%d", name, 2*live), func(b *testing.B) {
+				dir := b.TempDir()
+				path := filepath.Join(dir, c.file)
+				if err := os.WriteFile(path, c.raw, 0o600); err != nil {
+					b.Fatal(err)
+				}
+				runtime.GC()
+				var base, mem runtime.MemStats
+				runtime.ReadMemStats(&base)
+				var most atomic.Uint64
+				done := make(chan bool)
+				go func() {
+					var m runtime.MemStats
+					for {
+						select {
+						case <-done:
+							return
+						case <-time.After(5 * time.Millisecond):
+							runtime.ReadMemStats(&m)
+							most.Store(max(most.Load(), m.HeapAlloc))
+						}
+					}
+				}()
+				var got *state
+				for b.Loop() {
+					if name == "before" {
+						raw, err := os.ReadFile(path)
+						if err != nil {
+							b.Fatal(err)
+						}
+						got = newState()
+						got.replayV1(raw, &Report{})
+					} else {
+						var err error
+						if got, _, err = load(Disk, dir, bootID()); err != nil {
+							b.Fatal(err)
+						}
+					}
+					if len(got.entries) != live {
+						b.Fatalf("%d live", len(got.entries))
+					}
+				}
+				close(done)
+				runtime.GC()
+				runtime.ReadMemStats(&mem)
+				b.ReportMetric(float64(2*live)*float64(b.N)/b.Elapsed().Seconds(), "records/s")
+				if live > 1000 {
+					b.ReportMetric(float64(most.Load()-base.HeapAlloc)/float64(mem.HeapAlloc-base.HeapAlloc), "most/live")
+				}
+				runtime.KeepAlive(got)
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/journal/fuzz_test.go
@@ -0,0 +1,122 @@
+package journal
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// life gives the segment of a short life.
+func life(t testing.TB) []byte {
+	t.Helper()
+	dir := t.TempDir()
+	j, _, err := Open(dir, Options{DiskMB: 3, Relay: "n1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		e := &Entry{ID: id, Class: "order", Dest: 7, Key: "k", Expires: time.Unix(9, 0), Body: []byte("body")}
+		j.Take(e)
+		j.Begin(e, "h1", time.Unix(5, 0))
+		j.End(e, true)
+	}
+	j.Owe(j.Get("b"), Notice{ID: "b", Status: "deferred", AgainMS: 30})
+	j.Over(j.Get("c"))
+	j.List(List{Text: []byte(`{"seq":3}`), Hosts: 1})
+	j.Remember("h1", Health{Sick: true, At: time.Unix(5, 0)})
+	if err := j.Commit(); err != nil {
+		t.Fatal(err)
+	}
+	_ = j.Close()
+	found, err := filepath.Glob(filepath.Join(dir, segmentName+"*"))
+	if err != nil || len(found) != 1 {
+		t.Fatalf("%v, %v", found, err)
+	}
+	raw, err := os.ReadFile(found[0])
+	if err != nil {
+		t.Fatal(err)
+	}
+	return raw
+}
+
+// Any bytes give a state or an error, and what was read can be written and read again.
+func FuzzSegment(f *testing.F) {
+	raw := life(f)
+	f.Add(raw)
+	f.Add(raw[:len(raw)/2])
+	f.Add(append(bytes.Clone(raw), raw...))
+	f.Add(raw[100:])
+	f.Add([]byte(magic))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, segmentFile(3)), raw, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		j, r, err := Open(dir, Options{DiskMB: 64})
+		if err != nil {
+			if _, newer := err.(interface{ Unwrap() error }); !newer {
+				t.Fatal(err)
+			}
+			return
+		}
+		defer j.Close()
+		if size := j.live + len(j.entries); size > 200*len(raw)+(len(raw)/recordHead+1)*(attemptsRoom+memberRoom*maxRecord) {
+			t.Fatalf("%d bytes need room for %d", len(raw), size)
+		}
+		again, whole, err := Read(dir)
+		if err != nil || len(again.Entries()) != len(j.Entries()) || !whole.Whole() {
+			t.Fatalf("%v: %d messages, %d when read again, from %+v", err, len(j.Entries()), len(again.Entries()), r)
+		}
+	})
+}
+
+// So do any bytes in the form of before, and they can be given back in it.
+func FuzzFormat1(f *testing.F) {
+	s, _, _, err := readSegment(bytes.NewReader(life(f)), 1<<20, "x", "")
+	if err != nil {
+		f.Fatal(err)
+	}
+	raw, err := s.encodeV1()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add(raw[:len(raw)-3])
+	f.Add(raw[20:])
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		s := newState()
+		s.replayV1(raw, &Report{})
+		back, err := s.encodeV1()
+		if err != nil {
+			t.Skip(err) // a list that is no JSON, say
+		}
+		again := newState()
+		if rest, _ := again.replayV1(back, &Report{}); rest > 0 || len(again.all()) != len(s.all()) {
+			t.Fatalf("%d messages, %d when given back, %d bytes unread", len(s.all()), len(again.all()), rest)
+		}
+	})
+}
+
+// Any payload gives an error or a record that is written as it was read.
+func FuzzPayload(f *testing.F) {
+	w := &window{from: bytes.NewReader(life(f)), size: 1 << 20}
+	if _, err := w.readHeader("x"); err != nil {
+		f.Fatal(err)
+	}
+	for b, ok := w.framed(); ok; b, ok = w.framed() {
+		f.Add(bytes.Clone(b[recordHead:]))
+		w.skip(len(b))
+	}
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		var r, again record
+		if r.parse(payload, names{}) != nil {
+			return
+		}
+		first := r.append(nil)
+		if err := again.parse(first, names{}); err != nil || !bytes.Equal(again.append(nil), first) {
+			t.Fatalf("%q is read as %q, and that as %q (%v)", payload, first, again.append(nil), err)
+		}
+	})
+}
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -1,36 +1,44 @@
-// Package journal keeps what a relay has taken on in a file that outlasts its process.
+// Package journal keeps what a relay has taken on in files that outlast its process.
+//
+// It promises, for whatever Commit has returned without an error:
+//   - Durability Process: it outlasts the end of the process in any way, SIGKILL included. After a power loss, which
+//     shows by the machine's start, records may be missing: every message then counts as one that may have run.
+//   - Durability Power: it outlasts a power loss as well. A sync that failed is never tried again on the same file:
+//     what is live goes to a new one, and until that is durable nothing may be taken on.
+//
+// A start never fails for what the files hold, but for a newer form or another relay's folder. An unfinished record
+// at the end is dropped. Damage before good records is set aside, the records behind it are used, and a message whose
+// attempts may be missing has one more that may have run, so that it is repeated only as its class permits.
 package journal
 
 import (
-	"encoding/binary"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io/fs"
 	"log/slog"
 	"os"
 	"path/filepath"
-	"slices"
+	"strings"
 	"time"
 )
 
 const (
-	journalName = "journal"
 	// diskShare of the folder's limit is used: the rest is for whole blocks and for what else lies there.
 	diskShare = 0.9
-	// recordHead is the length of a record's header: lengths of its two parts and their checksum.
-	recordHead = 12
 	// attemptsRoom is set aside for the later records of each message when it is taken on.
 	attemptsRoom = 2048
 	// memberRoom is set aside for each host of the list.
 	memberRoom = 256
-	// slackSize is how far the file may outgrow twice what is live before it is compacted.
+	// slackSize is how far a segment may outgrow twice what is live before the next one is begun.
 	slackSize = 256 << 10
+	// damagedShare of the limit is for ranges that were set aside.
+	damagedShare = 1.0 / 16
+	// tryAgain is the least time between tries to begin a segment after one that failed: each writes all that is live.
+	tryAgain = 250 * time.Millisecond
+	// readTries bounds how often a folder is read anew whose segments change meanwhile.
+	readTries = 10
 )
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
-
 // Entry is a message that was taken on and has not come to its end.
 type Entry struct {
 	ID       string    `json:"id"`
@@ -38,9 +46,12 @@
 	Dest     int       `json:"dest,omitempty"`
 	Key      string    `json:"key,omitempty"`
 	Expires  time.Time `json:"expires,omitzero"`
+	Taken    time.Time `json:"taken,omitzero"` // set by Take where it is zero
 	Body     []byte    `json:"-"`
 	Attempts []Attempt `json:"-"`
 	Owed     *Notice   `json:"-"` // its end, until the platform has it
+
+	ref uint64
 }
 
 // Attempt is one call made for a message.
@@ -49,6 +60,7 @@
 	Begun time.Time
 	Ended bool
 	Unrun bool // proved never to have run
+	Doubt bool // no record of it was read, but one may have been lost: Host is empty, Begun the earliest it can have been
 }
 
 // Notice tells the platform that a message ended undelivered.
@@ -60,7 +72,7 @@
 
 // List is the list of hosts as last told, in its owner's own form.
 type List struct {
-	Text  json.RawMessage
+	Text  []byte
 	Hosts int // that it names
 }
 
@@ -70,88 +82,133 @@
 	At   time.Time `json:"at,omitzero"`
 }
 
-// record is one line of the journal. Times in it are those of the wall clock, since another process reads it.
-type record struct {
-	Op     string          `json:"op"`
-	Entry  *Entry          `json:"entry,omitempty"`
-	ID     string          `json:"id,omitempty"`
-	Host   string          `json:"host,omitempty"`
-	At     time.Time       `json:"at,omitzero"`
-	Unrun  bool            `json:"unrun,omitempty"`
-	Notice *Notice         `json:"notice,omitempty"`
-	Health *Health         `json:"health,omitempty"`
-	List   json.RawMessage `json:"list,omitempty"`
-	Hosts  int             `json:"hosts,omitempty"`
+// Options are what a journal is opened with.
+type Options struct {
+	DiskMB float64          // limit of the folder, in 10^6 bytes
+	Relay  string           // whose folder it is; empty for any
+	Power  bool             // durability: Power; else Process
+	Files  FS               // nil for Disk
+	Boot   string           // tells one start of the machine from another; empty for the system's own
+	Now    func() time.Time // nil for time.Now
 }
 
-// The kinds of record.
-const (
-	opTaken  = "taken"
-	opBegun  = "begun"
-	opEnded  = "ended"
-	opOwed   = "owed"
-	opOver   = "over"
-	opHealth = "health"
-	opList   = "list"
-)
-
-// Journal keeps what a relay has taken on in a file that outlasts its process. Changes are buffered until
-// Commit; a write that returned outlasts SIGKILL, so there is no sync. It is not safe for concurrent use.
+// Journal is the journal of a running relay. It is not safe for concurrent use.
 type Journal struct {
-	path     string
-	limit    int // bytes of the old and the new file together while it is compacted
-	file     *os.File
-	size     int // of the file
-	live     int // bytes that the entries and the list need, with room for later records
-	reserved int // for messages that may be taken on before the next Commit
-	broken   bool
+	*state
+	o        Options
+	dir      string
+	limit    int // bytes of the old and the new segment together
+	file     File
+	segment  uint64
+	size     int // of the segment
+	seq      uint64
+	before   uint32 // gist of the last record
+	reserved int    // for messages that may be taken on before the next Commit
 	pending  []byte
-	entries  map[string]*Entry
-	order    []*Entry // as taken; those that are over leave at the next compaction
-	health   map[string]Health
-	list     List // as last told; without a text for never
-	listLen  int  // of its record
+	old      []string // files to remove once the next segment is durable
+	broken   error    // why the segment can't be written on
+	tried    time.Time
+	snapshot []byte // room that is used again
 }
 
-// Open replays the journal in a folder, drops what can't be read at its end, and makes it ready.
-func Open(dir string, diskMB float64) (*Journal, error) {
-	j := &Journal{path: filepath.Join(dir, journalName), limit: int(diskShare * diskMB * 1e6),
-		entries: map[string]*Entry{}, health: map[string]Health{}}
-	// A process that ended while it compacted leaves a file that was never used.
-	if err := os.Remove(j.temporary()); err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return nil, fmt.Errorf("journal: %w", err)
+// Open replays the journal in a folder and begins a new segment. Where that can't be written, the journal is broken,
+// as after a failed Commit, but what it holds is there.
+func Open(dir string, o Options) (*Journal, *Report, error) {
+	if o.Files == nil {
+		o.Files = Disk
 	}
-	raw, err := os.ReadFile(j.path)
-	if err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return nil, fmt.Errorf("journal: %w", err)
+	if o.Boot == "" {
+		o.Boot = bootID()
 	}
-	if rest := j.replay(raw); rest > 0 {
-		slog.Warn("journal: unreadable end skipped", "bytes", rest)
+	if o.Now == nil {
+		o.Now = time.Now
 	}
-	if err := j.compact(); err != nil {
-		return nil, fmt.Errorf("journal: %w", err)
+	s, r, err := load(o.Files, dir, o.Boot)
+	if err != nil {
+		return nil, r, fmt.Errorf("journal: %w", err)
 	}
-	return j, nil
+	if o.Relay != "" && r.Relay != "" && o.Relay != r.Relay {
+		return nil, r, fmt.Errorf("journal: the folder %s is relay %s's, and this is %s", dir, r.Relay, o.Relay)
+	}
+	j := &Journal{state: s, o: o, dir: dir, limit: int(diskShare * o.DiskMB * 1e6), segment: r.segment, seq: r.Last}
+	if err := j.clear(); err != nil {
+		return nil, r, fmt.Errorf("journal: %w", err)
+	}
+	j.setAside(r)
+	if err := j.begin(); err != nil {
+		j.fail(err)
+	}
+	return j, r, nil
 }
 
 // Read gives what the journal in a folder holds, and changes nothing there. What it gives can't be written to.
-func Read(dir string) (*Journal, error) {
-	j := &Journal{path: filepath.Join(dir, journalName), entries: map[string]*Entry{}, health: map[string]Health{}}
-	raw, err := os.ReadFile(j.path)
-	if err != nil && !errors.Is(err, fs.ErrNotExist) {
-		return nil, fmt.Errorf("journal: %w", err)
-	}
-	j.replay(raw)
-	return j, nil
+func Read(dir string) (*Journal, *Report, error) {
+	var s *state
+	var r *Report
+	var err error
+	for range readTries { // a relay that runs may take a segment away just then
+		if s, r, err = load(Disk, dir, bootID()); !errors.Is(err, fs.ErrNotExist) {
+			break
+		}
+	}
+	if err != nil {
+		return nil, r, fmt.Errorf("journal: %w", err)
+	}
+	return &Journal{state: s, o: Options{Files: Disk, Now: time.Now}, dir: dir, broken: errors.New("opened to be read")}, r, nil
+}
+
+// clear removes what a process left that ended while it began a segment, and notes the segments there are.
+func (j *Journal) clear() error {
+	found, err := j.o.Files.List(j.dir)
+	if err != nil {
+		return err
+	}
+	var damaged []string
+	var size int64
+	for _, name := range found {
+		path := filepath.Join(j.dir, name)
+		n, segment := segmentNumber(name)
+		switch {
+		case strings.HasSuffix(name, newSuffix) && (strings.HasPrefix(name, segmentName) || name == v1Name+newSuffix):
+			if err := j.o.Files.Remove(path); err != nil && !errors.Is(err, fs.ErrNotExist) {
+				slog.Warn("journal: an unfinished segment stays", "file", name, "err", err)
+			}
+		case segment:
+			j.segment = max(j.segment, n)
+			j.old = append(j.old, path)
+		case name == v1Name:
+			j.old = append(j.old, path)
+		case strings.HasPrefix(name, damagedName):
+			if f, n, err := j.o.Files.Open(path); err == nil {
+				_ = f.Close()
+				damaged, size = append(damaged, path), size+n
+			}
+		}
+	}
+	if float64(size) <= damagedShare*float64(j.limit) {
+		j.limit -= int(size)
+		return nil
+	}
+	for _, path := range damaged {
+		if err := j.o.Files.Remove(path); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
-// Close closes the file.
-func (j *Journal) Close() error { return j.file.Close() }
+// Close closes the segment. What was not committed is lost.
+func (j *Journal) Close() error {
+	if j.file == nil {
+		return nil
+	}
+	err := j.file.Close()
+	j.file = nil
+	return err
+}
 
 // Entries are the messages taken on and not over, in the order in which they were taken on.
-func (j *Journal) Entries() []*Entry {
-	return slices.DeleteFunc(slices.Clone(j.order), func(e *Entry) bool { return j.entries[e.ID] != e })
-}
+func (j *Journal) Entries() []*Entry { return j.all() }
 
 // Get gives a message that is not over, or nil.
 func (j *Journal) Get(id string) *Entry { return j.entries[id] }
@@ -159,10 +216,16 @@
 // Health is what is remembered of hosts.
 func (j *Journal) Health() map[string]Health { return j.health }
 
+// Listed is the list as last told to this process or an earlier one; without a text for never.
+func (j *Journal) Listed() List { return j.list }
+
+// Broken tells why nothing can be written, or gives nil.
+func (j *Journal) Broken() error { return j.broken }
+
 // Reserve tells whether a message may be taken on, and keeps room for it until the next Commit: all that is
-// live must fit twice, or it could not be compacted.
+// live must fit twice, or no new segment could be begun.
 func (j *Journal) Reserve(e *Entry) bool {
-	if j.broken || 2*(j.live+j.reserved+need(e)) > j.limit {
+	if j.broken != nil || 2*(j.live+j.reserved+need(e)) > j.limit {
 		return false
 	}
 	j.reserved += need(e)
@@ -173,190 +236,235 @@
 func need(e *Entry) int { return len(e.Body) + 4*len(e.ID) + len(e.Key) + attemptsRoom }
 
 // Take notes a message taken on.
-func (j *Journal) Take(e *Entry) { j.note(record{Op: opTaken, Entry: e}, e.Body) }
+func (j *Journal) Take(e *Entry) {
+	if e.Taken.IsZero() {
+		e.Taken = j.o.Now()
+	}
+	j.note(record{op: opTaken, ref: j.seq + 1, entry: e})
+}
 
 // Begin notes an attempt; it must be committed before the attempt's first byte goes out.
 func (j *Journal) Begin(e *Entry, host string, at time.Time) {
-	j.note(record{Op: opBegun, ID: e.ID, Host: host, At: at}, nil)
+	j.note(record{op: opBegun, ref: e.ref, host: host, at: at})
 }
 
 // End notes the outcome of a message's last attempt.
-func (j *Journal) End(e *Entry, unrun bool) { j.note(record{Op: opEnded, ID: e.ID, Unrun: unrun}, nil) }
+func (j *Journal) End(e *Entry, unrun bool) { j.note(record{op: opEnded, ref: e.ref, flag: unrun}) }
 
 // Owe notes that a message ends by a notice.
-func (j *Journal) Owe(e *Entry, n Notice) { j.note(record{Op: opOwed, ID: e.ID, Notice: &n}, nil) }
+func (j *Journal) Owe(e *Entry, n Notice) { j.note(record{op: opOwed, ref: e.ref, notice: n}) }
 
 // Over notes that nothing more is owed for a message.
-func (j *Journal) Over(e *Entry) { j.note(record{Op: opOver, ID: e.ID}, nil) }
+func (j *Journal) Over(e *Entry) { j.note(record{op: opOver, ref: e.ref}) }
 
 // Remember notes what a later process has to know of a host's outage.
 func (j *Journal) Remember(host string, h Health) {
-	j.note(record{Op: opHealth, Host: host, Health: &h}, nil)
+	j.note(record{op: opHealth, host: host, flag: h.Sick, at: h.At})
 }
 
-// Forget drops what is remembered of a host that is gone; the file forgets with its next compaction.
+// Forget drops what is remembered of a host that is gone; the files forget with the next segment.
 func (j *Journal) Forget(host string) { delete(j.health, host) }
 
 // List notes the list of hosts as discovery has now told it.
-func (j *Journal) List(l List) { j.note(record{Op: opList, List: l.Text, Hosts: l.Hosts}, nil) }
-
-// Listed is the list as last told to this process or an earlier one; without a text for never.
-func (j *Journal) Listed() List { return j.list }
+func (j *Journal) List(l List) { j.note(record{op: opList, list: l}) }
 
 // note applies a record and buffers it.
-func (j *Journal) note(r record, body []byte) {
-	j.apply(r, body)
-	j.pending = appendRecord(j.pending, r, body)
+func (j *Journal) note(r record) {
+	j.apply(&r)
+	j.seq++
+	if j.broken == nil { // else the next segment begins with all that is live
+		j.pending, _ = frame(j.pending, &r, j.seq, j.before)
+	}
+	j.before = r.gist()
 }
 
-// Commit writes what was noted. After an error nothing that needs a record may go on; the next Commit
-// starts a new file from what is in memory.
+// Commit writes what was noted, and makes it durable. After an error nothing that needs a record may go on; a later
+// Commit begins a new segment from what is in memory, at once the first time, and then from time to time.
 func (j *Journal) Commit() error {
 	j.reserved = 0
 	n := len(j.pending)
-	if n == 0 && !j.broken {
+	if n == 0 && j.broken == nil {
 		return nil
 	}
+	if j.broken != nil && j.o.Now().Sub(j.tried) < tryAgain {
+		j.pending = j.pending[:0]
+		return fmt.Errorf("journal: %w", j.broken)
+	}
 	var err error
 	switch full := j.size+n+j.live > j.limit; {
-	case j.broken || full || j.size+n > 2*j.live+slackSize:
-		err = j.compact()
+	case j.broken != nil || full || j.size+n > 2*j.live+slackSize:
+		err = j.begin()
+	case j.file == nil:
+		err = errClosed
 	default:
-		if _, err = j.file.Write(j.pending); err == nil {
-			j.size += n
+		if err = writeAll(j.file, j.pending); err == nil && j.o.Power {
+			err = j.file.Sync()
 		}
+		j.size += n
 	}
 	j.pending = j.pending[:0]
-	if j.broken = err != nil; err != nil {
+	if err != nil && err != errClosed {
+		j.fail(err)
+	}
+	if err != nil {
 		return fmt.Errorf("journal: %w", err)
 	}
 	return nil
 }
 
-func (j *Journal) temporary() string { return j.path + ".new" }
-
-// compact writes a new file with what is live and puts it in the old one's place.
-func (j *Journal) compact() error {
-	var b []byte
-	j.order = j.Entries()
-	for _, e := range j.order {
-		b = appendRecord(b, record{Op: opTaken, Entry: e}, e.Body)
-		for _, a := range e.Attempts {
-			b = appendRecord(b, record{Op: opBegun, ID: e.ID, Host: a.Host, At: a.Begun}, nil)
-			if a.Ended {
-				b = appendRecord(b, record{Op: opEnded, ID: e.ID, Unrun: a.Unrun}, nil)
-			}
-		}
-		if e.Owed != nil {
-			b = appendRecord(b, record{Op: opOwed, ID: e.ID, Notice: e.Owed}, nil)
-		}
+// Retry begins a new segment where the last one can't be written on, if it is time for that; it tells whether the
+// journal can be written to.
+func (j *Journal) Retry() bool { return j.broken == nil || j.Commit() == nil }
+
+// fail gives a segment up.
+func (j *Journal) fail(err error) {
+	if j.broken == nil {
+		slog.Error("journal: nothing is taken on until it can be written", "err", err)
+		j.tried = time.Time{} // the reason may be gone with a new file
+	} else {
+		j.tried = j.o.Now()
 	}
-	if j.list.Text != nil {
-		b = appendRecord(b, record{Op: opList, List: j.list.Text, Hosts: j.list.Hosts}, nil)
+	j.broken = err
+	j.leave()
+}
+
+// leave gives up the present segment, which stays until the next one is durable.
+func (j *Journal) leave() {
+	if j.file != nil {
+		_ = j.file.Close()
+		j.file = nil
+		j.old = append(j.old, filepath.Join(j.dir, segmentFile(j.segment)))
 	}
-	for host, h := range j.health {
-		b = appendRecord(b, record{Op: opHealth, Host: host, Health: &h}, nil)
+}
+
+var errClosed = errors.New("closed")
+
+// writeAll writes b; a short write is an error.
+func writeAll(f File, b []byte) error {
+	n, err := f.Write(b)
+	if err == nil && n < len(b) {
+		err = fmt.Errorf("%d of %d bytes written", n, len(b))
 	}
-	f, err := os.OpenFile(j.temporary(), os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	return err
+}
+
+// begin writes a new segment with what is live, and removes the ones before it once it is durable.
+func (j *Journal) begin() error {
+	next := j.segment + 1
+	path := filepath.Join(j.dir, segmentFile(next))
+	b, seq, before := j.encode(next)
+	f, err := j.o.Files.Create(path + newSuffix)
 	if err != nil {
 		return err
 	}
-	if _, err = f.Write(b); err == nil {
-		err = os.Rename(j.temporary(), j.path)
+	if err = writeAll(f, b); err == nil && j.o.Power {
+		err = f.Sync()
+	}
+	if err == nil {
+		err = j.o.Files.Rename(path+newSuffix, path)
 	}
 	if err != nil {
 		_ = f.Close()
-		_ = os.Remove(j.temporary())
+		_ = j.o.Files.Remove(path + newSuffix)
 		return err
 	}
-	if j.file != nil {
-		_ = j.file.Close()
+	if j.o.Power {
+		if err = j.o.Files.SyncDir(j.dir); err != nil {
+			// It may or may not outlast a power loss: the one before stays, and this one is not written on.
+			_ = f.Close()
+			j.leave()
+			j.segment = next
+			j.old = append(j.old, path)
+			return err
+		}
+	}
+	j.leave()
+	if j.broken != nil {
+		slog.Warn("journal: it can be written again", "segment", next)
 	}
-	j.file, j.size = f, len(b)
+	j.file, j.segment, j.size, j.seq, j.before, j.broken = f, next, len(b), seq, before, nil
+	var stay []string
+	for _, path := range j.old {
+		if err := j.o.Files.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+			slog.Warn("journal: an old segment stays", "file", path, "err", err)
+			stay = append(stay, path)
+		}
+	}
+	j.old = stay
 	return nil
 }
 
-// replay applies the records of a file and returns how many bytes at its end can't be read.
-func (j *Journal) replay(raw []byte) int {
-	for len(raw) > 0 {
-		r, body, n, err := readRecord(raw)
-		if err != nil {
-			return len(raw)
-		}
-		j.apply(r, body)
-		raw = raw[n:]
+// encode gives a segment that begins with what is live.
+func (j *Journal) encode(number uint64) (b []byte, seq uint64, before uint32) {
+	j.order = j.all()
+	seq = j.seq
+	h := header{format: Format, segment: number, first: seq + 1, power: j.o.Power, boot: j.o.Boot, relay: j.o.Relay}
+	b = append(j.snapshot[:0], h.encode()...)
+	var count uint64
+	var sum uint32
+	add := func(r record) {
+		var one uint32
+		seq++
+		b, one = frame(b, &r, seq, before)
+		before, sum = r.gist(), mix(sum, one)
+		count++
 	}
-	return 0
+	for _, e := range j.order {
+		add(record{op: opKept, ref: e.ref, entry: e})
+	}
+	if j.list.Text != nil {
+		add(record{op: opList, list: j.list})
+	}
+	for host, h := range j.health {
+		add(record{op: opHealth, host: host, flag: h.Sick, at: h.At})
+	}
+	add(record{op: opSnapshot, count: count, sum: sum})
+	if j.snapshot = b; cap(b) > 4<<20 {
+		j.snapshot = nil
+	}
+	return b, seq, before
 }
 
-// apply changes the state in memory by one record.
-func (j *Journal) apply(r record, body []byte) {
-	switch {
-	case r.Op == opTaken && r.Entry != nil:
-		r.Entry.Body = body
-		j.entries[r.Entry.ID] = r.Entry
-		j.order = append(j.order, r.Entry)
-		j.live += need(r.Entry)
-		return
-	case r.Op == opHealth && r.Health != nil:
-		j.health[r.Host] = *r.Health
-		return
-	case r.Op == opList && r.List != nil:
-		j.live -= j.listLen
-		j.list, j.listLen = List{r.List, r.Hosts}, max(len(r.List), r.Hosts*memberRoom)
-		j.live += j.listLen
-		return
-	}
-	e := j.entries[r.ID]
-	if e == nil {
-		return
-	}
-	switch r.Op {
-	case opBegun:
-		e.Attempts = append(e.Attempts, Attempt{Host: r.Host, Begun: r.At})
-	case opEnded:
-		if n := len(e.Attempts); n > 0 {
-			e.Attempts[n-1].Ended, e.Attempts[n-1].Unrun = true, r.Unrun
+// setAside keeps the ranges that can't be read, as far as there is room for them, and says what is missing.
+func (j *Journal) setAside(r *Report) {
+	for _, name := range r.Passed {
+		slog.Warn("journal: a segment whose snapshot is not whole is passed over", "file", name)
+	}
+	room := int64(damagedShare * float64(j.limit))
+	for _, d := range r.Damage {
+		kept := "no room"
+		if d.Length > 0 && d.Length <= room {
+			name := fmt.Sprintf("%s%s-%d", damagedName, d.file, d.Offset)
+			if err := j.keep(filepath.Join(j.dir, name), filepath.Join(j.dir, d.file), d.Offset, d.Length); err != nil {
+				slog.Warn("journal: a damaged range is not kept", "err", err)
+			} else {
+				kept = name
+				room -= d.Length
+				j.limit -= int(d.Length)
+			}
 		}
-	case opOwed:
-		e.Owed = r.Notice
-	case opOver:
-		delete(j.entries, e.ID)
-		j.live -= need(e)
+		slog.Warn("journal: damaged", "file", d.file, "offset", d.Offset, "bytes", d.Length, "records missing", d.Missing,
+			"the last of them", d.What, "set aside", kept)
+	}
+	if r.Rebooted && !r.Power {
+		slog.Warn("journal: the machine has started anew, and the durability is process: every message may have run")
 	}
 }
 
-// appendRecord adds a record to b: header, JSON, body.
-func appendRecord(b []byte, r record, body []byte) []byte {
-	text, err := json.Marshal(r)
+// keep copies a range of a file to one of its own.
+func (j *Journal) keep(to, from string, offset, length int64) error {
+	f, _, err := j.o.Files.Open(from)
 	if err != nil {
-		panic(err) // no record that we write can fail
-	}
-	start := len(b)
-	b = binary.BigEndian.AppendUint32(b, uint32(len(text)))
-	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
-	b = append(b, 0, 0, 0, 0)
-	b = append(append(b, text...), body...)
-	sum := crc32.Update(crc32.Checksum(b[start:start+8], castagnoli), castagnoli, b[start+recordHead:])
-	binary.BigEndian.PutUint32(b[start+8:], sum)
-	return b
-}
-
-// readRecord reads the first record of raw and returns its length.
-func readRecord(raw []byte) (r record, body []byte, n int, err error) {
-	if len(raw) < recordHead {
-		return r, nil, 0, errors.New("torn header")
-	}
-	text, rest := int(binary.BigEndian.Uint32(raw)), int(binary.BigEndian.Uint32(raw[4:]))
-	if n = recordHead + text + rest; n > len(raw) {
-		return r, nil, 0, errors.New("torn record")
+		return err
 	}
-	sum := crc32.Update(crc32.Checksum(raw[:8], castagnoli), castagnoli, raw[recordHead:n])
-	if sum != binary.BigEndian.Uint32(raw[8:]) {
-		return r, nil, 0, errors.New("bad checksum")
+	defer f.Close()
+	part, err := readRange(f, offset, length)
+	if err != nil {
+		return err
 	}
-	if err = json.Unmarshal(raw[recordHead:recordHead+text], &r); err != nil {
-		return r, nil, 0, fmt.Errorf("record: %w", err)
+	out, err := j.o.Files.Create(to)
+	if err != nil {
+		return err
 	}
-	return r, slices.Clone(raw[recordHead+text : n]), n, nil
+	return errors.Join(writeAll(out, part), out.Close())
 }
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -14,7 +15,7 @@
 
 func openJournal(t *testing.T, dir string, mb float64) *Journal {
 	t.Helper()
-	j, err := Open(dir, mb)
+	j, _, err := Open(dir, Options{DiskMB: mb})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,7 +47,7 @@
 	commit(t, j)
 }
 
-func TestJournalReplay(t *testing.T) {
+func TestReplay(t *testing.T) {
 	dir, at := t.TempDir(), time.Now()
 	fill(t, openJournal(t, dir, 3), at)
 	for range 2 { // from the log, and from its compaction
@@ -73,8 +74,19 @@
 	}
 }
 
-// A file that ends anywhere, or in noise, gives all whole records before that.
-func TestJournalTornTail(t *testing.T) {
+// segmentOf gives the only segment of a folder.
+func segmentOf(t *testing.T, dir string) string {
+	t.Helper()
+	found, err := filepath.Glob(filepath.Join(dir, segmentName+"*"))
+	if err != nil || len(found) != 1 {
+		t.Fatalf("segments %v, %v", found, err)
+	}
+	return found[0]
+}
+
+// A file that ends anywhere gives all whole records before that, and so does one whose last record is spoilt; what is
+// noted after it is found again.
+func TestTornTail(t *testing.T) {
 	dir := t.TempDir()
 	j := openJournal(t, dir, 3)
 	j.Take(&Entry{ID: "a", Body: []byte("1")})
@@ -82,7 +94,8 @@
 	whole := j.size
 	j.Take(&Entry{ID: "b", Body: []byte("2")})
 	commit(t, j)
-	raw, err := os.ReadFile(filepath.Join(dir, journalName))
+	path := segmentOf(t, dir)
+	raw, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -95,7 +108,7 @@
 		}
 		for i, tail := range damaged {
 			other := t.TempDir()
-			if err := os.WriteFile(filepath.Join(other, journalName), tail, 0o600); err != nil {
+			if err := os.WriteFile(filepath.Join(other, filepath.Base(path)), tail, 0o600); err != nil {
 				t.Fatal(err)
 			}
 			want := 1
@@ -106,7 +119,9 @@
 			if list := j.Entries(); len(list) != want || list[0].ID != "a" {
 				t.Fatalf("cut %d at byte %d: %d entries, want %d", i, end, len(list), want)
 			}
-			// What is noted after it is found again.
+			if i == 0 && len(j.Entries()[0].Attempts) > 0 {
+				t.Fatalf("cut at byte %d: an unfinished record puts what came before it in doubt", end)
+			}
 			j.Take(&Entry{ID: "c"})
 			commit(t, j)
 			if again := openJournal(t, other, 3); again.Get("c") == nil {
@@ -116,8 +131,196 @@
 	}
 }
 
+// Any one turned bit in a log costs the record that it is in and no other; where that record began an attempt, the
+// message counts as one that may have run, and where it ended a message, that stays over.
+func TestTurnedBit(t *testing.T) {
+	const n = 40
+	dir := t.TempDir()
+	j := openJournal(t, dir, 3)
+	for i := range n {
+		e := &Entry{ID: fmt.Sprintf("m%02d", i), Class: "order", Body: []byte("body")}
+		j.Take(e)
+		j.Begin(e, "h1", time.Now())
+		j.End(e, i%3 == 0)
+		switch i % 4 {
+		case 1:
+			j.Over(e)
+		case 2:
+			j.Owe(e, Notice{ID: e.ID, Status: "deferred"})
+		}
+	}
+	j.Take(&Entry{ID: "last"}) // the end of a file is a case of its own
+	commit(t, j)
+	path := segmentOf(t, dir)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	last := bytes.LastIndex(raw, markerBytes)
+	first := bytes.Index(raw, markerBytes)
+	other := t.TempDir()
+	for at := first; at < last; at++ {
+		spoilt := bytes.Clone(raw)
+		spoilt[at] ^= 1 << (at % 8)
+		if err := os.WriteFile(filepath.Join(other, filepath.Base(path)), spoilt, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		got, r, err := Read(other)
+		if err != nil {
+			t.Fatalf("byte %d: %v", at, err)
+		}
+		if len(r.Damage) == 0 && !r.Partial {
+			t.Fatalf("byte %d: nothing is noticed", at)
+		}
+		differ := 0
+		for _, want := range j.Entries() {
+			e := got.Get(want.ID)
+			switch {
+			case e == nil:
+				differ++
+			case len(e.Attempts) != len(want.Attempts) || (e.Owed == nil) != (want.Owed == nil):
+				differ++
+			case len(want.Attempts) > 0 && (e.Attempts[0].Doubt || e.Attempts[0].Ended != want.Attempts[0].Ended):
+				differ++
+				if !e.Attempts[0].Doubt && e.Attempts[0].Unrun {
+					t.Fatalf("byte %d: an attempt counts as one that never ran", at)
+				}
+			}
+			if e != nil && len(want.Attempts) > 0 && len(e.Attempts) == 0 {
+				t.Fatalf("byte %d: an attempt of %s is forgotten", at, want.ID)
+			}
+		}
+		if differ > 1 || len(got.Entries()) > len(j.Entries()) {
+			t.Fatalf("byte %d: %d messages differ, %d live, %d before", at, differ, len(got.Entries()), len(j.Entries()))
+		}
+	}
+}
+
+// A range of several records that can't be read puts all that was live in doubt, is set aside, and what follows it
+// counts.
+func TestDamagedRange(t *testing.T) {
+	dir := t.TempDir()
+	j := openJournal(t, dir, 3)
+	for i := range 20 {
+		e := &Entry{ID: fmt.Sprint("m", i), Body: make([]byte, 100)}
+		j.Take(e)
+		commit(t, j)
+	}
+	path := segmentOf(t, dir)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	clear(raw[1024:1536])
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	again, r, err := Open(dir, Options{DiskMB: 3})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.Close()
+	if len(r.Damage) != 1 || r.Damage[0].Missing < 3 || uint64(len(again.Entries())) != 20-r.Damage[0].Missing {
+		t.Errorf("%d live, damage %+v", len(again.Entries()), r.Damage)
+	}
+	for _, e := range again.Entries() {
+		n := 0
+		fmt.Sscanf(e.ID, "m%d", &n)
+		if doubted := len(e.Attempts) == 1 && e.Attempts[0].Doubt; doubted != (n < 10) {
+			t.Errorf("%s: attempts %+v", e.ID, e.Attempts)
+		}
+	}
+	if found, _ := filepath.Glob(filepath.Join(dir, damagedName+"*")); len(found) != 1 {
+		t.Errorf("set aside: %v", found)
+	}
+}
+
+// A machine that has started anew may have lost records where none was synced.
+func TestReboot(t *testing.T) {
+	for _, power := range []bool{false, true} {
+		dir := t.TempDir()
+		j, _, err := Open(dir, Options{DiskMB: 3, Power: power, Boot: "one"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		j.Take(&Entry{ID: "m"})
+		commit(t, j)
+		_ = j.Close()
+		for _, boot := range []string{"one", "two"} {
+			j, r, err := Open(dir, Options{DiskMB: 3, Power: power, Boot: boot})
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = j.Close()
+			doubted := len(j.Get("m").Attempts) == 1
+			if want := boot == "two" && !power; doubted != want || r.Rebooted != (boot == "two") {
+				t.Errorf("power %v, boot %s: doubt %v, rebooted %v", power, boot, doubted, r.Rebooted)
+			}
+		}
+	}
+}
+
+// A folder of a newer program or of another relay is refused, and nothing in it is touched.
+func TestRefusedFolders(t *testing.T) {
+	dir := t.TempDir()
+	j, _, err := Open(dir, Options{DiskMB: 3, Relay: "n1"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = j.Close()
+	if _, _, err := Open(dir, Options{DiskMB: 3, Relay: "n2"}); err == nil {
+		t.Error("another relay's folder is taken")
+	}
+	path := filepath.Join(dir, segmentFile(7))
+	newer := header{format: Format + 1, segment: 7, first: 1}.encode()
+	if err := os.WriteFile(path, newer, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	before, _ := os.ReadDir(dir)
+	_, _, err = Open(dir, Options{DiskMB: 3, Relay: "n1"})
+	if want := new(NewerError); !errors.As(err, &want) {
+		t.Errorf("a newer form: %v", err)
+	}
+	after, _ := os.ReadDir(dir)
+	if len(before) != len(after) {
+		t.Errorf("files %v, then %v", before, after)
+	}
+	// A bit that turned in the number of the form is no newer form.
+	newer[8] ^= 8
+	if err := os.WriteFile(path, newer, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	j, r, err := Open(dir, Options{DiskMB: 3, Relay: "n1"})
+	if err != nil || len(r.Passed) != 1 {
+		t.Errorf("%v, passed over %v", err, r.Passed)
+	}
+	_ = j.Close()
+}
+
+// The form of before is carried over and can be given back.
+func TestFormat1(t *testing.T) {
+	dir, at := t.TempDir(), time.Now()
+	old := openJournal(t, t.TempDir(), 3)
+	fill(t, old, at)
+	raw, err := old.encodeV1()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, v1Name), raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	j := openJournal(t, dir, 3)
+	if _, err := os.Stat(filepath.Join(dir, v1Name)); err == nil {
+		t.Error("the old file stays")
+	}
+	back, err := j.encodeV1()
+	if err != nil || !bytes.Equal(raw, back) {
+		t.Errorf("carried over and back: %v\n%q\n%q", err, raw, back)
+	}
+}
+
 // Bodies of the largest size never fill the folder beyond its limit, a compaction's new file counted in.
-func TestJournalStaysUnderDiskLimit(t *testing.T) {
+func TestStaysUnderDiskLimit(t *testing.T) {
 	const mb = 1
 	dir := t.TempDir()
 	j := openJournal(t, dir, mb)
@@ -140,7 +343,7 @@
 		if j.size+j.live > mb*1e6 {
 			t.Fatalf("%d bytes on disk with %d live", j.size, j.live)
 		}
-		if st, err := os.Stat(j.path); err != nil || int(st.Size()) != j.size {
+		if st, err := os.Stat(segmentOf(t, dir)); err != nil || int(st.Size()) != j.size {
 			t.Fatalf("file of %v bytes (%v), %d counted", st, err, j.size)
 		}
 	}
@@ -150,7 +353,7 @@
 }
 
 // Messages of one batch are counted before they are written.
-func TestJournalReserves(t *testing.T) {
+func TestReserves(t *testing.T) {
 	j := openJournal(t, t.TempDir(), 1)
 	n := 0
 	for j.Reserve(&Entry{ID: "m", Body: make([]byte, maxBody)}) {
@@ -164,7 +367,7 @@
 }
 
 // After a failed write nothing is taken on until a new file could be written, and that holds all.
-func TestJournalFailedWrite(t *testing.T) {
+func TestFailedWrite(t *testing.T) {
 	dir := t.TempDir()
 	j := openJournal(t, dir, 3)
 	j.Take(&Entry{ID: "a"})
--- a/internal/relay/owner.go
+++ b/internal/journal/owner.go
@@ -1,4 +1,4 @@
-package relay
+package journal
 
 import (
 	"errors"
@@ -12,19 +12,19 @@
 // lockName is the file in the folder whose lock says which process owns the journal and the decisions.
 const lockName = "owner"
 
-// ownership is the right to the folder. It is a lock that the system takes back when the process ends in whatever
+// Ownership is the right to the folder. It is a lock that the system takes back when the process ends in whatever
 // way, so no owner is ever left behind.
-type ownership struct{ file *os.File }
+type Ownership struct{ file *os.File }
 
-// own takes the folder if no process has it, and gives nil if one does.
-func own(dir string) (*ownership, error) {
+// Own takes the folder if no process has it, and gives nil if one does.
+func Own(dir string) (*Ownership, error) {
 	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_CREATE|os.O_RDWR, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("owner of the folder: %w", err)
 	}
 	err = syscall.FcntlFlock(f.Fd(), syscall.F_SETLK, lock())
 	if err == nil {
-		return &ownership{f}, nil
+		return &Ownership{f}, nil
 	}
 	_ = f.Close()
 	if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EACCES) {
@@ -33,12 +33,12 @@
 	return nil, fmt.Errorf("owner of the folder: %w", err)
 }
 
-// release gives the folder up.
-func (o *ownership) release() { _ = o.file.Close() }
+// Release gives the folder up.
+func (o *Ownership) Release() { _ = o.file.Close() }
 
-// depose ends the process that owns the folder, by a signal that it can't ignore: one that neither hands over nor
+// Depose ends the process that owns the folder, by a signal that it can't ignore: one that neither hands over nor
 // ends might wake up later and write over the next one's journal.
-func depose(dir string) error {
+func Depose(dir string) error {
 	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR, 0)
 	if err != nil {
 		return err
@@ -55,4 +55,21 @@
 	return syscall.Kill(int(l.Pid), syscall.SIGKILL)
 }
 
+// Owned tells whether a process owns a folder, and changes nothing.
+func Owned(dir string) (bool, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR, 0)
+	if errors.Is(err, os.ErrNotExist) {
+		return false, nil
+	}
+	if err != nil {
+		return false, fmt.Errorf("owner of the folder: %w", err)
+	}
+	defer f.Close()
+	l := lock()
+	if err := syscall.FcntlFlock(f.Fd(), syscall.F_GETLK, l); err != nil {
+		return false, fmt.Errorf("owner of the folder: %w", err)
+	}
+	return l.Type != syscall.F_UNLCK, nil
+}
+
 func lock() *syscall.Flock_t { return &syscall.Flock_t{Type: syscall.F_WRLCK, Whence: io.SeekStart} }
--- /dev/null
+++ b/internal/journal/tools.go
@@ -0,0 +1,161 @@
+package journal
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+)
+
+// Summary is what a folder holds, in figures.
+type Summary struct {
+	Report
+	Whole    bool           `json:"whole"`
+	Live     int            `json:"live"` // messages taken on and not over
+	Owed     int            `json:"owed"` // of these, ended by a notice that the platform does not have yet
+	Tried    int            `json:"tried"`
+	InDoubt  int            `json:"in_doubt"` // an attempt of theirs may have been lost
+	Expired  int            `json:"expired"`  // their time is up
+	ByClass  map[string]int `json:"by_class,omitempty"`
+	BodySize int            `json:"body_bytes"`
+	Room     int            `json:"room_bytes"` // that all this needs, with later records
+	Hosts    int            `json:"hosts"`      // on the list as last told
+	Sick     int            `json:"sick"`       // hosts remembered as out
+}
+
+// Stat sums up what a folder holds at a moment.
+func Stat(dir string, now time.Time) (*Summary, error) {
+	j, r, err := Read(dir)
+	if err != nil {
+		return nil, err
+	}
+	s := &Summary{Report: *r, Whole: r.Whole(), ByClass: map[string]int{}, Room: j.live, Hosts: j.list.Hosts}
+	for _, e := range j.Entries() {
+		s.Live++
+		s.ByClass[e.Class]++
+		s.BodySize += len(e.Body)
+		if e.Owed != nil {
+			s.Owed++
+		}
+		if len(e.Attempts) > 0 {
+			s.Tried++
+		}
+		if slices.ContainsFunc(e.Attempts, func(a Attempt) bool { return a.Doubt }) {
+			s.InDoubt++
+		}
+		if !e.Expires.After(now) {
+			s.Expired++
+		}
+	}
+	for _, h := range j.health {
+		if h.Sick {
+			s.Sick++
+		}
+	}
+	return s, nil
+}
+
+// dumped is one live message as Dump writes it.
+type dumped struct {
+	*Entry
+	Attempts []Attempt `json:"attempts,omitempty"`
+	Owed     *Notice   `json:"owed,omitempty"`
+	Bytes    int       `json:"body_bytes"`
+	Body     []byte    `json:"body,omitempty"`
+}
+
+// Dump writes the live messages of a folder, a line of JSON each, in the order in which they were taken on.
+func Dump(dir string, to io.Writer, bodies bool) error {
+	j, _, err := Read(dir)
+	if err != nil {
+		return err
+	}
+	out := json.NewEncoder(to)
+	for _, e := range j.Entries() {
+		d := dumped{Entry: e, Attempts: e.Attempts, Owed: e.Owed, Bytes: len(e.Body)}
+		if bodies {
+			d.Body = e.Body
+		}
+		if err := out.Encode(d); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Repair writes what can be read of a folder into another one, which has to be empty or not to be there.
+func Repair(from, to string) (*Report, error) {
+	j, r, err := Read(from)
+	if err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(to, 0o700); err != nil {
+		return nil, err
+	}
+	there, err := os.ReadDir(to)
+	if err != nil {
+		return nil, err
+	}
+	if len(there) > 0 {
+		return nil, fmt.Errorf("%s is not empty: a repair goes into a folder of its own", to)
+	}
+	out := &Journal{state: j.state, dir: to, segment: r.segment, seq: r.Last,
+		o: Options{Relay: r.Relay, Power: true, Files: Disk, Boot: bootID(), Now: time.Now}}
+	if err := out.begin(); err != nil {
+		return nil, err
+	}
+	return r, out.Close()
+}
+
+// Convert gives a folder another form, in place: 1 for a program of before, Format for this one. The files of the form
+// before go once the new ones are durable. The caller has to own the folder.
+func Convert(dir string, format int) (*Report, error) {
+	s, r, err := load(Disk, dir, bootID())
+	if err != nil {
+		return r, err
+	}
+	j := &Journal{state: s, dir: dir, segment: r.segment, seq: r.Last,
+		o: Options{Relay: r.Relay, Power: true, Files: Disk, Boot: bootID(), Now: time.Now}}
+	if err := j.clear(); err != nil {
+		return r, err
+	}
+	switch format {
+	case 1:
+		return r, j.toV1()
+	case Format:
+		if err := j.begin(); err != nil {
+			return r, err
+		}
+		return r, j.Close()
+	}
+	return r, fmt.Errorf("there is no format %d: they are 1 to %d", format, Format)
+}
+
+// toV1 writes the form of before in the place of the segments.
+func (j *Journal) toV1() error {
+	b, err := j.encodeV1()
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(j.dir, v1Name)
+	f, err := Disk.Create(path + newSuffix)
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(writeAll(f, b), f.Sync(), f.Close()); err != nil {
+		return errors.Join(err, Disk.Remove(path+newSuffix))
+	}
+	if err := errors.Join(Disk.Rename(path+newSuffix, path), Disk.SyncDir(j.dir)); err != nil {
+		return err
+	}
+	for _, old := range j.old {
+		if old != path {
+			err = errors.Join(err, Disk.Remove(old))
+		}
+	}
+	return err
+}
--- /dev/null
+++ b/internal/journal/tools_test.go
@@ -0,0 +1,78 @@
+package journal
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A folder whose log is damaged is told so, is left as it is by a repair, and what comes of that is whole.
+func TestRepair(t *testing.T) {
+	dir, at := t.TempDir(), time.Now()
+	fill(t, openJournal(t, dir, 3), at)
+	path := segmentOf(t, dir)
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	i := bytes.Index(raw, []byte("body\x00tried"))
+	raw[i] ^= 1
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	s, err := Stat(dir, at)
+	if err != nil || s.Whole || s.Live != 1 || s.Owed != 1 || len(s.Damage) != 1 || s.Damage[0].What != "taken" {
+		t.Errorf("%v: %+v", err, s)
+	}
+	to := filepath.Join(t.TempDir(), "new")
+	if _, err := Repair(dir, to); err != nil {
+		t.Fatal(err)
+	}
+	if after, _ := os.ReadFile(path); !bytes.Equal(raw, after) {
+		t.Error("the folder itself has changed")
+	}
+	if s, err := Stat(to, at); err != nil || !s.Whole || s.Live != 1 || s.Owed != 1 {
+		t.Errorf("%v: %+v", err, s)
+	}
+	if _, err := Repair(dir, to); err == nil {
+		t.Error("a folder that is not empty is written over")
+	}
+	var out strings.Builder
+	if err := Dump(to, &out, true); err != nil || strings.Count(out.String(), "\n") != 1 || !strings.Contains(out.String(), `"owed":{"id":"owing"`) {
+		t.Errorf("%v: %s", err, out.String())
+	}
+}
+
+// A folder goes to the form of before and back with nothing lost, and nothing of the other form stays.
+func TestConvert(t *testing.T) {
+	dir := t.TempDir()
+	j := openJournal(t, dir, 3)
+	fill(t, j, time.Now())
+	want, err := j.encodeV1()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = j.Close()
+	for _, format := range []int{1, Format, 1, Format} {
+		if _, err := Convert(dir, format); err != nil {
+			t.Fatal(err)
+		}
+		found, _ := filepath.Glob(filepath.Join(dir, "*"))
+		if len(found) != 1 || (filepath.Base(found[0]) == v1Name) != (format == 1) {
+			t.Errorf("format %d: %v", format, found)
+		}
+		got, r, err := Read(dir)
+		if err != nil || int(r.Format) != format || !r.Whole() {
+			t.Fatalf("format %d: %v, %+v", format, err, r)
+		}
+		if now, err := got.encodeV1(); err != nil || !bytes.Equal(now, want) {
+			t.Errorf("format %d: %v\n%q\n%q", format, err, now, want)
+		}
+	}
+	if _, err := Convert(dir, 3); err == nil {
+		t.Error("there is no format 3")
+	}
+}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 
+	"milletsail/internal/journal"
 	"milletsail/internal/settings"
 	"milletsail/policy"
 )
@@ -29,6 +30,13 @@
 	Peers      []string          `json:"peers"`
 	PeersAll   string            `json:"peers_all"`
 	Settings   settings.Settings `json:"settings"`
+	// Durability says what the journal outlasts: DurableProcess, which is the default, or DurablePower.
+	Durability string `json:"durability"`
+
+	// Files is what the journal is written to, and Boot what tells one start of the machine from another; none for the
+	// system's own. Tests put others in their place.
+	Files journal.FS `json:"-"`
+	Boot  string     `json:"-"`
 
 	inherited string // number of the descriptor on which clients are taken; empty to listen
 
@@ -36,6 +44,12 @@
 	seed   int64
 }
 
+// What a journal may be told to outlast.
+const (
+	DurableProcess = "process" // the end of the process in any way: no sync, no cost
+	DurablePower   = "power"   // a power loss too: each batch is synced before it is answered or sent
+)
+
 // Limits are what the platform grants one relay.
 type Limits struct {
 	Cores    float64 `json:"cores"`
@@ -58,6 +72,9 @@
 		c.Admin = admin // two processes of an upgrade may share the file, but not the address
 	}
 	c.inherited = os.Getenv("NODE_FD")
+	if durability := os.Getenv("NODE_DURABILITY"); durability != "" {
+		c.Durability = durability
+	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
@@ -104,6 +121,8 @@
 		return fmt.Errorf("limits.sockets: %d is not above 0", c.Limits.Sockets)
 	case !(c.Limits.DiskMB > 0):
 		return fmt.Errorf("limits.disk_mb: %v is not above 0", c.Limits.DiskMB)
+	case c.Durability != "" && c.Durability != DurableProcess && c.Durability != DurablePower:
+		return fmt.Errorf("durability: %q is not %q or %q", c.Durability, DurableProcess, DurablePower)
 	}
 	seed, err := strconv.ParseUint(c.Seed, 16, 64)
 	if err != nil {
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -127,6 +127,9 @@
 func (d *door) reply(call string) []byte {
 	switch call {
 	case "health":
+		if why := d.figures.unwritten.Load(); why != nil {
+			return []byte("ERR nothing is taken on: " + *why + "\n")
+		}
 		if d.figures.taking.Load() {
 			return []byte("OK\n")
 		}
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -28,6 +28,8 @@
 	members atomic.Int64          // hosts on the list
 	avoided atomic.Int64          // of these, those that the module now sends nothing to
 	taking  atomic.Bool           // this process takes clients
+	// unwritten is why the journal can't be written, empty while it can.
+	unwritten atomic.Pointer[string]
 }
 
 func newFigures(classes []policy.Class) *figures {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -181,9 +181,9 @@
 // takeOver gets the right to the folder: at once where no process has it, else from the one that does, by a
 // handover or, where that can't be had in time, by that process's end. Link and offer are nil without a handover: then
 // the journal tells all that is known.
-func takeOver(ctx context.Context, dir string) (*ownership, *link, *offer, error) {
+func takeOver(ctx context.Context, dir string) (*journal.Ownership, *link, *offer, error) {
 	for by := time.Now().Add(askTime); ; {
-		if o, err := own(dir); o != nil || err != nil {
+		if o, err := journal.Own(dir); o != nil || err != nil {
 			return o, nil, nil, err
 		}
 		k, off, err := askFor(dir, by)
@@ -195,7 +195,7 @@
 		}
 		if time.Now().After(by) {
 			slog.Warn("the process before does not hand over: it is ended", "err", err)
-			if err := depose(dir); err != nil {
+			if err := journal.Depose(dir); err != nil {
 				slog.Error("it can't be ended", "err", err)
 			}
 			o, err := ownBy(ctx, dir, time.Now().Add(deposeTime))
@@ -208,9 +208,9 @@
 }
 
 // ownBy waits for the right to the folder.
-func ownBy(ctx context.Context, dir string, by time.Time) (*ownership, error) {
+func ownBy(ctx context.Context, dir string, by time.Time) (*journal.Ownership, error) {
 	for {
-		if o, err := own(dir); o != nil || err != nil {
+		if o, err := journal.Own(dir); o != nil || err != nil {
 			return o, err
 		}
 		if time.Now().After(by) {
@@ -320,7 +320,7 @@
 		return false
 	}
 	_ = l.journal.Close()
-	l.owner.release()
+	l.owner.Release()
 	// Past this point the newer process owns the folder, whether or not the line reaches it.
 	if err := k.step(line{Step: stepYours}, time.Now().Add(offerTime)); err != nil {
 		slog.Warn("handover: last step", "err", err)
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -267,7 +267,7 @@
 // dieAt is a process that owns the folder and is killed at a step of its handover.
 func dieAt(step, dir string) {
 	die := func() { _ = syscall.Kill(os.Getpid(), syscall.SIGKILL) }
-	o, err := own(dir)
+	o, err := journal.Own(dir)
 	if err != nil || o == nil {
 		fmt.Fprintln(os.Stderr, "own:", err)
 		os.Exit(1)
@@ -281,7 +281,7 @@
 			}
 			if step == "released" {
 				_, _ = k.await(by)
-				o.release()
+				o.Release()
 			}
 		case "half an offer":
 			_, _ = io.WriteString(k.conn, `{"offer":{"out":[`)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/base64"
+	"fmt"
 	"log/slog"
 	"maps"
 	"net/http"
@@ -93,7 +94,7 @@
 	effects  []func()   // of this batch, once its records are written
 
 	gate      *gate
-	owner     *ownership
+	owner     *journal.Ownership
 	successor *link            // asks for the folder
 	heir      *link            // has it: nothing is decided here any more
 	ceded     chan bool        // closed then
@@ -165,11 +166,12 @@
 			l.refuse(m, verdict{}, undeliverable)
 			continue
 		}
+		// A clock that was set back over the restart gives no message more time than its class has.
 		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true,
-			Left: l.clock(e.Expires) - l.now(), Size: bundled(e)}
+			Left: min(l.clock(e.Expires)-l.now(), l.cfg.policy.Classes[class].Deadline), Size: bundled(e)}
 		for _, t := range e.Attempts {
 			// An attempt that was out when the process ended may have run.
-			a.Tried = append(a.Tried, policy.Tried{Endpoint: t.Host, Sent: l.clock(t.Begun), Unrun: t.Ended && t.Unrun})
+			a.Tried = append(a.Tried, policy.Tried{Endpoint: t.Host, Sent: l.sentAt(t), Unrun: t.Ended && t.Unrun})
 		}
 		if o, ok := out[e.ID]; ok && o.Attempt == len(e.Attempts)-1 {
 			delete(out, e.ID)
@@ -191,6 +193,15 @@
 	l.step()
 }
 
+// sentAt is when an attempt of an earlier process was sent: long ago where its record tells no time, or one that is
+// still to come, since the clock was set back.
+func (l *loop) sentAt(a journal.Attempt) time.Duration {
+	if at := l.clock(a.Begun); !a.Begun.IsZero() && at <= l.now() {
+		return at
+	}
+	return 0
+}
+
 // rejoin marks the last attempt of a message as still out in the process before.
 func (l *loop) rejoin(k *link, m *message, o attemptOut, a *policy.Arrived) {
 	last := &a.Tried[o.Attempt]
@@ -222,6 +233,9 @@
 			return
 		case <-sweep.C:
 			l.pool.sweep()
+			if l.heir == nil {
+				l.stored(l.journal.Retry())
+			}
 			continue
 		case e := <-l.inbox:
 			if l.heir != nil {
@@ -575,10 +589,11 @@
 // 202 and what was sent must be known to a later process.
 func (l *loop) commit() {
 	err := l.journal.Commit()
+	l.stored(err == nil)
 	fresh, sends, effects := l.fresh, l.sends, l.effects
 	l.fresh, l.sends, l.effects = nil, nil, nil
 	if err != nil {
-		slog.Error("nothing taken on or sent", "err", err)
+		slog.Debug("nothing taken on, and sent only what may be repeated", "err", err)
 	}
 	for _, m := range fresh {
 		switch {
@@ -599,7 +614,9 @@
 		for n < len(sends) && sends[n].call == sends[i].call {
 			n++
 		}
-		if err == nil {
+		// Without its record a later process may make an attempt again, which is harmless only in a safe class.
+		safe := func(s send) bool { return l.cfg.policy.Classes[l.class(s.m.Class)].Effect == policy.Safe }
+		if err == nil || !slices.ContainsFunc(sends[i:n], func(s send) bool { return !safe(s) }) {
 			l.call(sends[i:n])
 		} else {
 			for _, s := range sends[i:n] {
@@ -618,6 +635,20 @@
 	}
 }
 
+// stored tells the module and the operators when the journal can't be written any more, and when it can again.
+func (l *loop) stored(ok bool) {
+	if ok == (l.figures.unwritten.Load() == nil) {
+		return
+	}
+	var why *string
+	if !ok {
+		text := fmt.Sprint(l.journal.Broken())
+		why = &text
+	}
+	l.figures.unwritten.Store(why)
+	l.events = append(l.events, policy.Stored{Writable: ok})
+}
+
 // answer gives all that handed a message in the same verdict.
 func answer(replies []chan verdict, v verdict) {
 	for _, reply := range replies {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -50,19 +50,23 @@
 	if err != nil {
 		return err
 	}
-	defer owner.release()
-	journal, err := journal.Open(dir, cfg.Limits.DiskMB)
+	defer owner.Release()
+	kept, found, err := journal.Open(dir, journal.Options{DiskMB: cfg.Limits.DiskMB, Relay: cfg.Name, Power: cfg.Durability == DurablePower,
+		Files: cfg.Files, Boot: cfg.Boot})
 	if err != nil {
 		return err
 	}
-	defer journal.Close()
+	defer kept.Close()
+	if found.Records > 0 {
+		slog.Info("journal read", "file", found.File, "records", found.Records, "live", len(kept.Entries()), "torn", found.Torn)
+	}
 
 	live, stop := context.WithCancel(context.Background())
 	defer stop()
 	deciding, retired := context.WithCancel(live)
 	defer retired()
 	s := cfg.Settings
-	l := &loop{cfg: cfg, d: d, journal: journal, figures: figures, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
+	l := &loop{cfg: cfg, d: d, journal: kept, figures: figures, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
 		messages: map[string]*message{}, hosts: map[string]Member{}, dests: map[int]bool{},
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle,
 			max(1, int(hostShare*float64(cfg.Limits.Sockets))), &figures.written),
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -37,7 +37,7 @@
 // readJournal reads a journal that a relay may be writing.
 func readJournal(t *testing.T, dir string) *journal.Journal {
 	t.Helper()
-	j, err := journal.Read(dir)
+	j, _, err := journal.Read(dir)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -47,7 +47,7 @@
 // openJournal opens a journal of the test's own.
 func openJournal(t *testing.T, dir string, mb float64) *journal.Journal {
 	t.Helper()
-	j, err := journal.Open(dir, mb)
+	j, _, err := journal.Open(dir, journal.Options{DiskMB: mb})
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/relay/stored_test.go
@@ -0,0 +1,90 @@
+package relay
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"milletsail/internal/journal"
+)
+
+// full has a relay's files not grow any more, or lets them.
+func (c *child) full(t *testing.T, full bool) {
+	t.Helper()
+	var old unix.Rlimit
+	limit := unix.Rlimit{Cur: unix.RLIM_INFINITY, Max: unix.RLIM_INFINITY}
+	err := unix.Prlimit(c.Process.Pid, unix.RLIMIT_FSIZE, nil, &old)
+	if limit.Max = old.Max; full {
+		limit.Cur = 0
+	}
+	if err == nil {
+		err = unix.Prlimit(c.Process.Pid, unix.RLIMIT_FSIZE, &limit, nil)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// With a full disk nothing is taken on and the operators are told why, but what is held and may be repeated is
+// delivered; the rest goes once there is room again, and nothing is lost.
+func TestFullDisk(t *testing.T) {
+	p := newPlatform(t)
+	hold := make(chan bool)
+	p.answer = p.held(hold)
+	p.addHost("h1", 7)
+	p.admin = closedAddress(t)
+	c := p.start()
+	for _, id := range []string{"a", "b", "c", "d"} { // all slots that one destination may have
+		p.take("status", id, "25")
+	}
+	p.until("all slots are taken", func() bool { return len(p.sent()) == 4 })
+	p.take("order", "unsafe", "25")
+	p.take("status", "safe", "25")
+	c.full(t, true)
+	p.set(func() { p.answer = func(*http.Request) int { return http.StatusOK } })
+	close(hold)
+	p.until("what may be repeated goes out", func() bool { return slices.Contains(p.sent(), "safe") })
+	p.until("the operators are told", func() bool { return strings.HasPrefix(ask(t, p.admin, "health\n"), "ERR nothing is taken on") })
+	resp := p.handIn("status", "late", "25")
+	if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("with a full disk: %s, Retry-After %q", resp.Status, resp.Header.Get("Retry-After"))
+	}
+	if slices.Contains(p.sent(), "unsafe") {
+		t.Error("a message that may not be repeated goes out without a record")
+	}
+	c.full(t, false)
+	p.until("it is taken on again", func() bool { return ask(t, p.admin, "health\n") == "OK\n" })
+	p.until("the rest goes out", func() bool { return slices.Contains(p.sent(), "unsafe") })
+	p.take("status", "after", "25")
+	p.until("all are over", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	if n := p.told(); len(n) != 0 {
+		t.Errorf("notices %v", n)
+	}
+}
+
+// A clock that was set back over a restart neither gives a message more time than its class has, nor makes an attempt
+// younger than it is: a keyed one that may have run is not sent again.
+func TestClockSetBack(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	j := openJournal(t, p.dir, 3)
+	ahead := time.Now().Add(time.Hour)
+	for _, class := range []string{"payment", "status"} {
+		e := &journal.Entry{ID: class, Class: class, Dest: 7, Key: "k", Expires: ahead.Add(25 * time.Second), Taken: ahead}
+		j.Take(e)
+		j.Begin(e, "h1", ahead)
+	}
+	commit(t, j)
+	p.start()
+	if id := p.called(); id != "status" {
+		t.Errorf("%s is sent", id)
+	}
+	p.until("both are over", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	if n := p.told(); len(n) != 1 || n[0].ID != "payment" {
+		t.Errorf("notices %v", n)
+	}
+}
