--- a/cmd/milletsail/lab.go
+++ b/cmd/milletsail/lab.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -93,9 +92,8 @@
 
 // find gives a scenario: a file, else one that comes with the program.
 func find(name string) (*scenario.Scenario, error) {
-	s, err := scenario.LoadFile(name)
-	if !errors.Is(err, os.ErrNotExist) {
-		return s, err
+	if info, err := os.Stat(name); err == nil && info.Mode().IsRegular() {
+		return scenario.LoadFile(name)
 	}
 	text, err := scenarios.Get(name)
 	if err != nil {
--- a/internal/lab/faulty/main.go
+++ b/internal/lab/faulty/main.go
@@ -17,10 +17,13 @@
 	"os/signal"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 
+	"milletsail/internal/journal"
+	"milletsail/internal/lab/relays"
 	"milletsail/internal/relay"
 )
 
@@ -32,9 +35,11 @@
 	ignoredWait  = "ignored-wait"  // nor of how long to wait
 	ignoredError = "ignored-error" // nor that a call that failed may have run
 	lostEntry    = "lost-entry"    // what a process took on is lost when it ends
+	noSync       = "no-sync"       // what was synced is lost with the power all the same
+	none         = "none"          // none: its syncs are noted, so that it can lose power
 )
 
-var faults = []string{secondCopy, lateEnd, ignoredDrain, ignoredWait, ignoredError, lostEntry}
+var faults = []string{secondCopy, lateEnd, ignoredDrain, ignoredWait, ignoredError, lostEntry, noSync, none}
 
 func main() {
 	if err := run(); err != nil {
@@ -70,6 +75,8 @@
 	if err != nil {
 		return err
 	}
+	// Each start counts as one of the machine: the lab ends processes by the power alone where it matters.
+	cfg.Files, cfg.Boot = &noting{FS: journal.Disk, path: filepath.Join(os.Getenv("TMPDIR"), relays.Synced), deaf: b.fault == noSync}, fmt.Sprint(os.Getpid())
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	passed := make(chan os.Signal)
@@ -207,7 +214,10 @@
 	if stand, ok := b.dials[address]; ok {
 		return stand, nil
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", standing(address))
+	if err != nil { // the process before still has it, in an upgrade
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+	}
 	if err != nil {
 		return "", err
 	}
@@ -224,6 +234,13 @@
 	return b.dials[address], nil
 }
 
+// standing is where we stand for an address: the same place after a restart, since the relay remembers its list.
+func standing(address string) string {
+	host, port, _ := net.SplitHostPort(address)
+	n, _ := strconv.Atoi(port)
+	return net.JoinHostPort(host, strconv.Itoa(n+20000))
+}
+
 // carry carries a connection of the relay to an endpoint, and spoils what passes.
 func (b *between) carry(c net.Conn, address string) {
 	defer c.Close()
--- /dev/null
+++ b/internal/lab/faulty/noting.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"milletsail/internal/journal"
+)
+
+// noting is the disk, which notes what a power loss would leave of it: for each file that has a durable name, how much
+// of it was synced. It is used by one goroutine.
+type noting struct {
+	journal.FS
+	path    string
+	deaf    bool                  // nothing is ever durable but names
+	files   map[string]*notedFile // by present name
+	durable map[string]int64      // by durable name
+}
+
+type notedFile struct {
+	journal.File
+	n            *noting
+	name         string
+	size, synced int64
+}
+
+func (n *noting) Create(path string) (journal.File, error) {
+	f, err := n.FS.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	if n.files == nil {
+		n.files, n.durable = map[string]*notedFile{}, map[string]int64{}
+	}
+	name := filepath.Base(path)
+	n.files[name] = &notedFile{File: f, n: n, name: name}
+	return n.files[name], nil
+}
+
+func (f *notedFile) Write(b []byte) (int, error) {
+	written, err := f.File.Write(b)
+	f.size += int64(written)
+	return written, err
+}
+
+// Sync is durable once the note of it is written: that must not come before the sync itself.
+func (f *notedFile) Sync() error {
+	if err := f.File.Sync(); err != nil {
+		return err
+	}
+	if f.n.deaf {
+		return nil
+	}
+	f.synced = f.size
+	if _, ok := f.n.durable[f.name]; ok {
+		f.n.durable[f.name] = f.size
+		return f.n.write()
+	}
+	return nil
+}
+
+func (n *noting) Rename(from, to string) error {
+	if err := n.FS.Rename(from, to); err != nil {
+		return err
+	}
+	if f := n.files[filepath.Base(from)]; f != nil {
+		delete(n.files, f.name)
+		f.name = filepath.Base(to)
+		n.files[f.name] = f
+	}
+	return nil
+}
+
+// SyncDir makes the names that there are durable, and takes those away that are gone.
+func (n *noting) SyncDir(dir string) error {
+	if err := n.FS.SyncDir(dir); err != nil {
+		return err
+	}
+	found, err := n.FS.List(dir)
+	if err != nil {
+		return err
+	}
+	before := n.durable
+	n.durable = map[string]int64{}
+	for _, name := range found {
+		if f := n.files[name]; f != nil {
+			n.durable[name] = f.synced
+		} else if size, ok := before[name]; ok {
+			n.durable[name] = size
+		} else if info, err := os.Stat(filepath.Join(dir, name)); err == nil { // of a process before
+			n.durable[name] = info.Size()
+		}
+	}
+	return n.write()
+}
+
+func (n *noting) write() error {
+	text, err := json.Marshal(n.durable)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(n.path+".new", text, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(n.path+".new", n.path)
+}
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -20,7 +20,7 @@
 // The kinds of event, and the fields that each has beside T and Kind.
 const (
 	Run     = "run"     // the first line: Facts
-	Relay   = "relay"   // Relay, What: started, ready, term, killed, frozen, thawed, hup, ended, crashed, wiped, refused-start
+	Relay   = "relay"   // Relay, What: started, ready, term, killed, frozen, thawed, hup, ended, crashed, wiped, turned (Bytes: bits), refused-start and others
 	List    = "list"    // Relay, Seq, Hosts: written to the relay (Told) or changed at discovery
 	HandIn  = "hand-in" // ID, Msg, Relay, Class, Dest, Key, Left: the client sends
 	Answer  = "answer"  // ID, Status, After: the client has it
@@ -39,6 +39,7 @@
 	Peer    = "peer"    // Peer, Relay, What: a malformed peer came, or how it ended
 	Usage   = "usage"   // Relay, MemoryMB, DiskMB, CPU (seconds since its process began), FDs
 	Late    = "late"    // By: the lab did something later than it should have
+	Void    = "void"    // What: the lab could not do what the scenario asks
 	End     = "end"     // the last line of a run that came to its end; Events timed, LateCount of them late
 )
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -215,10 +215,24 @@
 	}
 	struck := t.s.StruckRelays(i)
 	switch f.Kind {
-	case "kill", "wipe":
+	case "kill", "wipe", "power", "turn":
 		return t.relays(ctx, struck, f, func(r *relays.Relay) error {
-			return r.Kill(ctx, f.For.D(), f.Kind == "wipe", func() { t.c.HandOver(r.No) })
+			return r.Kill(ctx, f.For.D(), func(dir string) error {
+				switch f.Kind {
+				case "wipe":
+					err := r.Wipe(dir)
+					t.c.HandOver(r.No)
+					return err
+				case "power":
+					return r.LosePower(dir)
+				case "turn":
+					return r.Turn(dir, i, int(f.Size))
+				}
+				return nil
+			})
 		})
+	case "full":
+		return t.relays(ctx, struck, f, func(r *relays.Relay) error { return r.Fill(ctx, f.For.D()) })
 	case "restart":
 		return t.relays(ctx, struck, f, func(r *relays.Relay) error { return r.Restart(ctx) })
 	case "upgrade":
--- /dev/null
+++ b/internal/lab/relays/disk.go
@@ -0,0 +1,96 @@
+package relays
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"milletsail/internal/lab/history"
+)
+
+// Turn turns bits in the journal of a relay that is down, at places drawn from the seed.
+func (r *Relay) Turn(dir string, fault, bits int) error {
+	found, err := filepath.Glob(filepath.Join(dir, "segment-*"))
+	if err != nil || len(found) == 0 {
+		return errors.Join(err, fmt.Errorf("relay %d: there is no journal to damage", r.No))
+	}
+	path := found[len(found)-1]
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	draws := r.fleet.s.Draws(fmt.Sprintf("turn %d %d", fault, r.No))
+	for range bits {
+		raw[draws.IntN(len(raw))] ^= 1 << draws.IntN(8)
+	}
+	r.fleet.h.Add(history.Event{Kind: history.Relay, Relay: history.N(r.No), What: "turned", Bytes: bits})
+	return os.WriteFile(path, raw, 0o600)
+}
+
+// Fill has no file of a relay's process grow any more for a while, as on a full disk: by its limit on the size of
+// files, which needs no rights and no file system of the lab's own.
+func (r *Relay) Fill(ctx context.Context, d time.Duration) error {
+	p := r.current()
+	if p == nil {
+		return nil
+	}
+	limit := func(soft uint64) error {
+		var old unix.Rlimit
+		if err := unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, nil, &old); err != nil {
+			return err
+		}
+		return unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: min(soft, old.Max), Max: old.Max}, nil)
+	}
+	r.note("full")
+	if err := limit(0); err != nil {
+		return fmt.Errorf("relay %d: %w", r.No, err)
+	}
+	sleep(ctx, d)
+	r.note("room")
+	if err := limit(unix.RLIM_INFINITY); err != nil && !errors.Is(err, unix.ESRCH) {
+		return fmt.Errorf("relay %d: %w", r.No, err)
+	}
+	return nil
+}
+
+// Synced is what a relay built for it writes beside its folder: which files a power loss would leave, and how much of
+// each.
+const Synced = "synced.json"
+
+// LosePower brings the folder of a relay that is down back to what was synced.
+func (r *Relay) LosePower(dir string) error {
+	text, err := os.ReadFile(filepath.Join(r.dir, "tmp", Synced))
+	if err != nil {
+		return fmt.Errorf("relay %d: only a relay that notes its syncs can lose power: %w", r.No, err)
+	}
+	var kept map[string]int64
+	if err := json.Unmarshal(text, &kept); err != nil {
+		return err
+	}
+	r.note("power lost")
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		return err
+	}
+	for _, f := range files {
+		path := filepath.Join(dir, f.Name())
+		size, ok := kept[f.Name()]
+		switch {
+		case !strings.HasPrefix(f.Name(), "segment-"):
+		case !ok:
+			err = errors.Join(err, os.Remove(path))
+		default:
+			if info, failed := f.Info(); failed == nil && info.Size() > size {
+				err = errors.Join(err, os.Truncate(path, size))
+			}
+		}
+	}
+	return err
+}
--- a/internal/lab/scenario/faults.go
+++ b/internal/lab/scenario/faults.go
@@ -48,6 +48,9 @@
 	"kill":    {at: atRelays}, // SIGKILL; back after For, 600ms where that is 0
 	"restart": {at: atRelays}, // SIGTERM, SIGKILL 3.7 s later, back 600 ms after its end
 	"wipe":    {at: atRelays}, // SIGKILL and the folder is lost; others are handed what it held
+	"power":   {at: atRelays}, // SIGKILL, and the folder goes back to what was synced; back as after a kill
+	"turn":    {at: atRelays, sized: "the bits that turn in each journal, while its relay is down as after a kill"},
+	"full":    {at: atRelays, lasting: true}, // no file can grow any more
 	"freeze":  {at: atRelays, lasting: true},
 	"reload":  {at: atRelays}, // discovery moves to another address: a new file and SIGHUP
 	"upgrade": {at: atRelays}, // a new process beside the old one, by the inherited socket
@@ -101,6 +104,7 @@
 		{"fleet.disk_mb", !(f.DiskMB > 0), "is not above 0"},
 		{"fleet.discovery", f.Discovery != "subscribe" && f.Discovery != "automatic", `is not "subscribe" or "automatic"`},
 		{"fleet.weights", !slices.Contains([]string{"off", "nominal", "rough"}, f.Weights), `is not "off", "nominal" or "rough"`},
+		{"fleet.durability", f.Durability != "process" && f.Durability != "power", `is not "process" or "power"`},
 		{"fleet.spread", !(f.Spread >= 0 && f.Spread <= 2), "is not 0 to 2"},
 		{"rules.max_attempts", r.MaxAttempts < 1, "is not above 0"},
 		{"rules.patience", r.Patience <= 0, "is not above 0"},
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -70,9 +70,10 @@
 	Notes        bool     `toml:"notes"`     // relays may send one another datagrams
 	SharedSocket bool     `toml:"shared_socket"`
 	ConnectTime  Duration `toml:"connect_timeout"`
-	ConnIdle     Duration `toml:"conn_idle"` // endpoints close idle connections after it
-	Weights      string   `toml:"weights"`   // "off", "nominal" or "rough"
-	Spread       float64  `toml:"spread"`    // sigma of the relays' lognormal shares of the traffic; 0 for even ones
+	ConnIdle     Duration `toml:"conn_idle"`  // endpoints close idle connections after it
+	Weights      string   `toml:"weights"`    // "off", "nominal" or "rough"
+	Durability   string   `toml:"durability"` // of the relays' journals: "process" or "power"
+	Spread       float64  `toml:"spread"`     // sigma of the relays' lognormal shares of the traffic; 0 for even ones
 }
 
 // Rules are the figures of the protocol's rules.
@@ -144,7 +145,7 @@
 func Default() Scenario {
 	return Scenario{Seed: 1, Length: Duration(20 * time.Second),
 		Fleet: Fleet{Relays: 4, Zones: []string{"a"}, Slots: 24, MaxOpen: 300, Cores: 1, MemoryMB: 128, Sockets: 512, DiskMB: 3,
-			Discovery: "subscribe", Notes: true, ConnectTime: Duration(time.Second), ConnIdle: Duration(10 * time.Second), Weights: "nominal"},
+			Discovery: "subscribe", Notes: true, Durability: "process", ConnectTime: Duration(time.Second), ConnIdle: Duration(10 * time.Second), Weights: "nominal"},
 		Rules: Rules{MaxAttempts: 8, Patience: Duration(400 * time.Millisecond), MaxRetryAfter: Duration(3 * time.Second),
 			DrainGrace: Duration(2 * time.Second), ColdShare: 0.3, RampTime: Duration(8 * time.Second), OverloadFactor: 2.5,
 			OverloadFor: Duration(3 * time.Second)},
