Measure a start with 10,000 live messages, and name the first missing record

Need: how quickly service resumes had no figure; the log told how many records are missing, not which.

Change: BenchmarkStart (a real process, from its start to the first 202), the memory of a replay measured with the heap clean before each; damage names the first missing sequence.

--- a/cmd/milletsail/journal.go
+++ b/cmd/milletsail/journal.go
@@ -40,7 +40,7 @@
 				fmt.Fprintf(out, "an unfinished record at the end, as a crash leaves it: %d bytes\n", s.Torn)
 			}
 			for _, d := range s.Damage {
-				fmt.Fprintf(out, "DAMAGED at %d: %d bytes, %d records missing, the last of them: %s\n", d.Offset, d.Length, d.Missing, d.What)
+				fmt.Fprintf(out, "DAMAGED at %d: %d bytes, %d records missing from sequence %d on, the last of them: %s\n", d.Offset, d.Length, d.Missing, d.First, d.What)
 			}
 			for _, name := range s.Passed {
 				fmt.Fprintf(out, "DAMAGED %s: its snapshot is not whole, an older segment is used\n", name)
--- a/internal/journal/bench_test.go
+++ b/internal/journal/bench_test.go
@@ -189,6 +189,10 @@
 				}()
 				var got *state
 				for b.Loop() {
+					b.StopTimer()
+					got = nil
+					runtime.GC()
+					b.StartTimer()
 					if name == "before" {
 						raw, err := os.ReadFile(path)
 						if err != nil {
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -443,7 +443,7 @@
 				j.limit -= int(d.Length)
 			}
 		}
-		slog.Warn("journal: damaged", "file", d.file, "offset", d.Offset, "bytes", d.Length, "records missing", d.Missing,
+		slog.Warn("journal: damaged", "file", d.file, "offset", d.Offset, "bytes", d.Length, "first missing", d.First, "records missing", d.Missing,
 			"the last of them", d.What, "set aside", kept)
 	}
 	if r.Rebooted && !r.Power {
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -34,8 +34,9 @@
 type Damage struct {
 	Offset  int64  `json:"offset"`
 	Length  int64  `json:"length"`
-	Missing uint64 `json:"missing"`        // records, as far as the next good one tells
-	What    string `json:"what,omitempty"` // what the last of them said
+	First   uint64 `json:"first,omitempty"` // sequence of the first record that is missing
+	Missing uint64 `json:"missing"`         // records, as far as the next good one tells
+	What    string `json:"what,omitempty"`  // what the last of them said
 	file    string
 }
 
@@ -306,7 +307,7 @@
 		seq := binary.LittleEndian.Uint64(b[8:])
 		var rec record
 		if err := rec.parse(b[recordHead:], known); err != nil { // its checksum is right: this program can't know it
-			r.Damage = append(r.Damage, Damage{Offset: w.pos, Length: int64(len(b)), Missing: 1, What: err.Error(), file: name})
+			r.Damage = append(r.Damage, Damage{Offset: w.pos, Length: int64(len(b)), First: seq, Missing: 1, What: err.Error(), file: name})
 			s.doubtAll()
 			last = seq
 			w.skip(len(b))
@@ -318,7 +319,7 @@
 				r.Damage = append(r.Damage, Damage{Offset: w.pos, file: name})
 			}
 			d := &r.Damage[len(r.Damage)-1]
-			d.Missing, d.What = gap, s.missing(gap, binary.LittleEndian.Uint32(b[16:]), inSnapshot)
+			d.First, d.Missing, d.What = last+1, gap, s.missing(gap, binary.LittleEndian.Uint32(b[16:]), inSnapshot)
 		}
 		if rec.op == opSnapshot {
 			ok = rec.count == count && rec.sum == sum && !headless
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -64,7 +64,7 @@
 
 // platform stands for what a relay has round it: discovery, the hosts of destination 7, and its disk.
 type platform struct {
-	t         *testing.T
+	t         testing.TB
 	discovery *httptest.Server
 	addr      string   // the relay's
 	admin     string   // its door for operators; empty for none
@@ -72,6 +72,7 @@
 	dir       string
 	memory    float64
 	sockets   int
+	disk      int    // MB
 	bundle    int    // messages in a call at most
 	mode      string // of discovery, in the settings
 	unknown   bool   // the configuration lists no host
@@ -89,9 +90,9 @@
 	released chan bool   // closed at the end
 }
 
-func newPlatform(t *testing.T) *platform {
+func newPlatform(t testing.TB) *platform {
 	t.Helper()
-	p := &platform{t: t, dir: t.TempDir(), memory: 15, sockets: 1024, bundle: 1, mode: "subscribe", began: make(chan string, 1000), lines: make(chan string, 10),
+	p := &platform{t: t, dir: t.TempDir(), memory: 15, sockets: 1024, disk: 3, bundle: 1, mode: "subscribe", began: make(chan string, 1000), lines: make(chan string, 10),
 		released: make(chan bool), answer: func(*http.Request) int { return http.StatusOK }}
 	p.discovery = httptest.NewServer(http.HandlerFunc(p.serveDiscovery))
 	t.Cleanup(func() {
@@ -217,8 +218,8 @@
 		p.t.Fatal(err)
 	}
 	text := fmt.Sprintf(`{"name":"n1","listen":%q,"admin":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-	 "limits":{"cores":1,"memory_mb":192,"sockets":%d,"disk_mb":3},"known":%s,"settings":%s}`,
-		p.addr, p.admin, strings.TrimPrefix(p.discovery.URL, "http://"), p.sockets, known, testSettings(p.memory, p.bundle, p.mode))
+	 "limits":{"cores":1,"memory_mb":192,"sockets":%d,"disk_mb":%d},"known":%s,"settings":%s}`,
+		p.addr, p.admin, strings.TrimPrefix(p.discovery.URL, "http://"), p.sockets, p.disk, known, testSettings(p.memory, p.bundle, p.mode))
 	path := filepath.Join(p.t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -45,7 +45,7 @@
 }
 
 // openJournal opens a journal of the test's own.
-func openJournal(t *testing.T, dir string, mb float64) *journal.Journal {
+func openJournal(t testing.TB, dir string, mb float64) *journal.Journal {
 	t.Helper()
 	j, _, err := journal.Open(dir, journal.Options{DiskMB: mb})
 	if err != nil {
@@ -55,7 +55,7 @@
 	return j
 }
 
-func commit(t *testing.T, j *journal.Journal) {
+func commit(t testing.TB, j *journal.Journal) {
 	t.Helper()
 	if err := j.Commit(); err != nil {
 		t.Fatal(err)
@@ -414,7 +414,7 @@
 }
 
 // closedAddress is an address at which connections are refused.
-func closedAddress(t *testing.T) string {
+func closedAddress(t testing.TB) string {
 	t.Helper()
 	p := newPlatform(t)
 	return p.addr
--- a/internal/relay/stored_test.go
+++ b/internal/relay/stored_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -66,6 +67,22 @@
 	}
 }
 
+// The tools can tell a folder that a running relay owns, and one that is free.
+func TestOwned(t *testing.T) {
+	p := newPlatform(t)
+	c := p.start()
+	if owned, err := journal.Owned(p.dir); !owned || err != nil {
+		t.Errorf("while it runs: %v, %v", owned, err)
+	}
+	p.kill(c)
+	if owned, err := journal.Owned(p.dir); owned || err != nil {
+		t.Errorf("after its end: %v, %v", owned, err)
+	}
+	if owned, err := journal.Owned(t.TempDir()); owned || err != nil {
+		t.Errorf("never used: %v, %v", owned, err)
+	}
+}
+
 // A clock that was set back over a restart neither gives a message more time than its class has, nor makes an attempt
 // younger than it is: a keyed one that may have run is not sent again.
 func TestClockSetBack(t *testing.T) {
@@ -88,3 +105,51 @@
 		t.Errorf("notices %v", n)
 	}
 }
+
+// BenchmarkStart is the time from the start of a process to its first 202, with so many live messages in its folder: of
+// a destination that answers, or whose time was up while the machine was off. Notices is when the last of those is told.
+func BenchmarkStart(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		live int
+		left time.Duration
+	}{{"empty", 0, 0}, {"live/10000", 10_000, time.Minute}, {"expired/10000", 10_000, -time.Minute}} {
+		b.Run(c.name, func(b *testing.B) {
+			var notices time.Duration
+			for b.Loop() {
+				b.StopTimer()
+				p := newPlatform(b)
+				p.disk = 64
+				p.addHost("h1", 7)
+				j := openJournal(b, p.dir, 64)
+				for i := range c.live {
+					e := &journal.Entry{ID: fmt.Sprintf("%016x", i), Class: "status", Dest: 7, Expires: time.Now().Add(c.left), Body: make([]byte, 200)}
+					j.Take(e)
+					j.Begin(e, "h1", time.Now())
+					j.End(e, true)
+				}
+				commit(b, j)
+				_ = j.Close()
+				b.StartTimer()
+				begun := time.Now()
+				child := p.start()
+				for id := 0; ; id++ {
+					resp := p.handIn("order", fmt.Sprint("new", id), "25", func(r *http.Request) { r.Header.Set("X-Envelope", "dest=7") })
+					if resp.StatusCode == http.StatusAccepted || resp.StatusCode == http.StatusTooManyRequests && c.left > 0 {
+						break // with so much held before it, it is refused at once, which is an answer too
+					}
+				}
+				b.StopTimer()
+				if c.left < 0 {
+					p.until("all notices are there", func() bool { return len(p.told()) >= c.live })
+					notices += time.Since(begun)
+				}
+				p.kill(child)
+				b.StartTimer()
+			}
+			if notices > 0 {
+				b.ReportMetric(notices.Seconds()/float64(b.N), "s-to-last-notice")
+			}
+		})
+	}
+}
