--- a/cmd/milletsail/journal.go
+++ b/cmd/milletsail/journal.go
@@ -25,12 +25,15 @@
 		}
 		return err
 	}
+	stat := func(dir string) (*journal.Summary, error) {
+		if err := free(dir); err != nil {
+			return nil, err
+		}
+		return journal.Stat(dir, time.Now())
+	}
 	c.AddCommand(&cobra.Command{Use: "verify FOLDER", Short: "Say whether all can be read; exit status 1 where not", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			if err := free(args[0]); err != nil {
-				return err
-			}
-			s, err := journal.Stat(args[0], time.Now())
+			s, err := stat(args[0])
 			if err != nil {
 				return err
 			}
@@ -56,10 +59,7 @@
 		}})
 	c.AddCommand(&cobra.Command{Use: "stat FOLDER", Short: "Print what a folder holds, in figures, as JSON", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
-			if err := free(args[0]); err != nil {
-				return err
-			}
-			s, err := journal.Stat(args[0], time.Now())
+			s, err := stat(args[0])
 			if err != nil {
 				return err
 			}
--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"milletsail/internal/lab/history"
+	"milletsail/internal/lab/pause"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/scenario"
 )
@@ -101,7 +102,7 @@
 	}
 	c.work.Wait()
 	for c.ctx.Err() == nil && c.waiting() {
-		wait(c.ctx, 20*time.Millisecond)
+		pause.For(c.ctx, 20*time.Millisecond)
 	}
 }
 
@@ -122,7 +123,7 @@
 
 // at waits for a moment, and counts whether the lab was late for it.
 func (c *Clients) at(moment time.Time, counts bool) {
-	wait(c.ctx, time.Until(moment))
+	pause.For(c.ctx, time.Until(moment))
 	by := time.Since(moment)
 	if !counts || c.ctx.Err() != nil {
 		return
@@ -134,18 +135,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // Change sets the share of the clients that leave early, and of those that send a message twice under one id.
 func (c *Clients) Change(leave, repeat float64) {
 	c.mu.Lock()
@@ -197,7 +186,7 @@
 		return
 	}
 	c.work.Go(func() {
-		wait(c.ctx, after)
+		pause.For(c.ctx, after)
 		if c.ctx.Err() == nil {
 			c.handIn(m, relay, mark)
 		}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -25,6 +25,7 @@
 	"milletsail/internal/lab/checker"
 	"milletsail/internal/lab/clients"
 	"milletsail/internal/lab/history"
+	"milletsail/internal/lab/pause"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/relays"
 	"milletsail/internal/lab/scenario"
@@ -107,13 +108,13 @@
 	}
 	if o.Progress != nil {
 		work.Go(func() {
-			for sleep(faults, time.Second) {
+			for pause.For(faults, time.Second) {
 				o.Progress(time.Since(t.begun))
 			}
 		})
 	}
 	c.Run(plan)
-	sleep(ctx, settle)
+	pause.For(ctx, settle)
 	stopFaults()
 	work.Wait()
 	if err := ctx.Err(); err != nil {
@@ -195,7 +196,7 @@
 // play waits for the time of a fault, and brings it about and to its end.
 func (t *timeline) play(ctx context.Context, i int) {
 	f := &t.s.Faults[i]
-	if !sleep(ctx, time.Until(t.begun.Add(f.At.D()))) {
+	if !pause.For(ctx, time.Until(t.begun.Add(f.At.D()))) {
 		return
 	}
 	now := t.h.Now()
@@ -209,7 +210,7 @@
 func (t *timeline) strike(ctx context.Context, i int, f *scenario.Fault) error {
 	lasting := func(begin, end func()) error {
 		begin()
-		sleep(ctx, f.For.D())
+		pause.For(ctx, f.For.D())
 		end()
 		return nil
 	}
@@ -324,7 +325,7 @@
 			defer mu.Unlock()
 			all = errors.Join(all, err)
 		})
-		if !sleep(ctx, f.Step.D()) {
+		if !pause.For(ctx, f.Step.D()) {
 			break
 		}
 	}
@@ -350,7 +351,7 @@
 				_ = t.p.List(h.Old, "DELETED")
 			}
 		})
-		if !sleep(ctx, f.Step.D()) {
+		if !pause.For(ctx, f.Step.D()) {
 			return nil
 		}
 	}
@@ -378,7 +379,7 @@
 	}
 	t.p.Cut(1, to, from)
 	t.p.CutNotes(1, between)
-	sleep(ctx, f.For.D())
+	pause.For(ctx, f.For.D())
 	t.p.Cut(-1, to, from)
 	t.p.CutNotes(-1, between)
 	return nil
@@ -392,15 +393,3 @@
 	}
 	return events, checker.Check(events, cut), nil
 }
-
-// sleep waits for d, and tells whether ctx is still alive after it.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/lab/platform/hosts.go
+++ b/internal/lab/platform/hosts.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"milletsail/internal/lab/history"
+	"milletsail/internal/lab/pause"
 	"milletsail/internal/lab/scenario"
 )
 
@@ -447,7 +448,7 @@
 		return answer{}
 	}
 	service := h.service(c) / warmth * max(1, t.Slow)
-	sleep(h.p.ctx, time.Duration(service*float64(time.Second)))
+	pause.For(h.p.ctx, time.Duration(service*float64(time.Second)))
 	<-h.workers
 	return answer{status: http.StatusOK, states: h.p.ran(c), ran: true}
 }
--- a/internal/lab/platform/links.go
+++ b/internal/lab/platform/links.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"milletsail/internal/lab/history"
+	"milletsail/internal/lab/pause"
 )
 
 // link is the way between one relay and one endpoint. A cut direction says nothing: what was sent stays on its way,
@@ -49,7 +50,7 @@
 		l.mu.Unlock()
 		if cuts == 0 {
 			if delay > 0 {
-				sleep(ctx, delay)
+				pause.For(ctx, delay)
 			}
 			return
 		}
@@ -214,7 +215,7 @@
 			o.link.pass(o.p.ctx, true)
 			o.link.pass(o.p.ctx, false)
 			for o.muted(l) && o.p.ctx.Err() == nil {
-				sleep(o.p.ctx, time.Millisecond)
+				pause.For(o.p.ctx, time.Millisecond)
 			}
 			if o.p.ctx.Err() != nil {
 				return
@@ -362,13 +363,3 @@
 	}
 	work.Wait()
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/lab/relays/disk.go
+++ b/internal/lab/relays/disk.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"milletsail/internal/lab/history"
+	"milletsail/internal/lab/pause"
 )
 
 // Turn turns bits in the journal of a relay that is down, at places drawn from the seed.
@@ -52,7 +53,7 @@
 	if err := limit(0); err != nil {
 		return fmt.Errorf("relay %d: %w", r.No, err)
 	}
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	r.note("room")
 	if err := limit(unix.RLIM_INFINITY); err != nil && !errors.Is(err, unix.ESRCH) {
 		return fmt.Errorf("relay %d: %w", r.No, err)
--- a/internal/lab/relays/relays.go
+++ b/internal/lab/relays/relays.go
@@ -26,6 +26,7 @@
 	"time"
 
 	"milletsail/internal/lab/history"
+	"milletsail/internal/lab/pause"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/scenario"
 )
@@ -352,7 +353,7 @@
 
 // back starts a relay again after a wait.
 func (r *Relay) back(ctx context.Context, after time.Duration) error {
-	if !sleep(ctx, after) {
+	if !pause.For(ctx, after) {
 		return ctx.Err()
 	}
 	r.mu.Lock()
@@ -406,7 +407,7 @@
 	}
 	r.note("frozen")
 	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
-	sleep(ctx, d)
+	pause.For(ctx, d)
 	r.note("thawed")
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
 }
@@ -454,7 +455,7 @@
 
 // watchUsage notes what each relay uses, from time to time.
 func (f *Fleet) watchUsage() {
-	for sleep(f.ctx, usageEvery) {
+	for pause.For(f.ctx, usageEvery) {
 		for _, r := range f.Relays {
 			if p := r.current(); p != nil {
 				if e, err := r.usage(p); err == nil {
@@ -513,15 +514,3 @@
 	})
 	return float64(sum) / (1 << 20)
 }
-
-// sleep waits for d, and tells whether ctx is still alive after it.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
