Don't tell a client that a withdrawn message is harmless to hand in again if it may have run

The server's choice between the answer that was ready and the end of the connection is a toss: the message was withdrawn with its call out, and the copy was answered 503, which says that it never ran.

Change: loop.go, arrive: where an attempt of an ended message may have run, and its class forbids a repeat elsewhere, the copy is answered 502, which is final.

Result: TestCopiesOfAMessage fails without it (503 for both such classes).

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -334,6 +334,8 @@
 		// The same message once more, as after a connection that broke: it is ours already, unless it is over or
 		// still undecided.
 		switch {
+		case m.over && l.mayHaveRun(m): // 503 would say that handing it in again is harmless
+			a.verdict <- verdict{status: http.StatusBadGateway}
 		case m.over:
 			a.verdict <- verdict{status: http.StatusServiceUnavailable}
 		case m.replies != nil:
@@ -357,6 +359,19 @@
 		Left: l.clock(m.Expires) - l.now(), Size: bundled(m.Entry)})
 }
 
+// mayHaveRun tells whether an attempt of a message may have run that must not be made again elsewhere.
+func (l *loop) mayHaveRun(m *message) bool {
+	no := l.class(m.Class)
+	if no < 0 {
+		return false
+	}
+	class := l.cfg.policy.Classes[no]
+	if class.Effect == policy.Safe || class.Effect == policy.Keyed && !class.ByZone {
+		return false
+	}
+	return slices.ContainsFunc(m.Attempts, func(a journal.Attempt) bool { return !a.Ended || !a.Unrun })
+}
+
 // departed withdraws a message whose client left without an answer. Others may have handed in the same id, by
 // chance or on purpose: their leaving takes back nothing, and what one of them was told is owed to it.
 func (l *loop) departed(a *arrival) {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -570,6 +570,27 @@
 	if l.messages["n"] != nil || l.journal.Get("n") != nil {
 		t.Error("a message whose client left unanswered was kept")
 	}
+	// One that was withdrawn while its call is out may have run: who hands its id in again is told that this is harmless
+	// only in a class that may be repeated.
+	for i, c := range []struct {
+		effect policy.Effect
+		byZone bool
+		want   int
+	}{{policy.Safe, false, 503}, {policy.Keyed, false, 503}, {policy.Keyed, true, 502}, {policy.Unsafe, false, 502}} {
+		l.cfg.policy.Classes[0].Effect, l.cfg.policy.Classes[0].ByZone = c.effect, c.byZone
+		id := fmt.Sprint("out", i)
+		gone, again := copyOf(id), copyOf(id)
+		l.accept(gone)
+		l.step()
+		m := l.messages[id]
+		l.journal.Begin(m.Entry, "h1", time.Now())
+		m.cancel = func() {}
+		l.accept(departure{gone})
+		l.accept(again)
+		if got := status(again); got != c.want {
+			t.Errorf("%+v: answered %d", c, got)
+		}
+	}
 }
 
 // A send that could not be made is reported to the module at once, and leaves the module's timer as it was.
