--- /dev/null
+++ b/cmd/milletsail/fleet.go
@@ -0,0 +1,96 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"milletsail/internal/fleet/live"
+)
+
+// doorTime bounds the asking of one relay.
+const doorTime = 2 * time.Second
+
+func fleetCommand() *cobra.Command {
+	c := &cobra.Command{Use: "fleet", Short: "See what relays know of one another"}
+	var raw bool
+	show := &cobra.Command{Use: "show DOOR...", Short: "Ask relays at their operators' doors what each believes, from whom, and how old that is",
+		Long: "Ask relays at their operators' doors (the address `admin`) what each believes, from whom, and how old that is.\n" +
+			"They tell it where sharing is on (`fleet` in the configuration, or $NODE_FLEET=on). Exit status 1 where one does not answer.",
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, doors []string) error {
+			var silent int
+			var views []live.View
+			for _, door := range doors {
+				v, err := askView(door)
+				if err != nil {
+					fmt.Fprintf(c.ErrOrStderr(), "%s: %v\n", door, err)
+					silent++
+					continue
+				}
+				views = append(views, v)
+			}
+			if err := showViews(c.OutOrStdout(), views, raw); err != nil {
+				return err
+			}
+			if silent > 0 {
+				return exit(broken)
+			}
+			return nil
+		}}
+	show.Flags().BoolVar(&raw, "json", false, "a line of JSON for each relay")
+	c.AddCommand(show)
+	return c
+}
+
+// askView asks one relay.
+func askView(door string) (v live.View, err error) {
+	conn, err := net.DialTimeout("tcp", door, doorTime)
+	if err != nil {
+		return v, err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(doorTime))
+	if _, err := io.WriteString(conn, "fleet\n"); err != nil {
+		return v, err
+	}
+	reply, err := io.ReadAll(conn)
+	if err != nil {
+		return v, err
+	}
+	if text := strings.TrimSpace(string(reply)); strings.HasPrefix(text, "ERR") {
+		return v, fmt.Errorf("%s: is sharing on there?", text)
+	}
+	return v, json.Unmarshal(reply, &v)
+}
+
+func showViews(to io.Writer, views []live.View, raw bool) error {
+	if raw {
+		out := json.NewEncoder(to)
+		for _, v := range views {
+			if err := out.Encode(v); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	w := tabwriter.NewWriter(to, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "relay\tkind\tof\tsaid by\tvalue\tage s\tbound s\t")
+	for _, v := range views {
+		fmt.Fprintf(w, "%d\tlive\t%d relays, %d suspected\t\t\t\t\t\n", v.Self, len(v.Live), len(v.Suspected))
+		for _, b := range v.Beliefs {
+			fading := ""
+			if b.Fading {
+				fading = "fading"
+			}
+			fmt.Fprintf(w, "%d\t%s\t%s\t%d\t%d\t%.3f\t%.0f\t%s\n", v.Self, b.Kind, b.Key, b.Origin, b.Value, b.AgeS, b.BoundS, fading)
+		}
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/fleet/node.go
@@ -0,0 +1,225 @@
+package fleet
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+const (
+	// All is the receiver of a note that goes to every other relay.
+	All = -1
+	// tellAt is when a new fact is told, after it was learned: one telling reaches most, and each further one those that
+	// lost all before it. With a share p of notes lost, p⁴ of the fleet is left to anti-entropy, 0.8% at 30%.
+	tellings = 4
+	// tellers is how many of the relays that meet the same thing at once tell of it, in the mean.
+	tellers = 8
+	// together is how long facts wait for others to travel with.
+	together = 10 * time.Millisecond
+	// beatEach sets how often a relay tells of itself: so long for each member, but no more often than beatLeast, so
+	// that what the fleet sends in all grows with its size and not with the square of it.
+	beatEach, beatLeast = 100 * time.Millisecond, 5 * time.Second
+	// digestEach is how often a relay compares with one other, drawn.
+	digestEach = 500 * time.Millisecond
+	// suspectAfter beats that were missed a member is suspected, goneAfter it counts as gone.
+	suspectAfter, goneAfter = 2.5, 4.0
+)
+
+var tellAt = [tellings]time.Duration{0, 100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond}
+
+// Send is a note to be sent.
+type Send struct {
+	To   int // number of a relay, or All
+	Note []byte
+}
+
+// Node is one relay's part in the fleet.
+type Node struct {
+	*Store
+	self        uint16
+	size        int // relays of the configuration
+	incarnation uint32
+	seq         uint32
+	draw        *rand.Rand
+	version     string
+	zone        uint64
+
+	rumours  []rumour
+	heard    map[int]time.Duration // when the last note came from a relay
+	started  time.Duration
+	beatAt   time.Duration
+	digestAt time.Duration
+	asked    bool // a newcomer has asked another for what it knows
+}
+
+// rumour is a fact that is still to be told.
+type rumour struct {
+	id    ID
+	stamp Stamp
+	from  time.Duration // when it was learned
+	told  int
+}
+
+// NewNode gives a node that knows of itself alone. incarnation has to grow with each start of a relay's process.
+func NewNode(self, size int, incarnation uint32, version string, zone int, seed uint64, now time.Duration) *Node {
+	n := &Node{Store: NewStore(), self: uint16(self), size: size, incarnation: incarnation, version: version, zone: uint64(max(0, zone)),
+		draw: rand.New(rand.NewPCG(seed, uint64(self))), heard: map[int]time.Duration{}, started: now}
+	n.beatAt = now + time.Duration(n.draw.Float64()*float64(time.Second))
+	n.digestAt = now + time.Duration(n.draw.Float64()*float64(digestEach))
+	return n
+}
+
+// Beat is how often each relay tells of itself.
+func (n *Node) Beat() time.Duration { return max(beatLeast, time.Duration(n.size)*beatEach) }
+
+// Learn takes in what this relay has observed itself. Where many meet the same thing at once, few tell it.
+func (n *Node) Learn(kind Kind, key string, value uint64, now time.Duration) {
+	if len(key) > maxKey {
+		return
+	}
+	origins, youngest := n.Agreed(kind, key, now)
+	known := origins > 0 && youngest < time.Second
+	n.seq++
+	f := Fact{ID: ID{kind, n.self, key}, Stamp: Stamp{n.incarnation, n.seq}, Value: value, Seen: now}
+	n.Merge(f, now)
+	if !known || n.draw.Float64()*float64(n.size) < tellers {
+		n.rumours = append(n.rumours, rumour{f.ID, f.Stamp, now, 0})
+	}
+}
+
+// Next is when Tick has something to do.
+func (n *Node) Next() time.Duration {
+	next := min(n.beatAt, n.digestAt)
+	for _, r := range n.rumours {
+		next = min(next, r.from+together+tellAt[r.told])
+	}
+	return next
+}
+
+// Tick gives the notes that are due.
+func (n *Node) Tick(now time.Duration) (out []Send) {
+	if now >= n.beatAt {
+		n.beatAt = now + time.Duration((0.75+0.5*n.draw.Float64())*float64(n.Beat()))
+		n.seq++
+		f := Fact{ID: ID{Member, n.self, n.version}, Stamp: Stamp{n.incarnation, n.seq}, Value: n.zone, Seen: now}
+		n.Merge(f, now)
+		note, _ := pack(0, 0, []Fact{f}, now)
+		out = append(out, Send{All, note})
+	}
+	var due []Fact
+	left := n.rumours[:0]
+	for _, r := range n.rumours {
+		f := n.facts[r.id]
+		if f.Stamp != r.stamp { // something newer is known
+			continue
+		}
+		if now >= r.from+together+tellAt[r.told] {
+			due = append(due, f)
+			r.told++
+		}
+		if r.told < tellings {
+			left = append(left, r)
+		}
+	}
+	n.rumours = left
+	for len(due) > 0 {
+		note, sent := pack(0, 0, due, now)
+		out = append(out, Send{All, note})
+		due = due[max(1, sent):]
+	}
+	if now >= n.digestAt {
+		n.digestAt = now + time.Duration((0.75+0.5*n.draw.Float64())*float64(digestEach))
+		n.Sweep(now)
+		if to, ok := n.peer(); ok {
+			note, _ := pack(hasDigest, n.Digest(now), nil, now)
+			out = append(out, Send{to, note})
+		}
+	}
+	return out
+}
+
+// Heard takes in a note of another relay, and gives what is said in return. fresh is what was new in it.
+func (n *Node) Heard(from int, note []byte, now time.Duration) (out []Send, fresh []Fact) {
+	m, ok := parse(note)
+	if !ok || from == int(n.self) {
+		return nil, nil
+	}
+	n.heard[from] = now
+	for _, f := range m.facts {
+		f.Seen += now
+		if f.Origin == n.self { // what an earlier process of ours said, or a lie: we know better
+			continue
+		}
+		if n.Merge(f, now) {
+			fresh = append(fresh, f)
+		}
+	}
+	if m.flags&hasDigest == 0 || m.digest == n.Digest(now) {
+		return nil, fresh
+	}
+	// Each gives the other what it has, the youngest first and the rest drawn, as much as a note holds: what both lack
+	// of the other comes together in some rounds.
+	flags := hasDigest
+	if m.flags&isAnswer != 0 {
+		flags = 0
+	} else {
+		flags |= isAnswer
+	}
+	reply, _ := pack(flags, n.Digest(now), n.some(now), now)
+	return append(out, Send{from, reply}), fresh
+}
+
+// some gives facts to tell: the youngest half of them first, the others in a drawn order.
+func (n *Node) some(now time.Duration) (facts []Fact) {
+	for _, a := range n.All(0, now) {
+		if a.Kind != Member {
+			facts = append(facts, a.Fact)
+		}
+	}
+	slices.SortStableFunc(facts, func(a, b Fact) int { return int(math.Copysign(1, float64(b.Seen-a.Seen))) })
+	rest := facts[len(facts)/2:]
+	n.draw.Shuffle(len(rest), func(i, j int) { rest[i], rest[j] = rest[j], rest[i] })
+	if n.draw.IntN(2) == 0 { // a difference may lie among the old ones alone
+		n.draw.Shuffle(len(facts), func(i, j int) { facts[i], facts[j] = facts[j], facts[i] })
+	}
+	return facts
+}
+
+// peer draws another relay.
+func (n *Node) peer() (int, bool) {
+	if n.size < 2 {
+		return 0, false
+	}
+	p := n.draw.IntN(n.size - 1)
+	if p >= int(n.self) {
+		p++
+	}
+	return p, true
+}
+
+// Live lists the members that count as there, this one included: those heard of, by a note of theirs or by another's
+// word of them, within goneAfter beats. One that has just started, and so can't know, counts all of the configuration.
+func (n *Node) Live(now time.Duration) (live []int) {
+	within := time.Duration(goneAfter * float64(n.Beat()))
+	for i := range n.size {
+		if i == int(n.self) || now-n.started < within || n.silence(i, now) < within {
+			live = append(live, i)
+		}
+	}
+	return live
+}
+
+// Suspected tells whether a member has missed some beats.
+func (n *Node) Suspected(member int, now time.Duration) bool {
+	return n.silence(member, now) >= time.Duration(suspectAfter*float64(n.Beat()))
+}
+
+// silence is how long a member has not been heard of.
+func (n *Node) silence(member int, now time.Duration) time.Duration {
+	last, ok := n.heard[member]
+	if !ok {
+		last = n.started
+	}
+	return now - last
+}
--- a/internal/lab/checker/checker.go
+++ b/internal/lab/checker/checker.go
@@ -34,12 +34,13 @@
 	NoteTooLong = "note-too-long" // a datagram of over 256 bytes
 	PeerLeft    = "peer-left"     // a malformed peer got neither an error nor a close in time, or was taken on
 	Crash       = "crash"         // a relay ended by itself, or did not start
+	Stale       = "stale"         // a relay believes something past its declared bound
 	Limits      = "limits"        // memory, descriptors or disk
 )
 
 // Rules are all rules, in the order of a report.
 var Rules = []string{Lost, AfterEnd, SecondCopy, Attempts, Repeat, HandedBack, WrongHost, Drain, Wait, PushedOver, Unknown,
-	NoteTooLong, PeerLeft, Crash, Limits}
+	NoteTooLong, PeerLeft, Crash, Stale, Limits}
 
 // The protocol's slack.
 const (
@@ -274,6 +275,10 @@
 		c.broken(NoteTooLong, of(e), "", fmt.Sprintf("a datagram of %d bytes", e.Bytes), e.Line)
 	case history.Usage:
 		c.seeUsage(e)
+	case history.View:
+		if e.Oldest >= 1 {
+			c.broken(Stale, of(e), "", fmt.Sprintf("a belief of %.3g times its bound", e.Oldest), e.Line)
+		}
 	case history.Void:
 		c.v.Void = e.What
 	case history.End:
--- a/internal/lab/checker/checker_test.go
+++ b/internal/lab/checker/checker_test.go
@@ -264,6 +264,8 @@
 		{PeerLeft, "taken on", func(p *planted) { p.peer(s, "came").peer(2*s, "202") }, func(p *planted) { p.peer(s, "came").peer(2*s, "400") }},
 		{Crash, "by itself", func(p *planted) { p.relay(0, "started").relay(s, "crashed") }, func(p *planted) { p.relay(0, "started").relay(s, "term").relay(s, "ended") }},
 		{Crash, "no start", func(p *planted) { p.relay(0, "started").relay(s, "refused-start") }, func(p *planted) { p.relay(0, "started").relay(s, "ready") }},
+		{Stale, "past its bound", func(p *planted) { p.add(s, history.Event{Kind: history.View, Relay: history.N(relay), Oldest: 1}) },
+			func(p *planted) { p.add(s, history.Event{Kind: history.View, Relay: history.N(relay), Oldest: 0.999}) }},
 		{Limits, "disk", func(p *planted) { p.add(s, history.Event{Kind: history.Usage, Relay: history.N(relay), DiskMB: 3.01}) },
 			func(p *planted) {
 				p.add(s, history.Event{Kind: history.Usage, Relay: history.N(relay), DiskMB: 3, MemoryMB: 100, FDs: 100})
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -38,6 +38,7 @@
 	Fault   = "fault"   // What, Of: number in the scenario; Until its end
 	Peer    = "peer"    // Peer, Relay, What: a malformed peer came, or how it ended
 	Usage   = "usage"   // Relay, MemoryMB, DiskMB, CPU (seconds since its process began), FDs
+	View    = "view"    // Relay, Oldest, Beliefs, Live: what a relay believes of the fleet
 	Late    = "late"    // By: the lab did something later than it should have
 	Void    = "void"    // What: the lab could not do what the scenario asks
 	End     = "end"     // the last line of a run that came to its end; Events timed, LateCount of them late
@@ -74,6 +75,9 @@
 	DiskMB   float64  `json:"disk_mb,omitempty"`
 	CPU      float64  `json:"cpu,omitempty"`
 	FDs      int      `json:"fds,omitempty"`
+	Oldest   float64  `json:"oldest,omitempty"` // the most that an age is of its bound
+	Beliefs  int      `json:"beliefs,omitempty"`
+	Live     int      `json:"live,omitempty"`
 	By       Micros   `json:"by,omitempty"`
 	Events   int      `json:"events,omitempty"`
 	LateN    int      `json:"late,omitempty"`
--- a/internal/lab/relays/relays.go
+++ b/internal/lab/relays/relays.go
@@ -9,6 +9,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -461,11 +462,34 @@
 				if e, err := r.usage(p); err == nil {
 					f.h.Add(e)
 				}
+				if f.s.Fleet.Shares {
+					f.work.Go(func() { r.look(p) })
+				}
 			}
 		}
 	}
 }
 
+// look asks a process what it believes of the fleet. The form is the one that the operators' door gives.
+func (r *Relay) look(p *process) {
+	reply, err := Ask(p.admin, "fleet")
+	var v struct {
+		Live    []int `json:"live"`
+		Beliefs []struct {
+			Age   float64 `json:"age_s"`
+			Bound float64 `json:"bound_s"`
+		} `json:"beliefs"`
+	}
+	if err != nil || json.Unmarshal([]byte(reply), &v) != nil {
+		return // it may be starting, or ending
+	}
+	e := history.Event{Kind: history.View, Relay: history.N(r.No), Live: len(v.Live), Beliefs: len(v.Beliefs)}
+	for _, b := range v.Beliefs {
+		e.Oldest = max(e.Oldest, b.Age/b.Bound)
+	}
+	r.fleet.h.Add(e)
+}
+
 // usage reads what a process uses from the system's own accounts.
 func (r *Relay) usage(p *process) (history.Event, error) {
 	e := history.Event{Kind: history.Usage, Relay: history.N(r.No)}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -33,6 +33,9 @@
 	// Durability says what the journal outlasts: DurableProcess, which is the default, or DurablePower.
 	Durability string `json:"durability"`
 
+	// Fleet has this relay share what it learns with the others, where notes between relays are allowed, and show it at
+	// the operators' door. Off by default.
+	Fleet bool `json:"fleet"`
 	// Files is what the journal is written to, and Boot what tells one start of the machine from another; none for the
 	// system's own. Tests put others in their place.
 	Files journal.FS `json:"-"`
@@ -75,6 +78,13 @@
 	if durability := os.Getenv("NODE_DURABILITY"); durability != "" {
 		c.Durability = durability
 	}
+	switch v := os.Getenv("NODE_FLEET"); v {
+	case "":
+	case "on", "off":
+		c.Fleet = v == "on"
+	default:
+		return nil, fmt.Errorf("NODE_FLEET: %q is not \"on\" or \"off\"", v)
+	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -10,7 +10,10 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
+
+	"milletsail/internal/fleet/live"
 )
 
 const (
@@ -27,6 +30,7 @@
 type door struct {
 	listener net.Listener
 	figures  *figures
+	shared   atomic.Pointer[live.Service] // nil where nothing is shared
 
 	mu   sync.Mutex
 	open []*caller // the oldest first
@@ -136,6 +140,10 @@
 		return []byte("ERR this process takes no clients now\n")
 	case "counters":
 		return append(d.figures.text(), "END\n"...)
+	case "fleet":
+		if shared := d.shared.Load(); shared != nil { // only where it is on is there such a call
+			return shared.Text()
+		}
 	}
 	return []byte("ERR unknown call\n")
 }
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"milletsail/internal/fleet/live"
 	"milletsail/internal/journal"
 	"milletsail/policy"
 )
@@ -80,6 +81,7 @@
 	watch    *watcher
 	notices  *notifier
 	peers    *peers
+	shared   *live.Service // nil where nothing is shared
 	figures  *figures
 	start    time.Time
 	messages map[string]*message
@@ -397,6 +399,7 @@
 		slog.Info("call without delivery", "id", e.id, "dest", m.Dest, "host", e.host, "attempt", e.attempt,
 			"outcome", e.outcome, "took", e.took, "wait", e.wait)
 	}
+	l.observed(m, e)
 	unrun := e.outcome == policy.QueueFull || e.outcome == policy.ConnectError || e.outcome == policy.Ignored
 	if l.journal.Get(m.ID) == m.Entry {
 		l.journal.End(m.Entry, unrun)
@@ -413,6 +416,18 @@
 	}
 }
 
+// observed tells the other relays what the end of a call says of its destination.
+func (l *loop) observed(m *message, e answered) {
+	switch e.outcome {
+	case policy.OK:
+		l.shared.Took(m.Dest)
+	case policy.QueueFull:
+		l.shared.Refused(m.Dest, e.wait)
+	case policy.ConnectError:
+		l.shared.NoRoom(e.host)
+	}
+}
+
 // told takes in a change of the list.
 func (l *loop) told(m Members) {
 	named := map[string]bool{}
@@ -569,6 +584,7 @@
 	case policy.Remember:
 		if _, ok := l.hosts[a.Endpoint]; ok {
 			l.journal.Remember(a.Endpoint, journal.Health{Sick: a.Sick, At: l.wall(a.At)})
+			l.shared.Health(a.Endpoint, a.Sick)
 		}
 	}
 }
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -20,18 +20,19 @@
 type peers struct {
 	listen string
 	all    netip.AddrPort
-	known  map[netip.AddrPort]bool // the other relays
-	heard  func(note []byte)
+	known  map[netip.AddrPort]int // numbers of the other relays
+	at     []netip.AddrPort       // by number
+	heard  func(from int, note []byte)
 	conn   atomic.Pointer[net.UDPConn]
 }
 
 // newPeers gives the carrier of notes, or nil where the configuration has no use for one or its addresses can't be
 // read.
-func newPeers(cfg *Config, heard func(note []byte)) *peers {
+func newPeers(cfg *Config, heard func(from int, note []byte)) *peers {
 	if !cfg.policy.Peers || cfg.PeerListen == "" || cfg.PeersAll == "" {
 		return nil
 	}
-	p := &peers{listen: cfg.PeerListen, known: map[netip.AddrPort]bool{}, heard: heard}
+	p := &peers{listen: cfg.PeerListen, known: map[netip.AddrPort]int{}, at: make([]netip.AddrPort, len(cfg.Peers)), heard: heard}
 	var err error
 	if p.all, err = netip.ParseAddrPort(cfg.PeersAll); err != nil {
 		slog.Warn("no notes to other relays", "err", err)
@@ -43,7 +44,9 @@
 			slog.Warn("no notes from another relay", "number", i, "err", err)
 			continue
 		}
-		p.known[peer] = i != cfg.Settings.Ordinal
+		if i != cfg.Settings.Ordinal {
+			p.known[peer], p.at[i] = i, peer
+		}
 	}
 	return p
 }
@@ -80,19 +83,30 @@
 			return
 		}
 		// Anyone can send to the address: only relays of the configuration are heard.
-		if n > 0 && n <= maxNote && p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())] {
-			p.heard(append([]byte(nil), buf[:n]...))
+		number, known := p.known[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]
+		if n > 0 && n <= maxNote && known {
+			p.heard(number, append([]byte(nil), buf[:n]...))
 		}
 	}
 }
 
 // tell sends a note to all other relays, if it can.
 func (p *peers) tell(note []byte) {
-	if p == nil || len(note) > maxNote {
-		return
+	if p != nil {
+		p.send(p.all, note)
 	}
-	if conn := p.conn.Load(); conn != nil {
-		if _, err := conn.WriteToUDPAddrPort(note, p.all); err != nil {
+}
+
+// tellOne sends a note to another relay, by its number, if it can.
+func (p *peers) tellOne(number int, note []byte) {
+	if p != nil && number >= 0 && number < len(p.at) && p.at[number].IsValid() {
+		p.send(p.at[number], note)
+	}
+}
+
+func (p *peers) send(to netip.AddrPort, note []byte) {
+	if conn := p.conn.Load(); conn != nil && len(note) <= maxNote {
+		if _, err := conn.WriteToUDPAddrPort(note, to); err != nil {
 			slog.Warn("note to other relays", "err", err)
 		}
 	}
--- a/internal/relay/peers_test.go
+++ b/internal/relay/peers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"testing"
 	"time"
@@ -31,7 +32,7 @@
 	addr := own.LocalAddr().String()
 	_ = own.Close() // for the relay
 	got := make(chan string, 9)
-	p := newPeers(peersConfig(0, friend.LocalAddr().String(), addr, friend.LocalAddr().String()), func(note []byte) { got <- string(note) })
+	p := newPeers(peersConfig(0, friend.LocalAddr().String(), addr, friend.LocalAddr().String()), func(from int, note []byte) { got <- fmt.Sprint(from, " ", string(note)) })
 	ctx, stop := context.WithCancel(t.Context())
 	done := make(chan bool)
 	go func() {
@@ -53,7 +54,7 @@
 			t.Fatal(err)
 		}
 	}
-	if note := <-got; note != "good" {
+	if note := <-got; note != "1 good" {
 		t.Errorf("heard %q", note)
 	}
 	p.tell(make([]byte, maxNote+1))
@@ -77,7 +78,7 @@
 	} {
 		c := peersConfig(0, "127.0.0.1:9", "127.0.0.1:8")
 		change(c)
-		p := newPeers(c, func([]byte) {})
+		p := newPeers(c, func(int, []byte) {})
 		if p != nil {
 			t.Errorf("%s: a carrier of notes", name)
 		}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,9 +6,12 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"time"
 
+	"milletsail/internal/fleet"
+	"milletsail/internal/fleet/live"
 	"milletsail/internal/journal"
 	"milletsail/internal/settings"
 	"milletsail/policy"
@@ -33,13 +36,13 @@
 		return err
 	}
 	figures := newFigures(cfg.policy.Classes)
+	var operators *door
 	if cfg.Admin != "" {
-		door, err := openDoor(cfg.Admin, figures)
-		if err != nil {
+		if operators, err = openDoor(cfg.Admin, figures); err != nil {
 			return err
 		}
-		defer door.listener.Close()
-		go door.serve()
+		defer operators.listener.Close()
+		go operators.serve()
 	}
 	gate, err := openGate(cfg)
 	if err != nil {
@@ -75,12 +78,22 @@
 		func() { l.put(watchEnded{}) })
 	l.watch.prompt = before != nil // the process before had a watch until now, and no other relay starts for that
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
-	l.peers = newPeers(cfg, func(note []byte) {
+	l.peers = newPeers(cfg, func(from int, note []byte) {
+		if l.shared.Takes(note) {
+			l.shared.Heard(from, note)
+			return
+		}
 		select {
 		case l.inbox <- heard{note}:
 		default: // the loop has more to do than it can: a note may be lost
 		}
 	})
+	if cfg.Fleet && l.peers != nil {
+		l.shared = share(cfg, l.peers)
+		if operators != nil {
+			operators.shared.Store(l.shared)
+		}
+	}
 	srv := newServer(cfg, func(a *arrival) { l.put(a) }, func(a *arrival) { l.put(departure{a}) })
 	if err := heir(deciding, dir, func(k *link) { l.put(takeover{k}) }); err != nil {
 		slog.Error("no newer process can take over", "err", err)
@@ -91,6 +104,7 @@
 	work.Go(func() { l.watch.run(deciding) })
 	work.Go(func() { l.notices.run(deciding) })
 	work.Go(func() { l.peers.run(deciding) })
+	work.Go(func() { l.shared.Run(deciding) })
 	if before != nil {
 		go l.follow(before, off)
 	}
@@ -124,6 +138,33 @@
 	return nil
 }
 
+// share has this relay share what it learns with the others.
+func share(cfg *Config, p *peers) *live.Service {
+	s := &cfg.Settings
+	return live.New(live.Options{Self: s.Ordinal, Size: s.NInstances, Version: version(), Zone: s.Az, Seed: uint64(cfg.seed),
+		Send: func(to int, note []byte) {
+			if to == fleet.All {
+				p.tell(note)
+			} else {
+				p.tellOne(to, note)
+			}
+		}})
+}
+
+// version is what this program was built from, in short.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			return s.Value[:min(8, len(s.Value))]
+		}
+	}
+	return ""
+}
+
 // retire brings a relay to its end whose place a newer process has taken: it stays for as long as clients keep its
 // connections or calls are out, but after a signal to end no longer than drain does.
 func (l *loop) retire(ctx context.Context, srv *server) {
