Drop a count of carried notes that nothing reads

Need: on reading the change again, Platform.Notes had no caller; the report takes its figures from the history alone.

Change: the method goes. The count itself stays, since the draws of lost notes go by it.

Result: go vet and the lab's package tests pass; no behaviour changes.

--- a/internal/lab/platform/notes.go
+++ b/internal/lab/platform/notes.go
@@ -157,10 +157,3 @@
 	defer p.notes.mu.Unlock()
 	p.notes.drop[relay], p.notes.twin[relay] = drop, twin
 }
-
-// Notes is how many notes were carried, one for each receiver.
-func (p *Platform) Notes() int {
-	p.notes.mu.Lock()
-	defer p.notes.mu.Unlock()
-	return p.notes.sent
-}
