--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,6 +12,7 @@
 import (
 	"cmp"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -28,6 +29,7 @@
 	Out                    // Key: an endpoint that is out; Value: calls that this rests on
 	Back                   // Key: an endpoint that serves again
 	NoRoom                 // Key: an endpoint that took no connection
+	Pace                   // Key: a destination; Value: see PaceValue
 	kindEnd
 )
 
@@ -45,9 +47,10 @@
 	Member: {"member", 60 * time.Second, 120 * time.Second, "counts the relays of the configuration"},
 	Closed: {"closed", 2 * time.Second, 10 * time.Second, "goes by its own refusals"},
 	Open:   {"open", 2 * time.Second, 10 * time.Second, "goes by its own successes"},
-	Out:    {"out", 10 * time.Second, 30 * time.Second, "goes by its own failures"},
+	Out:    {"out", 2 * time.Second, 30 * time.Second, "goes by its own failures"},
 	Back:   {"back", 10 * time.Second, 30 * time.Second, "tries at its own share of the cold return"},
 	NoRoom: {"no room", 5 * time.Second, 10 * time.Second, "goes by its own connections"},
+	Pace:   {"pace", 45 * time.Second, 90 * time.Second, "begins with an even share of the listed rate"},
 }
 
 // Stamp orders what one origin says of one thing: later starts of its process come after earlier ones.
@@ -76,8 +79,13 @@
 	// Seen is when it was observed, by the clock of whoever holds it: never later than the first moment at which it
 	// could have been, so that it is not made younger on its way.
 	Seen time.Duration
+	// Via is the relay that it came from: its origin, or another that passed it on.
+	Via uint16
 }
 
+// direct tells whether a fact came from its origin itself.
+func (f Fact) direct() bool { return f.Via == f.Origin }
+
 // Aged is a fact as it is read: never without its age.
 type Aged struct {
 	Fact
@@ -85,13 +93,23 @@
 	Fading bool
 }
 
+// topic is what all registers of a thing have in common.
+type topic struct {
+	kind Kind
+	key  string
+}
+
 // Store is what one relay knows.
 type Store struct {
 	facts map[ID]Fact
+	about map[topic][]uint16      // origins of the registers of a thing
+	since map[topic]time.Duration // when anything was first known of it
 }
 
 // NewStore gives a store that knows nothing.
-func NewStore() *Store { return &Store{facts: map[ID]Fact{}} }
+func NewStore() *Store {
+	return &Store{facts: map[ID]Fact{}, about: map[topic][]uint16{}, since: map[topic]time.Duration{}}
+}
 
 // Merge takes a fact in, and tells whether it is new. The later stamp wins; of the same stamp, the earlier observation.
 func (s *Store) Merge(f Fact, now time.Duration) (fresh bool) {
@@ -103,9 +121,20 @@
 	switch c := f.Stamp.Compare(old.Stamp); {
 	case !had || c > 0:
 		s.facts[f.ID] = f
+		if t := (topic{f.Kind, f.Key}); !had {
+			if len(s.about[t]) == 0 {
+				s.since[t] = now
+			}
+			s.about[t] = append(s.about[t], f.Origin)
+		}
 		return now-f.Seen < Bounds[f.Kind].Until
 	case c == 0: // nothing new, but it may have been observed earlier, and never later
 		old.Seen, old.Value = min(old.Seen, f.Seen), max(old.Value, f.Value)
+		if !old.direct() {
+			if old.Via = min(old.Via, f.Via); f.direct() {
+				old.Via = f.Via
+			}
+		}
 		s.facts[f.ID] = old
 	}
 	return false
@@ -141,19 +170,24 @@
 	return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.Key, b.Key), cmp.Compare(a.Origin, b.Origin))
 }
 
-// Agreed counts the origins that say a thing of a kind, and how old the youngest of that is. One relay alone may have
-// a bad network of its own: what is said counts by the number that say it.
-func (s *Store) Agreed(kind Kind, key string, now time.Duration) (origins int, youngest time.Duration) {
-	youngest = Bounds[kind].Until
-	for id, f := range s.facts {
-		if id.Kind != kind || id.Key != key {
-			continue
-		}
-		if a, ok := f.aged(now); ok {
-			origins++
-			youngest = min(youngest, a.Age)
+// each calls do with what may be used of a thing.
+func (s *Store) each(kind Kind, key string, now time.Duration, do func(Aged)) {
+	for _, origin := range s.about[topic{kind, key}] {
+		if a, ok := s.facts[ID{kind, origin, key}].aged(now); ok {
+			do(a)
 		}
 	}
+}
+
+// Known tells for how long anything has been known of a thing.
+func (s *Store) Known(kind Kind, key string, now time.Duration) time.Duration {
+	return now - s.since[topic{kind, key}]
+}
+
+// Agreed counts the origins that say a thing of a kind, and how old the youngest of that is.
+func (s *Store) Agreed(kind Kind, key string, now time.Duration) (origins int, youngest time.Duration) {
+	youngest = Bounds[kind].Until
+	s.each(kind, key, now, func(a Aged) { origins, youngest = origins+1, min(youngest, a.Age) })
 	return origins, youngest
 }
 
@@ -163,45 +197,54 @@
 	for id, f := range s.facts {
 		if now-f.Seen >= Bounds[f.Kind].Until {
 			delete(s.facts, id)
+			t := topic{id.Kind, id.Key}
+			if s.about[t] = slices.DeleteFunc(s.about[t], func(o uint16) bool { return o == id.Origin }); len(s.about[t]) == 0 {
+				delete(s.about, t)
+				delete(s.since, t)
+			}
 		}
 	}
 }
 
-// Digest sums up what may be used, but for members: two relays with the same facts have the same. It is a sum over
+// Digest sums up what may be used, but for what is told steadily: two relays with the same facts have the same. It is a sum over
 // hashes, so that the order does not matter.
 func (s *Store) Digest(now time.Duration) uint32 {
 	var sum uint64
-	for _, f := range s.facts {
-		// What is about to go would differ between two clocks.
-		if f.Kind != Member && now-f.Seen < Bounds[f.Kind].Until-time.Second {
-			sum += f.hash()
+	for t, origins := range s.about {
+		if t.kind.steady() {
+			continue
+		}
+		for _, origin := range origins {
+			// What is about to go would differ between two clocks.
+			if f := s.facts[ID{t.kind, origin, t.key}]; now-f.Seen < Bounds[f.Kind].Until-time.Second {
+				sum += f.hash()
+			}
 		}
 	}
 	return uint32(sum ^ sum>>32)
 }
 
+// steady tells whether facts of a kind are told again and again, so that a lost one needs no mending.
+func (k Kind) steady() bool { return k == Member || k == Pace }
+
 func (f Fact) hash() uint64 {
 	b := f.append(nil, 0)
 	return xxhash.Sum64(b)
 }
 
-// Duty draws which of the live members carry a duty for a thing, n of them, by rendezvous hashing: a member that comes
-// or goes moves only the duties that it gains or had. (Thaler and Ravishankar, 1998.)
-func Duty(key string, live []int, n int) []int {
-	type weighed struct {
-		member int
-		weight uint64
-	}
-	all := make([]weighed, len(live))
-	for i, m := range live {
-		all[i] = weighed{m, xxhash.Sum64String(key + "\x00" + string(rune(m)))}
-	}
-	slices.SortFunc(all, func(a, b weighed) int {
-		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.member, b.member))
-	})
-	var carry []int
-	for _, w := range all[:min(n, len(all))] {
-		carry = append(carry, w.member)
+// Rank is the place of a member among the live ones for a duty: 0 for the one that carries it, 1 for the one that does
+// where that can't, and so on, by rendezvous hashing: a member that comes or goes changes no order among the others.
+// (Thaler and Ravishankar, "Using name-based mappings to increase hit rates", 1998.)
+func Rank(key string, live []int, member int) (rank int) {
+	own := weight(key, member)
+	for _, m := range live {
+		if w := weight(key, m); w > own || w == own && m < member {
+			rank++
+		}
 	}
-	return carry
+	return rank
+}
+
+func weight(key string, member int) uint64 {
+	return xxhash.Sum64String(key + "\x00" + strconv.Itoa(member))
 }
--- a/internal/fleet/live/live.go
+++ b/internal/fleet/live/live.go
@@ -17,8 +17,13 @@
 	"milletsail/internal/fleet"
 )
 
-// fresh is how old what this relay has said of a thing may be before it says it again.
-const fresh = time.Second
+const (
+	// fresh is how old what this relay has said of a thing may be before it says it again.
+	fresh = 400 * time.Millisecond
+	// just is how old an observation of another relay may be that is handed on by itself, and not only in what is said of
+	// the thing altogether: what comes later by anti-entropy is no news.
+	just = time.Second
+)
 
 // Options are what a Service is made with.
 type Options struct {
@@ -27,6 +32,20 @@
 	Zone       int
 	Seed       uint64
 	Send       func(to int, note []byte) // to a relay, or to all (fleet.All); it must not block
+	// Said is called with what the fleet says of a thing, when it says something new, and Heard with what another relay
+	// has just observed. They must not block.
+	Said  func(Said)
+	Heard func(f fleet.Fact, age time.Duration)
+}
+
+// Said is what the fleet says of one destination, or of one endpoint.
+type Said struct {
+	Dest     int    // where Endpoint is empty
+	Endpoint string // or empty
+	fleet.Word
+	Rank  int // of this relay for the duty of trying it, among those that count as there
+	Live  int // how many these are
+	Paces fleet.Paces
 }
 
 // Service is a node with a clock.
@@ -82,47 +101,91 @@
 // Heard takes in a note of another relay.
 func (s *Service) Heard(from int, note []byte) {
 	s.mu.Lock()
-	out, _ := s.node.Heard(from, note, time.Since(s.begun))
+	now := time.Since(s.begun)
+	out, news := s.node.Heard(from, note, now)
+	said := s.digest(news, now)
 	s.mu.Unlock()
 	s.send(out)
+	for _, f := range news {
+		if age := now - f.Seen; age < just {
+			s.o.Heard(f, max(0, age))
+		}
+	}
+	s.say(said)
 }
 
-// learn says a thing, unless this relay has just said it.
-func (s *Service) learn(kind fleet.Kind, key string, value uint64) {
-	s.mu.Lock()
-	now := time.Since(s.begun)
-	own, ok := s.node.Get(fleet.ID{Kind: kind, Origin: uint16(s.o.Self), Key: key}, now)
-	said := ok && own.Age < fresh
-	if !said {
-		s.node.Learn(kind, key, value, now)
-	}
-	s.mu.Unlock()
-	if !said {
-		select {
-		case s.wake <- struct{}{}:
+// digest sums up what is said of the things that facts are about.
+func (s *Service) digest(facts []fleet.Fact, now time.Duration) (all []Said) {
+	done := map[string]bool{}
+	for _, f := range facts {
+		said := Said{Dest: -1}
+		switch f.Kind {
+		case fleet.Closed, fleet.Open, fleet.Pace:
+			dest, err := strconv.Atoi(f.Key)
+			if err != nil {
+				continue
+			}
+			said.Dest = dest
+		case fleet.Out, fleet.Back:
+			said.Endpoint = f.Key
 		default:
+			continue
+		}
+		if id := said.Endpoint + "\x00" + strconv.Itoa(said.Dest); done[id] {
+			continue
+		} else {
+			done[id] = true
+		}
+		if said.Endpoint != "" {
+			said.Word = s.node.Word(fleet.Out, fleet.Back, f.Key, s.near, now)
+		} else {
+			said.Word = s.node.Word(fleet.Closed, fleet.Open, f.Key, nil, now)
+			said.Paces = s.node.Paces(f.Key, s.o.Self, now)
 		}
+		live := s.node.Live(now)
+		said.Live = len(live)
+		if said.Origins > 0 {
+			said.Rank = fleet.Rank(f.Key, live, s.o.Self)
+		}
+		all = append(all, said)
 	}
+	return all
 }
 
-// Refused says that a destination refused a call, and for how long it told to wait; 0 for no word of that.
-func (s *Service) Refused(dest int, wait time.Duration) {
-	if s != nil {
-		s.learn(fleet.Closed, strconv.Itoa(dest), uint64(max(0, wait.Milliseconds())))
+func (s *Service) say(all []Said) {
+	for _, said := range all {
+		s.o.Said(said)
 	}
 }
 
-// Took says that a destination took a call, if it is known to have been closed.
-func (s *Service) Took(dest int) {
-	if s == nil {
-		return
+// zoned is the value of a verdict on an endpoint: its observer's zone.
+func (s *Service) zoned() uint64 { return uint64(max(0, s.o.Zone)) }
+
+// near tells whether a verdict comes from this relay's own zone.
+func (s *Service) near(f fleet.Fact) bool { return f.Value == s.zoned() }
+
+// Observed says what this relay has seen an age ago, which all have to hear of; where it is common, many see it at once,
+// and some of them are enough.
+func (s *Service) Observed(kind fleet.Kind, key string, value uint64, common bool, age time.Duration) {
+	s.mu.Lock()
+	now := time.Since(s.begun)
+	s.node.Learn(kind, key, value, common, now-age, now)
+	news := s.digest([]fleet.Fact{{ID: fleet.ID{Kind: kind, Key: key}}}, now)
+	s.mu.Unlock()
+	s.say(news)
+	select {
+	case s.wake <- struct{}{}:
+	default:
 	}
-	key := strconv.Itoa(dest)
+}
+
+// learn says a thing, unless this relay has just said it.
+func (s *Service) learn(kind fleet.Kind, key string, value uint64) {
 	s.mu.Lock()
-	closed, _ := s.node.Agreed(fleet.Closed, key, time.Since(s.begun))
+	own, ok := s.node.Get(fleet.ID{Kind: kind, Origin: uint16(s.o.Self), Key: key}, time.Since(s.begun))
 	s.mu.Unlock()
-	if closed > 0 {
-		s.learn(fleet.Open, key, 0)
+	if !ok || own.Age >= fresh {
+		s.Observed(kind, key, value, true, 0)
 	}
 }
 
@@ -133,14 +196,30 @@
 		kind = fleet.Out
 	}
 	if s != nil {
-		s.learn(kind, endpoint, 1)
+		s.learn(kind, endpoint, s.zoned())
 	}
 }
 
-// NoRoom says that an endpoint took no connection.
-func (s *Service) NoRoom(endpoint string) {
+// Failed says that a call to an endpoint failed. That is told of where it is known to be out: it was tried in vain.
+func (s *Service) Failed(endpoint string) {
+	if s == nil {
+		return
+	}
+	s.mu.Lock()
+	out, _ := s.node.Agreed(fleet.Out, endpoint, time.Since(s.begun))
+	s.mu.Unlock()
+	if out > 0 {
+		s.learn(fleet.Out, endpoint, s.zoned())
+	}
+}
+
+// Paced says what this relay sends a destination, in parts of an even share of the listed rate, and how many messages a
+// second arrive for it.
+func (s *Service) Paced(dest int, pace, traffic float64) {
 	if s != nil {
-		s.learn(fleet.NoRoom, endpoint, 0)
+		s.mu.Lock()
+		s.node.LearnPace(strconv.Itoa(dest), fleet.PaceValue(pace, traffic))
+		s.mu.Unlock()
 	}
 }
 
@@ -153,6 +232,8 @@
 	AgeS        float64 `json:"age_s"`
 	BoundS      float64 `json:"bound_s"`
 	Fading      bool    `json:"fading,omitempty"`
+	KnownS      float64 `json:"known_s"` // for how long this relay has known anything of the kind and key
+	Via         int     `json:"via"`     // the relay that it came from
 	Incarnation uint32  `json:"incarnation"`
 }
 
@@ -178,7 +259,8 @@
 	}
 	for _, a := range s.node.All(0, now) {
 		b := fleet.Bounds[a.Kind]
-		v.Beliefs = append(v.Beliefs, Belief{b.Name, a.Key, int(a.Origin), a.Value, a.Age.Seconds(), b.Until.Seconds(), a.Fading, a.Incarnation})
+		v.Beliefs = append(v.Beliefs, Belief{b.Name, a.Key, int(a.Origin), a.Value, a.Age.Seconds(), b.Until.Seconds(), a.Fading,
+			s.node.Known(a.Kind, a.Key, now).Seconds(), int(a.Via), a.Incarnation})
 	}
 	return v
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -10,20 +11,29 @@
 const (
 	// All is the receiver of a note that goes to every other relay.
 	All = -1
-	// tellAt is when a new fact is told, after it was learned: one telling reaches most, and each further one those that
-	// lost all before it. With a share p of notes lost, p⁴ of the fleet is left to anti-entropy, 0.8% at 30%.
-	tellings = 4
+	// tellings is how often a new fact is told at most, at tellAt after it was learned: each time reaches those that lost
+	// all before it. It is told as often as leaves missed of the fleet to anti-entropy, by the share of the beats that is
+	// lost, which is taken for lossUnknown where none have come.
+	tellings            = 4
+	missed, lossUnknown = 0.005, 0.05
+	lossGain            = 1.0 / 64 // the weight of a beat in the share of those that are lost
 	// tellers is how many of the relays that meet the same thing at once tell of it, in the mean.
 	tellers = 8
+	// alike is how old what is said of a thing may be for a new observation of the same to add little.
+	alike = 300 * time.Millisecond
 	// together is how long facts wait for others to travel with.
 	together = 10 * time.Millisecond
 	// beatEach sets how often a relay tells of itself: so long for each member, but no more often than beatLeast, so
 	// that what the fleet sends in all grows with its size and not with the square of it.
 	beatEach, beatLeast = 100 * time.Millisecond, 5 * time.Second
 	// digestEach is how often a relay compares with one other, drawn.
-	digestEach = 500 * time.Millisecond
+	digestEach = time.Second
+	// newcomerAsks a newcomer asks of one relay each, drawn, askAgain apart, until newcomerHears notes have answered it;
+	// an answer has briefNotes at most.
+	newcomerAsks, newcomerHears, briefNotes = 4, 2, 4
+	askAgain                                = 300 * time.Millisecond
 	// suspectAfter beats that were missed a member is suspected, goneAfter it counts as gone.
-	suspectAfter, goneAfter = 2.5, 4.0
+	suspectAfter, goneAfter = 2.5, 5.0
 )
 
 var tellAt = [tellings]time.Duration{0, 100 * time.Millisecond, 250 * time.Millisecond, 500 * time.Millisecond}
@@ -50,9 +60,23 @@
 	started  time.Duration
 	beatAt   time.Duration
 	digestAt time.Duration
-	asked    bool // a newcomer has asked another for what it knows
+	asks     int // a newcomer's questions for what others know
+	answers  int // that came
+	beats    uint64
+	lastBeat map[int]beat      // that came from a relay
+	loss     float64           // share of the beats that are lost
+	paces    map[string]uint64 // destinations' paces that are to be told with the next beat
 }
 
+// beat is one telling of a member, by its number since its process started.
+type beat struct {
+	incarnation uint32
+	no          uint64
+}
+
+// zoneBits of a member's value are its zone, the others the number of its beat.
+const zoneBits = 8
+
 // rumour is a fact that is still to be told.
 type rumour struct {
 	id    ID
@@ -63,9 +87,10 @@
 
 // NewNode gives a node that knows of itself alone. incarnation has to grow with each start of a relay's process.
 func NewNode(self, size int, incarnation uint32, version string, zone int, seed uint64, now time.Duration) *Node {
-	n := &Node{Store: NewStore(), self: uint16(self), size: size, incarnation: incarnation, version: version, zone: uint64(max(0, zone)),
-		draw: rand.New(rand.NewPCG(seed, uint64(self))), heard: map[int]time.Duration{}, started: now}
-	n.beatAt = now + time.Duration(n.draw.Float64()*float64(time.Second))
+	n := &Node{Store: NewStore(), self: uint16(self), size: size, incarnation: incarnation, version: version, zone: uint64(max(0, zone)) & (1<<zoneBits - 1),
+		draw: rand.New(rand.NewPCG(seed, uint64(self))), heard: map[int]time.Duration{}, started: now, paces: map[string]uint64{},
+		lastBeat: map[int]beat{}, loss: lossUnknown}
+	n.beatAt = now + time.Duration(n.draw.Float64()*float64(n.Beat()))
 	n.digestAt = now + time.Duration(n.draw.Float64()*float64(digestEach))
 	return n
 }
@@ -73,24 +98,42 @@
 // Beat is how often each relay tells of itself.
 func (n *Node) Beat() time.Duration { return max(beatLeast, time.Duration(n.size)*beatEach) }
 
-// Learn takes in what this relay has observed itself. Where many meet the same thing at once, few tell it.
-func (n *Node) Learn(kind Kind, key string, value uint64, now time.Duration) {
+// Learn takes in what this relay observed itself at a moment, to tell all. Of common things, which many meet at once, few
+// tell, and the others keep it to themselves: each further origin adds little, and would have to go round as well.
+func (n *Node) Learn(kind Kind, key string, value uint64, common bool, seen, now time.Duration) {
 	if len(key) > maxKey {
 		return
 	}
 	origins, youngest := n.Agreed(kind, key, now)
-	known := origins > 0 && youngest < time.Second
-	n.seq++
-	f := Fact{ID: ID{kind, n.self, key}, Stamp: Stamp{n.incarnation, n.seq}, Value: value, Seen: now}
+	known := origins > 0 && youngest < alike
+	if common && known && n.draw.Float64()*float64(n.size) >= tellers {
+		return
+	}
+	f := n.own(kind, key, value, min(seen, now))
 	n.Merge(f, now)
-	if !known || n.draw.Float64()*float64(n.size) < tellers {
-		n.rumours = append(n.rumours, rumour{f.ID, f.Stamp, now, 0})
+	n.rumours = append(n.rumours, rumour{f.ID, f.Stamp, now, 0})
+}
+
+// own is a new fact of this relay's.
+func (n *Node) own(kind Kind, key string, value uint64, now time.Duration) Fact {
+	n.seq++
+	return Fact{ID: ID{kind, n.self, key}, Stamp: Stamp{n.incarnation, n.seq}, Value: value, Seen: now, Via: n.self}
+}
+
+// LearnPace takes in what this relay sends a destination and what arrives for it, as PaceValue has it. It is told with
+// the next beat, the latest value alone.
+func (n *Node) LearnPace(key string, value uint64) {
+	if len(key) <= maxKey {
+		n.paces[key] = value
 	}
 }
 
 // Next is when Tick has something to do.
 func (n *Node) Next() time.Duration {
 	next := min(n.beatAt, n.digestAt)
+	if n.asking() {
+		next = min(next, n.askAt())
+	}
 	for _, r := range n.rumours {
 		next = min(next, r.from+together+tellAt[r.told])
 	}
@@ -101,12 +144,25 @@
 func (n *Node) Tick(now time.Duration) (out []Send) {
 	if now >= n.beatAt {
 		n.beatAt = now + time.Duration((0.75+0.5*n.draw.Float64())*float64(n.Beat()))
-		n.seq++
-		f := Fact{ID: ID{Member, n.self, n.version}, Stamp: Stamp{n.incarnation, n.seq}, Value: n.zone, Seen: now}
-		n.Merge(f, now)
-		note, _ := pack(0, 0, []Fact{f}, now)
+		n.beats++
+		told := []Fact{n.own(Member, n.version, n.beats<<zoneBits|n.zone, now)}
+		for key, value := range n.paces {
+			told = append(told, n.own(Pace, key, value, now))
+		}
+		clear(n.paces)
+		for _, f := range told {
+			n.Merge(f, now)
+		}
+		note, _ := pack(0, 0, told, now)
 		out = append(out, Send{All, note})
 	}
+	if n.asking() && now >= n.askAt() {
+		n.asks++
+		if to, ok := n.peer(); ok {
+			note, _ := pack(isNewcomer, 0, nil, now)
+			out = append(out, Send{to, note})
+		}
+	}
 	var due []Fact
 	left := n.rumours[:0]
 	for _, r := range n.rumours {
@@ -118,7 +174,7 @@
 			due = append(due, f)
 			r.told++
 		}
-		if r.told < tellings {
+		if r.told < n.tellings() {
 			left = append(left, r)
 		}
 	}
@@ -148,6 +204,10 @@
 	n.heard[from] = now
 	for _, f := range m.facts {
 		f.Seen += now
+		f.Via = uint16(from)
+		if f.Kind == Member && f.direct() {
+			n.count(f)
+		}
 		if f.Origin == n.self { // what an earlier process of ours said, or a lie: we know better
 			continue
 		}
@@ -155,6 +215,12 @@
 			fresh = append(fresh, f)
 		}
 	}
+	if m.flags&isBrief != 0 {
+		n.answers++
+	}
+	if m.flags&isNewcomer != 0 {
+		return n.brief(from, now), fresh
+	}
 	if m.flags&hasDigest == 0 || m.digest == n.Digest(now) {
 		return nil, fresh
 	}
@@ -170,10 +236,56 @@
 	return append(out, Send{from, reply}), fresh
 }
 
+// count learns from the numbers of the beats of one member how many get lost.
+func (n *Node) count(f Fact) {
+	last, now := n.lastBeat[int(f.Origin)], beat{f.Incarnation, f.Value >> zoneBits}
+	if last.incarnation == now.incarnation && now.no > last.no {
+		lost := float64(min(now.no-last.no, 8) - 1)
+		n.loss += lossGain * (lost + 1) * (lost/(lost+1) - n.loss)
+	}
+	if now.incarnation > last.incarnation || now.incarnation == last.incarnation && now.no > last.no {
+		n.lastBeat[int(f.Origin)] = now
+	}
+}
+
+// tellings is how often a new fact is told.
+func (n *Node) tellings() int {
+	again := math.Log(missed) / math.Log(min(0.9, max(1e-9, n.loss)))
+	return min(tellings, max(1, int(math.Ceil(again))))
+}
+
+// Zone gives a member's zone.
+func (f Fact) Zone() int { return int(f.Value & (1<<zoneBits - 1)) }
+
+// asking tells whether this relay has just started and knows of nothing yet.
+func (n *Node) asking() bool { return n.answers < newcomerHears && n.asks < newcomerAsks && n.size > 1 }
+
+func (n *Node) askAt() time.Duration { return n.started + time.Duration(n.asks)*askAgain }
+
+// brief tells a newcomer what there is, in few notes: of each thing the youngest two.
+func (n *Node) brief(to int, now time.Duration) (out []Send) {
+	all := n.All(0, now)
+	slices.SortStableFunc(all, func(a, b Aged) int { return cmp.Compare(a.Age, b.Age) })
+	said := map[topic]int{}
+	var facts []Fact
+	for _, a := range all {
+		if t := (topic{a.Kind, a.Key}); a.Kind != Member && a.Origin != uint16(to) && said[t] < 2 {
+			said[t]++
+			facts = append(facts, a.Fact)
+		}
+	}
+	for len(out) < briefNotes && (len(facts) > 0 || len(out) == 0) {
+		note, sent := pack(isBrief, 0, facts, now)
+		out = append(out, Send{to, note})
+		facts = facts[sent:]
+	}
+	return out
+}
+
 // some gives facts to tell: the youngest half of them first, the others in a drawn order.
 func (n *Node) some(now time.Duration) (facts []Fact) {
 	for _, a := range n.All(0, now) {
-		if a.Kind != Member {
+		if !a.Kind.steady() {
 			facts = append(facts, a.Fact)
 		}
 	}
--- a/internal/fleet/note.go
+++ b/internal/fleet/note.go
@@ -22,8 +22,10 @@
 )
 
 const (
-	hasDigest byte = 1 << iota
-	isAnswer       // to a digest that differed: it asks for none again
+	hasDigest  byte = 1 << iota
+	isAnswer        // to a digest that differed: it asks for none again
+	isNewcomer      // its sender has just started and asks for what others know
+	isBrief         // the answer to that
 )
 
 // message is a note as it is read.
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,106 @@
+package fleet
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+// Word is what the fleet says of one destination or endpoint: how many find it bad, since when, and until when that may
+// be used. The zero value says nothing.
+type Word struct {
+	Origins int           // that find it bad, and nobody that counts has found it good since
+	Fresh   int           // of these, those whose finding does not fade yet
+	First   time.Duration // age of the first of these observations
+	Last    time.Duration // age of the last
+	Until   time.Duration // how long from now the word may be used
+}
+
+// Word sums up what is said of a thing: bad by facts of one kind, good by those of another. Only observers that near
+// holds for count, where it is given: one whose network is another's may be cut off itself.
+//
+// What one relay passes on of others counts as one observation, however many it names: a relay that lies, or that is
+// alone in finding a thing bad, can't speak for several.
+func (s *Store) Word(bad, good Kind, key string, near func(Fact) bool, now time.Duration) (w Word) {
+	vouched := time.Duration(math.MinInt64)
+	s.each(good, key, now, func(a Aged) {
+		if near == nil || near(a.Fact) {
+			vouched = max(vouched, a.Seen)
+		}
+	})
+	direct, fresh, passed := 0, 0, map[uint16]bool{} // whether those passed on are fresh, by who passed them
+	s.each(bad, key, now, func(a Aged) {
+		if a.Seen <= vouched || near != nil && !near(a.Fact) {
+			return
+		}
+		if w.Last = min(w.Last, a.Age); direct+len(passed) == 0 {
+			w.Last = a.Age
+		}
+		w.First = max(w.First, a.Age)
+		switch {
+		case !a.direct():
+			passed[a.Via] = passed[a.Via] || !a.Fading
+		case !a.Fading:
+			fresh++
+			fallthrough
+		default:
+			direct++
+		}
+	})
+	for _, f := range passed {
+		if f {
+			fresh++
+		}
+	}
+	w.Fresh = fresh
+	if w.Origins = direct + len(passed); w.Origins > 0 {
+		w.Until = Bounds[bad].Until - w.Last
+	}
+	return w
+}
+
+// Paces is what the fleet says of a destination's pace.
+type Paces struct {
+	Tellers int     // relays that this rests on; 0 for none, and then the rest is 0 too
+	Pace    float64 // the median, in parts of an even share of the listed rate
+	Traffic float64 // messages a second that arrive for it at one relay, in the mean over the tellers
+	Error   float64 // standard error of Traffic
+	Until   time.Duration
+}
+
+// PaceValue packs a pace, in parts of an even share, and the messages a second that arrive.
+func PaceValue(pace, traffic float64) uint64 {
+	bounded := func(v, most float64) uint64 { return uint64(math.Round(min(max(0, v)*1000, most))) }
+	return bounded(traffic, math.MaxUint32)<<16 | bounded(pace, math.MaxUint16)
+}
+
+func paceOf(value uint64) (pace, traffic float64) {
+	return float64(value&math.MaxUint16) / 1000, float64(value>>16&math.MaxUint32) / 1000
+}
+
+// Paces sums up the paces that others than one relay tell of a destination. Those that fade count no more.
+func (s *Store) Paces(key string, but int, now time.Duration) (p Paces) {
+	var paces, traffics []float64
+	s.each(Pace, key, now, func(a Aged) {
+		if int(a.Origin) == but || a.Fading {
+			return
+		}
+		pace, traffic := paceOf(a.Value)
+		paces, traffics = append(paces, pace), append(traffics, traffic)
+		p.Until = max(p.Until, Bounds[Pace].Fades-a.Age)
+	})
+	if p.Tellers = len(paces); p.Tellers == 0 {
+		return Paces{}
+	}
+	slices.Sort(paces)
+	p.Pace = (paces[(len(paces)-1)/2] + paces[len(paces)/2]) / 2
+	n, squares := float64(len(traffics)), 0.0
+	for _, t := range traffics {
+		p.Traffic += t / n
+	}
+	for _, t := range traffics {
+		squares += (t - p.Traffic) * (t - p.Traffic)
+	}
+	p.Error = math.Sqrt(squares/max(1, n-1)) / math.Sqrt(n)
+	return p
+}
--- /dev/null
+++ b/internal/fleet/view_test.go
@@ -0,0 +1,116 @@
+package fleet
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// say has origin's note with a fact heard by n, from via.
+func say(n *Node, kind Kind, origin, via int, key string, value uint64, seq uint32, at, now time.Duration) {
+	note, _ := pack(0, 0, []Fact{{ID: ID{kind, uint16(origin), key}, Stamp: Stamp{1, seq}, Value: value, Seen: at}}, now)
+	n.Heard(via, note, now)
+}
+
+// A word counts who finds a thing bad that nobody has found good since. One relay speaks for itself alone, however many
+// it names, and those that are not near do not count where nearness is asked for.
+func TestWord(t *testing.T) {
+	const now = 8 * time.Second
+	n := NewNode(0, 9, 1, "v", 0, 1, 0)
+	for origin := 1; origin <= 3; origin++ {
+		say(n, Out, origin, origin, "h", uint64(origin%2), 1, time.Duration(origin)*time.Second, now)
+	}
+	for origin := 5; origin <= 8; origin++ { // a liar, or one that passes on what others said
+		say(n, Out, origin, 4, "h", 1, 1, 4*time.Second, now)
+	}
+	near := func(f Fact) bool { return f.Value == 1 }
+	for _, c := range []struct {
+		name string
+		near func(Fact) bool
+		good time.Duration // when relay 5 finds it good; 0 for never
+		want Word
+	}{
+		{"all", nil, 0, Word{4, 0, 7 * time.Second, 4 * time.Second, 26 * time.Second}},
+		{"near", near, 0, Word{3, 0, 7 * time.Second, 4 * time.Second, 26 * time.Second}},
+		{"one has found it good since the second", nil, 2500 * time.Millisecond, Word{2, 0, 5 * time.Second, 4 * time.Second, 26 * time.Second}},
+		{"one has found it good since the last", near, 5 * time.Second, Word{}},
+	} {
+		if c.good > 0 {
+			say(n, Back, 5, 5, "h", 1, uint32(c.good/time.Millisecond), c.good, now)
+		}
+		if got := n.Word(Out, Back, "h", c.near, now); got != c.want {
+			t.Errorf("%s: %+v, want %+v", c.name, got, c.want)
+		}
+	}
+	say(n, Out, 6, 6, "h", 1, 9000, now-time.Second, now)
+	if got := n.Word(Out, Back, "h", nil, now); got.Fresh != 1 || got.Origins != 1 {
+		t.Errorf("one of them fresh: %+v", got)
+	}
+	if got := n.Word(Out, Back, "h", nil, now+Bounds[Out].Until); got != (Word{}) {
+		t.Errorf("past its bound: %+v", got)
+	}
+}
+
+// Paces are told with beats, summed up without this relay's own, and no longer used when they fade.
+func TestPaces(t *testing.T) {
+	m := newModel(10, 0, 1)
+	for i, n := range m.nodes {
+		n.LearnPace("3", PaceValue(float64(i)/4, float64(i)))
+	}
+	m.run(8*time.Second, nil)
+	p := m.nodes[9].Paces("3", 9, m.now)
+	if p.Tellers != 9 || p.Pace != 1 || p.Traffic != 4 || math.Abs(p.Error-math.Sqrt(7.5)/3) > 1e-9 || p.Until <= 0 {
+		t.Errorf("%+v", p)
+	}
+	if p := m.nodes[9].Paces("3", 9, m.now+Bounds[Pace].Fades); p != (Paces{}) {
+		t.Errorf("past its use: %+v", p)
+	}
+	for _, v := range []float64{-1, 0, 65, 1e12, math.Inf(1)} { // numbers at their ends
+		if pace, traffic := paceOf(PaceValue(v, v)); pace < 0 || pace > 66 || traffic < 0 || traffic > 5e6 {
+			t.Errorf("%v is told as %v and %v", v, pace, traffic)
+		}
+	}
+}
+
+// A newcomer asks one relay, another where that does not answer, never all; and knows the fleet's paces soon.
+func TestNewcomer(t *testing.T) {
+	for _, loss := range []float64{0, 0.3, 1} {
+		m := newModel(60, 0, 1)
+		for i := range 60 {
+			m.nodes[i].LearnPace(fmt.Sprint(i%10), PaceValue(0.5, 1))
+		}
+		m.run(12*time.Second, nil)
+		m.nodes[1].Learn(Closed, "7", 500, false, m.now, m.now)
+		m.run(m.now+500*time.Millisecond, nil)
+		m.loss = loss
+		n := NewNode(44, 60, 2, "v", 0, 9, m.now)
+		m.nodes[44] = n
+		asked := map[int]bool{}
+		begun := m.now
+		for m.now < begun+2*time.Second {
+			if n.Next() <= m.now {
+				out := n.Tick(m.now)
+				for _, s := range out {
+					if len(s.Note) > 2 && s.Note[2]&isNewcomer != 0 {
+						asked[s.To] = true
+					}
+				}
+				m.send(44, out)
+			}
+			m.run(m.now+5*time.Millisecond, nil)
+		}
+		if len(asked) < 1 || len(asked) > newcomerAsks || asked[All] || loss == 0 && len(asked) > 2 {
+			t.Errorf("loss %v: asked %v", loss, asked)
+		}
+		known := 0
+		for k := range 10 {
+			if n.Paces(fmt.Sprint(k), 44, m.now).Tellers > 0 {
+				known++
+			}
+		}
+		if closed, _ := n.Agreed(Closed, "7", m.now); loss < 1 && (known < 10 || closed == 0) {
+			t.Errorf("loss %v: knows %d paces of 10, and of %d closings", loss, known, closed)
+		}
+	}
+}
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -38,50 +38,57 @@
 	Fault   = "fault"   // What, Of: number in the scenario; Until its end
 	Peer    = "peer"    // Peer, Relay, What: a malformed peer came, or how it ended
 	Usage   = "usage"   // Relay, MemoryMB, DiskMB, CPU (seconds since its process began), FDs
-	View    = "view"    // Relay, Oldest, Beliefs, Live: what a relay believes of the fleet
+	View    = "view"    // Relay, Oldest, Beliefs, Live, Digest, Known: what a relay believes of the fleet; What: LastView
 	Late    = "late"    // By: the lab did something later than it should have
 	Void    = "void"    // What: the lab could not do what the scenario asks
-	End     = "end"     // the last line of a run that came to its end; Events timed, LateCount of them late
+	End     = "end"     // the last line of a run that came to its end; Events timed, LateN of them late; Notes, NoteBytes, Received
+
+	LastView = "last" // after the traffic has stopped
 )
 
 // Event is one line of a history. Fields that a kind does not have are left out.
 type Event struct {
-	T        Micros   `json:"t"`
-	Kind     string   `json:"kind"`
-	Relay    *int     `json:"relay,omitempty"`
-	ID       string   `json:"id,omitempty"`
-	Msg      int      `json:"msg,omitempty"` // the client's number of the message, over all its hand-ins; from 1
-	Class    string   `json:"class,omitempty"`
-	Dest     *int     `json:"dest,omitempty"`
-	Key      string   `json:"key,omitempty"`
-	Left     Micros   `json:"left,omitempty"` // until the message is given up
-	Status   string   `json:"status,omitempty"`
-	After    Micros   `json:"after,omitempty"` // wait, or when to come again
-	What     string   `json:"what,omitempty"`
-	Call     int      `json:"call,omitempty"` // from 1
-	Host     string   `json:"host,omitempty"`
-	IDs      []string `json:"ids,omitempty"`
-	States   []string `json:"states,omitempty"` // of IDs, in their order
-	Began    Micros   `json:"began,omitempty"`  // the call's first byte
-	Seq      int      `json:"seq,omitempty"`
-	Hosts    []Listed `json:"hosts,omitempty"`
-	Told     bool     `json:"told,omitempty"`
-	Bytes    int      `json:"bytes,omitempty"`
-	Rate     float64  `json:"rate,omitempty"`
-	Of       int      `json:"of,omitempty"`
-	Until    Micros   `json:"until,omitempty"`
-	Peer     int      `json:"peer,omitempty"`
-	MemoryMB float64  `json:"memory_mb,omitempty"`
-	DiskMB   float64  `json:"disk_mb,omitempty"`
-	CPU      float64  `json:"cpu,omitempty"`
-	FDs      int      `json:"fds,omitempty"`
-	Oldest   float64  `json:"oldest,omitempty"` // the most that an age is of its bound
-	Beliefs  int      `json:"beliefs,omitempty"`
-	Live     int      `json:"live,omitempty"`
-	By       Micros   `json:"by,omitempty"`
-	Events   int      `json:"events,omitempty"`
-	LateN    int      `json:"late,omitempty"`
-	Facts    *Facts   `json:"facts,omitempty"`
+	T         Micros            `json:"t"`
+	Kind      string            `json:"kind"`
+	Relay     *int              `json:"relay,omitempty"`
+	ID        string            `json:"id,omitempty"`
+	Msg       int               `json:"msg,omitempty"` // the client's number of the message, over all its hand-ins; from 1
+	Class     string            `json:"class,omitempty"`
+	Dest      *int              `json:"dest,omitempty"`
+	Key       string            `json:"key,omitempty"`
+	Left      Micros            `json:"left,omitempty"` // until the message is given up
+	Status    string            `json:"status,omitempty"`
+	After     Micros            `json:"after,omitempty"` // wait, or when to come again
+	What      string            `json:"what,omitempty"`
+	Call      int               `json:"call,omitempty"` // from 1
+	Host      string            `json:"host,omitempty"`
+	IDs       []string          `json:"ids,omitempty"`
+	States    []string          `json:"states,omitempty"` // of IDs, in their order
+	Began     Micros            `json:"began,omitempty"`  // the call's first byte
+	Seq       int               `json:"seq,omitempty"`
+	Hosts     []Listed          `json:"hosts,omitempty"`
+	Told      bool              `json:"told,omitempty"`
+	Bytes     int               `json:"bytes,omitempty"`
+	Rate      float64           `json:"rate,omitempty"`
+	Of        int               `json:"of,omitempty"`
+	Until     Micros            `json:"until,omitempty"`
+	Peer      int               `json:"peer,omitempty"`
+	MemoryMB  float64           `json:"memory_mb,omitempty"`
+	DiskMB    float64           `json:"disk_mb,omitempty"`
+	CPU       float64           `json:"cpu,omitempty"`
+	FDs       int               `json:"fds,omitempty"`
+	Oldest    float64           `json:"oldest,omitempty"` // the most that an age is of its bound
+	Digest    uint32            `json:"digest,omitempty"`
+	Known     map[string]Micros `json:"known,omitempty"` // since when a closing or an outage has been known
+	Notes     int               `json:"notes,omitempty"` // between relays: sent, one to all counting once, and their bytes
+	NoteBytes int               `json:"note_bytes,omitempty"`
+	Received  int               `json:"received,omitempty"` // notes carried to a relay
+	Beliefs   int               `json:"beliefs,omitempty"`
+	Live      int               `json:"live,omitempty"`
+	By        Micros            `json:"by,omitempty"`
+	Events    int               `json:"events,omitempty"`
+	LateN     int               `json:"late,omitempty"`
+	Facts     *Facts            `json:"facts,omitempty"`
 
 	Line int `json:"-"` // in the file that it was read from, from 1
 }
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -50,6 +50,9 @@
 // settle is the time after the last message's end in which calls that are still out may end.
 const settle = 300 * time.Millisecond
 
+// agreeIn is the time in which relays that share should have come to one view, once the traffic has stopped.
+const agreeIn = 3 * time.Second
+
 // folderPrefix begins the names of the lab's folders; the id of its process follows.
 const folderPrefix = "milletsail-lab-"
 
@@ -115,6 +118,11 @@
 	}
 	c.Run(plan)
 	pause.For(ctx, settle)
+	notes, noteBytes, received := p.NotesSent()
+	if s.Fleet.Shares {
+		pause.For(ctx, agreeIn)
+		fleet.Look()
+	}
 	stopFaults()
 	work.Wait()
 	if err := ctx.Err(); err != nil {
@@ -122,7 +130,7 @@
 	}
 	fleet.Stop()
 	events, late := c.Timed()
-	h.Add(history.Event{Kind: history.End, Events: events, LateN: late})
+	h.Add(history.Event{Kind: history.End, Events: events, LateN: late, Notes: notes, NoteBytes: noteBytes, Received: received})
 	all := h.Events()
 	return &Result{s, all, checker.Check(all, false)}, nil
 }
--- a/internal/lab/platform/notes.go
+++ b/internal/lab/platform/notes.go
@@ -26,7 +26,8 @@
 	mu         sync.Mutex
 	cut        [][]int // cuts in force, by sender and receiver
 	drop, twin []float64
-	sent       int
+	sent       int // to one relay each
+	told, size int // datagrams taken, and their bytes
 	closed     chan struct{}
 	work       sync.WaitGroup
 }
@@ -109,6 +110,9 @@
 			n.p.h.Add(history.Event{Kind: history.Note, Relay: history.N(sender), Bytes: size})
 		}
 		note := append([]byte(nil), buf[:size]...)
+		n.mu.Lock()
+		n.told, n.size = n.told+1, n.size+size
+		n.mu.Unlock()
 		for _, r := range to(sender) {
 			n.carry(sender, r, note)
 		}
@@ -138,6 +142,13 @@
 	}
 }
 
+// NotesSent counts the notes that relays have sent, one to all counting once, their bytes, and those carried to one relay.
+func (p *Platform) NotesSent() (notes, bytes, received int) {
+	p.notes.mu.Lock()
+	defer p.notes.mu.Unlock()
+	return p.notes.told, p.notes.size, p.notes.sent
+}
+
 // CutNotes cuts (by 1) or heals (by -1) the way of notes from one relay to another.
 func (p *Platform) CutNotes(by int, between func(from, to int) bool) {
 	p.notes.mu.Lock()
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -61,6 +61,7 @@
 	DiskMB   Spread             `json:"disk_mb"`
 
 	Faults  []FaultFigures  `json:"faults"`
+	Notes   Notes           `json:"notes"`
 	Service []Point         `json:"service"`
 	Verdict checker.Verdict `json:"verdict"`
 	Lab     Lab             `json:"lab"`
@@ -73,6 +74,27 @@
 	LateMost float64 `json:"late_most"`
 }
 
+// Notes is what relays told each other, and how far they agree, where they share what they learn.
+type Notes struct {
+	Sent     float64            `json:"sent"`     // a second, over the fleet; one to all counts once
+	Bytes    float64            `json:"bytes"`    // a second that a relay sends
+	Received float64            `json:"received"` // notes a second that a relay gets
+	Views    int                `json:"views"`    // asked for
+	Oldest   map[string]float64 `json:"oldest"`   // of the values in a view the oldest, as a share of its bound
+	Known    []Known            `json:"known"`
+	Last     int                `json:"last"`  // views after the traffic stopped
+	Agree    int                `json:"agree"` // of these, with the digest that most have
+}
+
+// Known is how soon the relays knew of a closing or an outage, after the first of them.
+type Known struct {
+	What   string  `json:"what"`
+	At     float64 `json:"at"`
+	Relays int     `json:"relays"`
+	P50    float64 `json:"p50"`
+	P99    float64 `json:"p99"`
+}
+
 // Spread is a figure over the relays.
 type Spread struct {
 	Mean float64 `json:"mean"`
@@ -93,6 +115,7 @@
 	Until  float64  `json:"until"`
 	Before float64  `json:"before"`         // share of the worth served
 	Worst  float64  `json:"worst"`          // in one step, up to the next fault
+	Turned int      `json:"turned"`         // calls turned away while it lasted
 	Back   *float64 `json:"back,omitempty"` // seconds from its begin until 95% of Before; none if it did not come back
 }
 
@@ -187,9 +210,65 @@
 	f.Attempts, f.Connects, f.Turned = float64(attempts)/n, float64(connects)/n, float64(turned)/math.Max(1, float64(nCalls))
 	f.CPU, f.MemoryMB, f.DiskMB = cpu.total(), memory.spread(), disk.spread()
 	f.faults(events)
+	f.notes(events)
 	return f
 }
 
+// again is how long a thing has to be known by nobody for its next closing to be another one.
+const again = 5 * time.Second
+
+// notes finds how well what relays share goes round.
+func (f *Figures) notes(events []history.Event) {
+	end := events[len(events)-1]
+	span := math.Max(1e-9, events[0].Facts.Length.D().Seconds())
+	relays := math.Max(1, float64(f.Relays))
+	n := Notes{Sent: float64(end.Notes) / span, Bytes: float64(end.NoteBytes) / span / relays, Received: float64(end.Received) / span / relays}
+	oldest := hdrhistogram.New(1, 10_000_000, 4)
+	first := map[string]map[int]history.Micros{} // when each relay first knew of a thing
+	digests := map[uint32]int{}
+	for i := range events {
+		e := &events[i]
+		if e.Kind != history.View {
+			continue
+		}
+		n.Views++
+		_ = oldest.RecordValue(max(1, int64(e.Oldest*1e6)))
+		if e.What == history.LastView {
+			n.Last++
+			digests[e.Digest]++
+			n.Agree = max(n.Agree, digests[e.Digest])
+		}
+		for what, at := range e.Known {
+			if first[what] == nil {
+				first[what] = map[int]history.Micros{}
+			}
+			if _, had := first[what][*e.Relay]; !had {
+				first[what][*e.Relay] = at
+			}
+		}
+	}
+	if n.Views > 0 {
+		n.Oldest = map[string]float64{"p50": float64(oldest.ValueAtPercentile(50)) / 1e6, "p99.9": float64(oldest.ValueAtPercentile(99.9)) / 1e6, "most": float64(oldest.Max()) / 1e6}
+	}
+	for _, what := range sortedKeys(first) {
+		var at []history.Micros
+		for _, t := range first[what] {
+			at = append(at, t)
+		}
+		slices.Sort(at)
+		// Those who come to know of it much later learned of another closing of the same.
+		for i := 1; i < len(at); i++ {
+			if (at[i] - at[i-1]).D() > again {
+				at = at[:i]
+			}
+		}
+		after := func(share float64) float64 { return (at[int(share*float64(len(at)-1))] - at[0]).D().Seconds() }
+		n.Known = append(n.Known, Known{What: what, At: at[0].D().Seconds(), Relays: len(at), P50: after(0.5), P99: after(0.99)})
+	}
+	slices.SortFunc(n.Known, func(a, b Known) int { return cmp.Compare(b.Relays, a.Relays) })
+	f.Notes = n
+}
+
 func deliveredEnd(m *fate) string {
 	if m.at > 0 {
 		return m.end
@@ -268,6 +347,11 @@
 			continue
 		}
 		x := FaultFigures{Kind: e.What, At: e.T.D().Seconds(), Until: max(e.Until, e.T).D().Seconds()}
+		for i := range events {
+			if r := &events[i]; r.Kind == history.Reply && r.T >= e.T && r.T < max(e.Until, e.T) && (r.Status == "429" || r.Status == "503") {
+				x.Turned++
+			}
+		}
 		x.Before, _ = f.between(x.At-before.Seconds(), x.At)
 		x.Worst = 1
 		for _, p := range f.Service {
@@ -360,7 +444,16 @@
 		if x.Back != nil {
 			back = fmt.Sprintf("back to 95%% of that after %s", seconds(*x.Back))
 		}
-		line(fmt.Sprintf("%s at %.1f s", x.Kind, x.At), "served %.1f%% before, %.1f%% at worst, %s", 100*x.Before, 100*x.Worst, back)
+		line(fmt.Sprintf("%s at %.1f s", x.Kind, x.At), "served %.1f%% before, %.1f%% at worst, %s; %d calls turned away", 100*x.Before, 100*x.Worst, back, x.Turned)
+	}
+	if n := f.Notes; n.Sent > 0 {
+		line("notes", "%.1f a second over the fleet, %.1f bytes a second from each relay, %.1f a second to each", n.Sent, n.Bytes, n.Received)
+	}
+	if n := f.Notes; n.Views > 0 {
+		line("views", "%d, the oldest value at %.3f of its bound (p99.9 %.3f); %d of %d agree at the end", n.Views, n.Oldest["most"], n.Oldest["p99.9"], n.Agree, n.Last)
+		for _, k := range n.Known[:min(3, len(n.Known))] {
+			line("known", "%s, at %.1f s: to %d relays, half of them in %s, 99%% in %s", k.What, k.At, k.Relays, seconds(k.P50), seconds(k.P99))
+		}
 	}
 	line("the lab", "late for %d of %d events, by %s at most", f.Lab.Late, f.Lab.Events, seconds(f.Lab.LateMost))
 	line("verdict", "%s (%d messages taken on and followed to their end, %d calls)", f.Verdict.String(), f.Verdict.Messages, f.Verdict.Calls)
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -143,7 +143,7 @@
 		return err
 	}
 	// In the simulator some deployments are told of changes unasked; on sockets they come to a watch alone.
-	c.policy.Subscribe = true
+	c.policy.Subscribe, c.policy.Shares = true, c.Fleet
 	c.policy.CallSize = maxBody - len("[]")
 	_, err = policy.New(c.policy, c.seed) // its own check of the settings
 	return err
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -310,6 +310,8 @@
 		l.journal.List(Members{Seq: e.Seq, Whole: true, Hosts: slices.Collect(maps.Values(l.hosts))}.kept())
 	case heard:
 		l.events = append(l.events, policy.Heard{Note: e.note})
+	case live.Said:
+		l.events = append(l.events, said(e)...)
 	case watchEnded:
 		l.events = append(l.events, policy.ListFailed{})
 	case received:
@@ -399,7 +401,7 @@
 		slog.Info("call without delivery", "id", e.id, "dest", m.Dest, "host", e.host, "attempt", e.attempt,
 			"outcome", e.outcome, "took", e.took, "wait", e.wait)
 	}
-	l.observed(m, e)
+	l.observed(e)
 	unrun := e.outcome == policy.QueueFull || e.outcome == policy.ConnectError || e.outcome == policy.Ignored
 	if l.journal.Get(m.ID) == m.Entry {
 		l.journal.End(m.Entry, unrun)
@@ -416,18 +418,6 @@
 	}
 }
 
-// observed tells the other relays what the end of a call says of its destination.
-func (l *loop) observed(m *message, e answered) {
-	switch e.outcome {
-	case policy.OK:
-		l.shared.Took(m.Dest)
-	case policy.QueueFull:
-		l.shared.Refused(m.Dest, e.wait)
-	case policy.ConnectError:
-		l.shared.NoRoom(e.host)
-	}
-}
-
 // told takes in a change of the list.
 func (l *loop) told(m Members) {
 	named := map[string]bool{}
@@ -580,12 +570,16 @@
 	case policy.Subscribe:
 		l.watch.ask()
 	case policy.Tell:
-		l.effects = append(l.effects, func() { l.peers.tell(a.Note) })
+		l.effects = append(l.effects, func() { l.tell(a.Note) })
 	case policy.Remember:
 		if _, ok := l.hosts[a.Endpoint]; ok {
 			l.journal.Remember(a.Endpoint, journal.Health{Sick: a.Sick, At: l.wall(a.At)})
-			l.shared.Health(a.Endpoint, a.Sick)
+			if !a.Hearsay {
+				l.shared.Health(a.Endpoint, a.Sick)
+			}
 		}
+	case policy.Share:
+		l.shared.Paced(a.Destination, a.Pace, a.Traffic)
 	}
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,8 +10,6 @@
 	"sync"
 	"time"
 
-	"milletsail/internal/fleet"
-	"milletsail/internal/fleet/live"
 	"milletsail/internal/journal"
 	"milletsail/internal/settings"
 	"milletsail/policy"
@@ -89,7 +87,7 @@
 		}
 	})
 	if cfg.Fleet && l.peers != nil {
-		l.shared = share(cfg, l.peers)
+		l.shared = l.share()
 		if operators != nil {
 			operators.shared.Store(l.shared)
 		}
@@ -138,19 +136,6 @@
 	return nil
 }
 
-// share has this relay share what it learns with the others.
-func share(cfg *Config, p *peers) *live.Service {
-	s := &cfg.Settings
-	return live.New(live.Options{Self: s.Ordinal, Size: s.NInstances, Version: version(), Zone: s.Az, Seed: uint64(cfg.seed),
-		Send: func(to int, note []byte) {
-			if to == fleet.All {
-				p.tell(note)
-			} else {
-				p.tellOne(to, note)
-			}
-		}})
-}
-
 // version is what this program was built from, in short.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
--- a/policy/api.go
+++ b/policy/api.go
@@ -74,6 +74,7 @@
 	CallSize       int       // bytes that a call with several messages holds at most; 0 for any number
 	MaxAttempts    int
 	Peers          bool // notes to other relays are allowed
+	Shares         bool // Share is of use: what relays observe is shared
 	SecondCopies   bool // two attempts of a message may be out at once
 	CanCancel      bool
 	Subscribe      bool // list changes come only after Subscribe
@@ -197,6 +198,28 @@
 	}
 	// Heard brings what another relay told.
 	Heard struct{ Note []byte }
+	// Accused says what the fleet has found of a destination (a run of refusals) or, where it is named, of an
+	// endpoint (it is out), as observed by relays in this one's place: how many have found it bad that nobody has
+	// found good since, and the ages of the first and the last such finding. Until is how long it may be used.
+	// Rank is this relay's turn to try it, 0 for the first. It replaces what was said of the same before.
+	Accused struct {
+		Destination int    // where Endpoint is empty
+		Endpoint    string // or empty
+		Origins     int
+		Fresh       int // of these, those that found so just now
+		First, Last time.Duration
+		Until       time.Duration
+		Rank        int
+	}
+	// Paced says what other relays, Tellers of them, send a destination and get for it.
+	Paced struct {
+		Destination    int
+		Relays         int // that count as there, this one included
+		Tellers        int
+		Pace           float64 // the median, in parts of an even share of the listed rate
+		Traffic, Error float64 // messages a second at one relay, and the standard error of that
+		Until          time.Duration
+	}
 	// Stored says whether attempts can be recorded for a later process; they can until it says otherwise.
 	Stored struct{ Writable bool }
 	// Stopping says that this process is about to end: nothing more is sent.
@@ -213,6 +236,8 @@
 func (Recalled) event()   {}
 func (Learned) event()    {}
 func (Heard) event()      {}
+func (Accused) event()    {}
+func (Paced) event()      {}
 func (Stored) event()     {}
 func (Stopping) event()   {}
 func (Woken) event()      {}
@@ -260,6 +285,13 @@
 		Endpoint string
 		Sick     bool
 		At       time.Duration
+		Hearsay  bool // this relay has not seen it itself
+	}
+	// Share is for the other relays: this one's pace for a destination, in parts of an even share of the listed
+	// rate, and the messages a second that arrive for it.
+	Share struct {
+		Destination   int
+		Pace, Traffic float64
 	}
 )
 
@@ -273,3 +305,4 @@
 func (Subscribe) action() {}
 func (Tell) action()      {}
 func (Remember) action()  {}
+func (Share) action()     {}
--- /dev/null
+++ b/policy/fleet_test.go
@@ -0,0 +1,184 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+)
+
+// large is one relay of many, with endpoints of one destination that takes a rate.
+func large(t *testing.T, relays int, weight float64, ids ...string) *Dispatcher {
+	t.Helper()
+	s := plain()
+	s.Instances, s.Weights, s.Peers, s.Shares = relays, WeightsNominal, true, true
+	var eps []Endpoint
+	for _, id := range ids {
+		eps = append(eps, Endpoint{ID: id, Weight: weight})
+	}
+	return start(t, s, eps...)
+}
+
+func hearsay(actions []Action) (n int) {
+	for _, a := range actions {
+		if a, ok := a.(Remember); ok && a.Sick && a.Hearsay {
+			n++
+		}
+	}
+	return n
+}
+
+// A destination counts as shut where several relays have met nothing but refusals, though this one has met none; not
+// where too few have, not before it would count as shut to one of them, and not against an own success since.
+func TestShutByTheWordOfOthers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		e       Accused
+		success bool
+		want    int
+	}{
+		{"three relays for 3 s", Accused{Origins: 3, First: 3 * time.Second, Until: time.Second}, false, 2},
+		{"two relays", Accused{Origins: 2, First: 3 * time.Second, Until: time.Second}, false, 0},
+		{"for 2 s", Accused{Origins: 9, First: 2 * time.Second, Until: time.Second}, false, 0},
+		{"against a success since", Accused{Origins: 9, First: 3 * time.Second, Until: time.Second}, true, 0},
+		{"another destination", Accused{Destination: 7, Origins: 9, First: 3 * time.Second, Until: time.Second}, false, 0},
+		{"an endpoint", Accused{Endpoint: "a", Origins: 3, Fresh: 3, First: 10 * ms, Until: time.Second}, false, 1},
+		{"an endpoint, three relays, of which two not just now", Accused{Endpoint: "a", Origins: 3, Fresh: 1, First: 10 * ms, Until: time.Second}, false, 0},
+		{"an endpoint, one relay", Accused{Endpoint: "a", Origins: 1, Fresh: 1, First: 10 * ms, Until: time.Second}, false, 0},
+		{"an endpoint that serves here", Accused{Endpoint: "a", Origins: 3, Fresh: 3, First: 2 * time.Second, Until: time.Second}, true, 0},
+		{"an endpoint that is not listed", Accused{Endpoint: "x", Origins: 9, Fresh: 9, First: 3 * time.Second, Until: time.Second}, false, 0},
+	} {
+		d := large(t, 60, 60, "a", "b")
+		if c.success {
+			for i := range 2 {
+				id := fmt.Sprint(i)
+				for _, a := range d.Handle(9*time.Second, []Event{arrive(id, 0)}) {
+					if a, ok := a.(Send); ok {
+						d.Handle(9100*ms, []Event{Ended{ID: id, Endpoint: a.Endpoint, Outcome: OK, Over: true}})
+					}
+				}
+				d.endpoints["a"].lastUsed = 0
+				d.endpoints["a"].lastOK = 9100 * ms
+			}
+		}
+		if got := hearsay(d.Handle(10*time.Second, []Event{c.e})); got != c.want {
+			t.Errorf("%s: %d endpoints count as out, want %d", c.name, got, c.want)
+		}
+	}
+}
+
+// What the fleet finds bad is tried by one relay at a time: the first in rank, the others where that one does not, and
+// by their own budgets alone once the word is past its bound.
+func TestOneTries(t *testing.T) {
+	tried := func(rank int, until time.Duration) time.Duration {
+		d := large(t, 300, 60, "a")
+		word := Accused{Origins: 5, First: 3 * time.Second, Last: 100 * ms, Until: until, Rank: rank}
+		d.Handle(10*time.Second, []Event{word})
+		for now := 10 * time.Second; now < 30*time.Second; now += 10 * ms {
+			for _, a := range d.Handle(now, []Event{Arrived{ID: now.String(), Left: 9 * time.Second}}) {
+				if _, ok := a.(Send); ok {
+					return now - 10*time.Second
+				}
+			}
+		}
+		return never
+	}
+	last := time.Duration(0)
+	for _, rank := range []int{0, 1, 7, 100} {
+		at, want := tried(rank, 10*time.Second), time.Duration((1+math.Log2(1+float64(rank)))*float64(tryEach))-100*ms
+		if at < want || at > want+200*ms || at <= last {
+			t.Errorf("rank %d tries after %v, want about %v", rank, at, want)
+		}
+		last = at
+	}
+	if at := tried(100, 50*ms); at != never && at < time.Second {
+		t.Errorf("past its bound, the word still has rank 100 try after %v", at)
+	}
+}
+
+// A relay that tried in vain does not try again before the next turn, whether it has heard of its own try or not.
+func TestTriesAreApart(t *testing.T) {
+	d := large(t, 300, 60, "a")
+	d.Handle(10*time.Second, []Event{Accused{Origins: 5, First: 3 * time.Second, Last: time.Second, Until: 10 * time.Second}})
+	var at []time.Duration
+	attempts := map[string]int{}
+	for now := 10 * time.Second; now < 15*time.Second; now += 10 * ms {
+		var events []Event
+		if now%(100*ms) == 0 {
+			events = append(events, Arrived{ID: now.String(), Left: 9 * time.Second})
+		}
+		for _, a := range d.Handle(now, append(events, Woken{})) {
+			if a, ok := a.(Send); ok {
+				at = append(at, now)
+				d.Handle(now, []Event{Ended{ID: a.ID, Endpoint: "a", Attempt: attempts[a.ID], Outcome: QueueFull}})
+				attempts[a.ID]++
+			}
+		}
+	}
+	for i := 1; i < len(at); i++ {
+		if at[i]-at[i-1] < tryEach {
+			t.Errorf("tried at %v and again at %v", at[i-1], at[i])
+		}
+	}
+	if len(at) < 8 {
+		t.Errorf("tried %d times in 5 s", len(at))
+	}
+}
+
+// A relay that has just started begins with the fleet's pace, one that has learned its own does not; and no pace is
+// taken that is beyond what a relay comes to by itself.
+func TestBeginsWithTheFleetsPace(t *testing.T) {
+	for _, c := range []struct{ told, want float64 }{{0.4, 0.4}, {0.01, paceFloor}, {50, paceRoom}} {
+		d := large(t, 10, 100, "a")
+		d.Handle(ms, []Event{Paced{Relays: 10, Tellers: 4, Pace: c.told, Traffic: 1, Until: time.Minute}})
+		if got := d.queues[0].pace; math.Abs(got-10*c.want) > 1e-9 {
+			t.Errorf("told %v, it begins with %v a second, want %v", c.told, got, 10*c.want)
+		}
+	}
+	d := large(t, 10, 100, "a")
+	d.Handle(ms, []Event{arrive("m", 0)})
+	d.Handle(2*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}})
+	d.Handle(3*ms, []Event{Paced{Relays: 10, Tellers: 4, Pace: 0.4, Traffic: 1, Until: time.Minute}})
+	if got := d.queues[0].pace; got < 9.9 {
+		t.Errorf("a relay at work comes to %v a second by the word of others", got)
+	}
+}
+
+// Over a fleet with uneven traffic, the parts of a cold destination's budget add up to no more than even ones do, and a
+// relay without the others' word takes an even one.
+func TestPartsAddUp(t *testing.T) {
+	sum, traffic := 0.0, []float64{0.2, 0.2, 0.5, 1, 1, 1.5, 2, 3, 3, 6}
+	mean := 0.0
+	for _, v := range traffic {
+		mean += v / float64(len(traffic))
+	}
+	for _, v := range traffic {
+		d := large(t, len(traffic), 100, "a")
+		q := d.queues[0]
+		q.arrivals = aged{n: v * counterAge.Seconds(), at: 0, since: -time.Hour}
+		d.Handle(ms, []Event{Paced{Relays: 10, Tellers: 8, Pace: 1, Traffic: mean, Error: 0.5, Until: time.Second}})
+		sum += d.part(q)
+		if d.now = 2 * time.Second; d.part(q) != 1 {
+			t.Errorf("past its bound: %v", d.part(q))
+		}
+	}
+	if sum > 10 || sum < 7 {
+		t.Errorf("the parts of ten relays come to %v", sum)
+	}
+}
+
+// A pace is shared for one destination after the other, as seldom as relays tell of themselves.
+func TestShares(t *testing.T) {
+	d := large(t, 60, 60, "a")
+	n := 0
+	for now := time.Duration(0); now < time.Minute; now += 100 * ms {
+		for _, a := range d.Handle(now, []Event{Woken{}}) {
+			if a, ok := a.(Share); ok && a.Pace == 1 {
+				n++
+			}
+		}
+	}
+	if n < 9 || n > 10 {
+		t.Errorf("shared %d times in a minute, want nine or ten", n)
+	}
+}
--- a/policy/notes.go
+++ b/policy/notes.go
@@ -18,6 +18,39 @@
 // endpoint is back, or has taken no connection, with its name.
 const closedMark, openMark, backMark, noRoomMark = 'c', 'o', 'b', 'n'
 
+// Observed is what a note of Tell and Heard says: that a destination has refused a call that was sent an age ago, for a
+// wait or for none that was told, or has taken one; or that an endpoint is back, or has taken no connection.
+type Observed struct {
+	Closed, Open, Back, NoRoom bool // one of them
+	Destination                int
+	Endpoint                   string
+	Wait, Age                  time.Duration
+}
+
+// ReadNote reads a note; one that is not whole says nothing.
+func ReadNote(note []byte) (o Observed, ok bool) {
+	if l, ok := readLimit(note); ok {
+		return Observed{Closed: !l.open, Open: l.open, Destination: l.dest, Wait: l.wait, Age: l.age}, true
+	}
+	if o.Endpoint = readEndpoint(backMark, note); o.Endpoint != "" {
+		o.Back = true
+	} else if o.Endpoint = readEndpoint(noRoomMark, note); o.Endpoint != "" {
+		o.NoRoom = true
+	}
+	return o, o.Back || o.NoRoom
+}
+
+// Note writes it.
+func (o Observed) Note() []byte {
+	switch {
+	case o.Back:
+		return endpointNote(backMark, o.Endpoint)
+	case o.NoRoom:
+		return endpointNote(noRoomMark, o.Endpoint)
+	}
+	return limitNote{o.Open, o.Destination, o.Wait, o.Age}.note()
+}
+
 // maxNumber bounds the numbers of a note, so that none overflows.
 const maxNumber = 1 << 31
 
--- a/policy/notes_test.go
+++ b/policy/notes_test.go
@@ -25,6 +25,21 @@
 }
 
 // fleet gives the dispatchers of a fleet, all with one endpoint listed at a rate.
+func TestObserved(t *testing.T) {
+	for _, o := range []Observed{{Closed: true, Destination: 7, Wait: time.Second, Age: 30 * ms}, {Open: true, Destination: 7, Age: ms},
+		{Back: true, Endpoint: "h"}, {NoRoom: true, Endpoint: "h"}} {
+		if got, ok := ReadNote(o.Note()); !ok || got != o {
+			t.Errorf("%+v is read as %+v", o, got)
+		}
+	}
+	for _, note := range []string{"", "x", "c", "b", "n", "c\x01"} {
+		if got, ok := ReadNote([]byte(note)); ok {
+			t.Errorf("%q is read as %+v", note, got)
+		}
+	}
+}
+
+// fleet gives relays of one destination.
 func fleet(t *testing.T, relays int, weight float64) (all []*Dispatcher) {
 	s := plain()
 	s.Instances, s.Weights, s.Peers = relays, WeightsNominal, true
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -113,6 +113,10 @@
 			d.inherit(e)
 		case Heard:
 			d.heard(e.Note)
+		case Accused:
+			d.accused(e)
+		case Paced:
+			d.pacedBy(e)
 		case Stored:
 			d.unrecorded = !e.Writable
 		case Stopping:
@@ -131,6 +135,7 @@
 	d.expire()
 	d.dispatch()
 	d.reap()
+	d.share()
 	d.rest()
 	d.arm()
 	return d.actions
@@ -220,9 +225,9 @@
 // opens is the time until the next call of a queue may leave with n messages ahead of it, as far as
 // waits, pace and health tell.
 func (d *Dispatcher) opens(q *queue, n int) float64 {
-	wait := math.Max(0, (max(q.waitUntil, q.holdUntil) - d.now).Seconds())
+	wait := math.Max(0, (d.pausedTo(q) - d.now).Seconds())
 	calls := q.calls(n)
-	if q.pace > 0 {
+	if q.pace > 0 && !d.tries(q) {
 		wait = math.Max(wait, (calls+1-d.tokens(q))/q.pace)
 	}
 	ramp := math.Inf(1)
@@ -232,6 +237,9 @@
 		}
 		// The next trial, and if it succeeds the others at the budget of a half-warm endpoint.
 		first := math.Max(0, 1-d.epTokens(ep)) / math.Max(1e-9, d.budget(ep, d.coldFor(ep)))
+		if d.tries(q) {
+			first = math.Min(first, math.Max(0, (d.tryAt(ep)-d.now).Seconds()))
+		}
 		half := d.budget(ep, max(d.coldFor(ep), d.s.RampTime/2)) * float64(len(q.eps))
 		ramp = math.Min(ramp, first+calls/math.Max(1e-9, half))
 	}
@@ -370,10 +378,14 @@
 // ready tells which message a queue would send now and where, if any.
 func (d *Dispatcher) ready(q *queue) (*endpoint, *message) {
 	most := max(1, int(math.Ceil(slotShare*float64(d.s.Slots))))
-	if len(q.held) == 0 || d.now < q.waitUntil || d.now < q.holdUntil || len(q.out) >= most {
+	if len(q.held) == 0 || d.now < q.waitUntil || len(q.out) >= most {
+		return nil, nil
+	}
+	tries := d.tries(q)
+	if (d.now < q.holdUntil || q.pace > 0 && d.tokens(q) < 1) && !tries {
 		return nil, nil
 	}
-	if q.pace > 0 && d.tokens(q) < 1 {
+	if d.fenced(q) && (!tries || d.now < d.tryAt(q.eps[0])) {
 		return nil, nil
 	}
 	for _, m := range q.held {
@@ -470,6 +482,9 @@
 				trials++
 			}
 		}
+		if turn := d.tryAt(ep); turn > 0 {
+			return trials == 0 && d.now >= turn
+		}
 		return trials < fewSlots && d.epTokens(ep) >= 1
 	}
 	if ep.ramping && d.epTokens(ep) < 1 {
@@ -497,8 +512,10 @@
 	ep.lastUsed = d.now
 	d.spend(q)
 	if ep.sick || ep.ramping {
-		d.epTokens(ep)
-		ep.tokens--
+		ep.tokens = math.Max(0, d.epTokens(ep)-1)
+	}
+	if ep.sick || d.fenced(q) {
+		q.triedAt = d.now
 	}
 	d.attempt(first, c)
 	for i := 0; i < len(q.held) && c.open < q.bundle && !ep.sick; {
@@ -571,7 +588,7 @@
 		safety = sparseSafety
 	}
 	all := safety * d.s.OverloadFactor * share * weight
-	return all / float64(d.s.Instances*max(1, len(ep.q.eps)))
+	return all * d.part(ep.q) / d.there() / float64(max(1, len(ep.q.eps)))
 }
 
 // --- Outcomes ---
@@ -645,7 +662,8 @@
 		}
 		d.succeeded(ep, e.Report == nil || e.Report.Left >= roomLeft)
 		open := limitNote{open: true, dest: q.dest.no, age: d.now - c.sent}
-		if d.reopened(q, open) && d.s.Peers {
+		if (d.reopened(q, open) || q.word.origins > 0) && d.s.Peers {
+			q.word = word{}
 			d.act(Tell{Note: open.note()})
 		}
 	case QueueFull:
@@ -680,11 +698,13 @@
 		ep.connCap += connRaise // other relays close idle connections
 	}
 	if ep.sick {
-		d.returns(ep, math.Max(d.epTokens(ep), d.phase(ep)))
+		d.returns(ep, math.Max(d.epTokens(ep), d.phase(ep)), false)
 		if d.s.Peers {
 			d.act(Tell{Note: endpointNote(backMark, ep.ID)})
 		}
+		q.word = word{}
 		for _, other := range q.eps {
+			other.word = word{}
 			other.tokens = math.Max(other.tokens, 1) // outages mostly end for a whole destination
 		}
 	}
@@ -695,10 +715,10 @@
 }
 
 // returns starts the ramp of an endpoint that was sick, with what of a call may go at once.
-func (d *Dispatcher) returns(ep *endpoint, tokens float64) {
+func (d *Dispatcher) returns(ep *endpoint, tokens float64, hearsay bool) {
 	ep.sick, ep.ramping, ep.recovered, ep.failures, ep.q.ill = false, true, d.now, 0, false
 	ep.tokens, ep.tokensAt = tokens, d.now
-	d.act(Remember{Endpoint: ep.ID, At: d.now})
+	d.act(Remember{Endpoint: ep.ID, At: d.now, Hearsay: hearsay})
 }
 
 // failed notes a failure of an endpoint; one of a call sent before its last success tells nothing new.
@@ -722,13 +742,15 @@
 }
 
 // sicken marks an endpoint sick and lets the messages of its route choose again.
-func (d *Dispatcher) sicken(ep *endpoint) {
+func (d *Dispatcher) sicken(ep *endpoint) { d.markSick(ep, false) }
+
+func (d *Dispatcher) markSick(ep *endpoint, hearsay bool) {
 	if ep.sick {
 		return
 	}
 	ep.sick, ep.ramping, ep.sickAt, ep.q.ill = true, false, d.now, true
 	ep.tokens, ep.tokensAt = d.phase(ep), max(d.now, ep.q.waitUntil)
-	d.act(Remember{Endpoint: ep.ID, Sick: true, At: d.now})
+	d.act(Remember{Endpoint: ep.ID, Sick: true, At: d.now, Hearsay: hearsay})
 	if ep.q.apart {
 		d.reroute(ep.q)
 	}
@@ -747,7 +769,8 @@
 	if q.fulls++; q.fulls == 1 {
 		q.firstFull = d.now
 	}
-	if until := d.closed(q, l); d.s.Peers && !q.apart && until > q.toldUntil+leastPause {
+	tried := d.tries(q) // for all: they have to know
+	if until := d.closed(q, l); d.s.Peers && !q.apart && (tried || until > q.toldUntil+leastPause) {
 		q.toldUntil = until
 		d.act(Tell{Note: l.note()})
 	}
@@ -764,7 +787,7 @@
 func (d *Dispatcher) heard(note []byte) {
 	d.heardAt = d.now
 	if ep := d.endpoints[readEndpoint(backMark, note)]; ep != nil && ep.sick {
-		d.returns(ep, d.chance.Float64()) // all hear at once, and saved tokens are a call of each
+		d.returns(ep, d.chance.Float64(), true) // all hear at once, and saved tokens are a call of each
 	}
 	if ep := d.endpoints[readEndpoint(noRoomMark, note)]; ep != nil {
 		ep.noRoomAt = d.now
--- a/policy/state.go
+++ b/policy/state.go
@@ -33,6 +33,9 @@
 	resub      time.Duration // when to subscribe
 	wakeAt     time.Duration // when the next timer is due; 0 for none
 	heardAt    time.Duration // when the last note came
+	shareAt    time.Duration // when to share a pace next
+	shareNext  int           // among queues
+	relays     int           // that count as there; 0 for unknown
 	stopping   bool          // send nothing more
 	unrecorded bool          // attempts leave no trace for a later process
 	actions    []Action
@@ -64,7 +67,7 @@
 	waitUntil time.Duration
 	holdUntil time.Duration // our own pause after a refusal without a wait
 	toldUntil time.Duration // other relays know of a refusal up to then
-	refusedAt time.Duration // when the last call was sent that a pause is for
+	refusedAt time.Duration // when what is out or fenced last got a call that a pause is for
 	cutAt     time.Duration // of the pace
 	climbedAt time.Duration
 	pause     time.Duration // the last after a refusal that told no wait
@@ -74,6 +77,10 @@
 	weight    float64       // calls a second that all relays may make; 0 for unknown
 	pace      float64       // calls a second of this relay; 0 for unknown
 	bucket                  // of the pace
+	word      word          // of the fleet, on the destination
+	triedAt   time.Duration // when what is out or fenced last got a call
+	paced     Paced         // by other relays; used until pacedTo
+	pacedTo   time.Duration
 	arrivals  aged
 	misses    aged // of the virtual copy under the basic rule
 	copyWork  float64
@@ -155,9 +162,16 @@
 	lastTook  float64       // the latency of the last success
 	connCap   float64       // learned; 0 for none
 	noRoomAt  time.Duration // when it last took no connection, here or elsewhere
+	word      word          // of the fleet
 	crowdedAt time.Duration // when it last was known to serve this relay all the same; 0 for never
 }
 
+// word is what the fleet says, with the times by this relay's clock.
+type word struct {
+	origins, rank      int
+	first, last, until time.Duration
+}
+
 // call is one call out: one message, or a bundle.
 type call struct {
 	ep       *endpoint
@@ -515,7 +529,7 @@
 func (q *queue) calls(n int) float64 { return float64(n) / float64(q.bundle) }
 
 // even is this relay's even share of a queue's limit, in calls a second.
-func (d *Dispatcher) even(q *queue) float64 { return q.weight / float64(d.s.Instances) }
+func (d *Dispatcher) even(q *queue) float64 { return q.weight / d.there() }
 
 // check names the first setting that makes no sense.
 func (s *Settings) check() error {
@@ -636,8 +650,7 @@
 
 func (d *Dispatcher) spend(q *queue) {
 	if q.pace > 0 {
-		d.tokens(q)
-		q.tokens--
+		q.tokens = math.Max(0, d.tokens(q)-1)
 	}
 }
 
@@ -683,10 +696,13 @@
 		if len(q.held) == 0 {
 			continue
 		}
-		at := max(q.waitUntil, q.holdUntil, d.now)
-		if q.pace > 0 && d.tokens(q) < 1 {
+		at := max(d.pausedTo(q), d.now)
+		if q.pace > 0 && d.tokens(q) < 1 && !d.tries(q) {
 			at = max(at, d.now+wait(1-q.tokens, q.pace))
 		}
+		if d.fenced(q) {
+			at = max(at, d.tryAt(q.eps[0]))
+		}
 		if at > d.now {
 			soon(at)
 		}
@@ -694,6 +710,9 @@
 			if (ep.sick || ep.ramping) && d.epTokens(ep) < 1 {
 				soon(max(at, d.now+wait(1-ep.tokens, d.budget(ep, d.coldFor(ep)))))
 			}
+			if turn := d.tryAt(ep); ep.sick && turn > d.now {
+				soon(max(at, turn))
+			}
 		}
 	}
 	for _, m := range d.resting {
