--- a/cmd/milletsail/lab.go
+++ b/cmd/milletsail/lab.go
@@ -18,6 +18,7 @@
 	"milletsail/internal/lab/history"
 	"milletsail/internal/lab/report"
 	"milletsail/internal/lab/scenario"
+	"milletsail/internal/rollout"
 	"milletsail/scenarios"
 )
 
@@ -36,6 +37,9 @@
 	env                          []string
 	seed                         uint64
 	quiet                        bool
+	roll                         string // a version to roll out beside the play
+	bake                         time.Duration
+	back                         bool
 }
 
 func (p *play) flags(c *cobra.Command) {
@@ -46,6 +50,9 @@
 	c.Flags().StringArrayVar(&p.env, "relay-env", nil, "`NAME=VALUE` for the relays' environment; may be given more than once")
 	c.Flags().Uint64Var(&p.seed, "seed", 0, "seed in place of the scenario's; 0 for that one")
 	c.Flags().BoolVar(&p.quiet, "quiet", false, "no progress")
+	c.Flags().StringVar(&p.roll, "roll", "", "`binary` to roll out over the relays beside the play, in stages of 1, 5%, 25% and all")
+	c.Flags().DurationVar(&p.bake, "roll-bake", 3*time.Second, "how long each stage runs at least")
+	c.Flags().BoolVar(&p.back, "roll-back", false, "take the version back at the end, whatever it is")
 }
 
 func runCommand() *cobra.Command {
@@ -143,10 +150,23 @@
 	if !p.quiet {
 		o.Progress = progress(c.ErrOrStderr(), s)
 	}
+	var rolled lab.Rolled
+	if p.roll != "" {
+		plan := rollout.DefaultPlan()
+		plan.Bake, plan.LongestBake, plan.Gate.Every = rollout.Duration(p.bake), rollout.Duration(20*p.bake), rollout.Duration(250*time.Millisecond)
+		o.Beside = lab.Roll(p.roll, plan, 2*time.Second, p.back, &rolled)
+	}
 	result, err := lab.Play(c.Context(), s, o)
 	if err != nil {
 		return err
 	}
+	if p.roll != "" {
+		fmt.Fprintf(c.OutOrStdout(), "rollout: ended in stage %d after %.1f s with %d relays changed; taken back in %.1f s\n", rolled.StageAt,
+			rolled.Took.Seconds(), rolled.Most, rolled.Back.Seconds())
+		if rolled.State.Plan != nil {
+			showRollout(c.OutOrStdout(), rolled.State)
+		}
+	}
 	return p.tell(c, result.Events, result.Verdict)
 }
 
--- a/cmd/milletsail/main.go
+++ b/cmd/milletsail/main.go
@@ -52,7 +52,7 @@
 		PersistentPreRunE: func(c *cobra.Command, _ []string) error { return logTo(c, format, level) }}
 	c.PersistentFlags().StringVar(&format, "log-format", "text", "form of the log on standard error: text or json")
 	c.PersistentFlags().StringVar(&level, "log-level", "warn", "least level of the log: debug, info, warn or error")
-	c.AddCommand(labCommand(), demoCommand(), fleetCommand(), journalCommand(), versionCommand())
+	c.AddCommand(labCommand(), demoCommand(), fleetCommand(), zoneCommand(), rolloutCommand(), agentCommand(), journalCommand(), versionCommand())
 	return c
 }
 
--- a/internal/lab/faulty/main.go
+++ b/internal/lab/faulty/main.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -16,6 +17,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strconv"
 	"sync"
@@ -36,10 +38,20 @@
 	ignoredError = "ignored-error" // nor that a call that failed may have run
 	lostEntry    = "lost-entry"    // what a process took on is lost when it ends
 	noSync       = "no-sync"       // what was synced is lost with the power all the same
+	// Of versions that a rollout has to stop; they need not break a rule.
+	diesAtStart  = "dies-at-start"
+	diesLate     = "dies-late"     // after 3 s
+	neverHealthy = "never-healthy" // it starts, and takes no clients
+	slow         = "slow"          // answers come 400 ms later
+	oneClass     = "one-class"     // the last class is given up at once
+	leak         = "leak"          // of 2 MB each 100 ms
 	none         = "none"          // none: its syncs are noted, so that it can lose power
 )
 
-var faults = []string{secondCopy, lateEnd, ignoredDrain, ignoredWait, ignoredError, lostEntry, noSync, none}
+var faults = []string{secondCopy, lateEnd, ignoredDrain, ignoredWait, ignoredError, lostEntry, noSync, none, diesAtStart, diesLate, neverHealthy, slow, oneClass, leak}
+
+// planted is the fault of a version: builds set it by -ldflags -X, so that each has a checksum of its own.
+var planted string
 
 func main() {
 	if err := run(); err != nil {
@@ -51,10 +63,21 @@
 func run() error {
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
-	b := &between{fault: os.Getenv("LAB_FAULT"), dials: map[string]string{}}
+	b := &between{fault: cmp.Or(planted, os.Getenv("LAB_FAULT")), dials: map[string]string{}}
 	if !slices.Contains(faults, b.fault) {
 		return fmt.Errorf("LAB_FAULT: %q is none of %v", b.fault, faults)
 	}
+	switch b.fault {
+	case diesAtStart:
+		return errors.New("planted: it dies")
+	case diesLate:
+		time.AfterFunc(3*time.Second, func() { os.Exit(3) })
+	case neverHealthy:
+		time.Sleep(time.Minute)
+		return nil
+	case leak:
+		go leakOn()
+	}
 	state := os.Getenv("NODE_STATE")
 	if b.fault == lostEntry {
 		old, err := filepath.Glob(filepath.Join(state, "*"))
@@ -92,6 +115,21 @@
 	return relay.Run(ctx, cfg, state, relay.Reloads(ctx, path, passed))
 }
 
+// leakOn takes memory for good, up to a bound.
+func leakOn() {
+	var kept [][]byte
+	for range 100 {
+		chunk := make([]byte, 2<<20)
+		for i := 0; i < len(chunk); i += 4096 {
+			chunk[i] = 1
+		}
+		kept = append(kept, chunk)
+		time.Sleep(100 * time.Millisecond)
+	}
+	runtime.KeepAlive(kept)
+	select {}
+}
+
 // between is what stands between the relay and the platform.
 type between struct {
 	fault string
@@ -119,6 +157,12 @@
 			return err
 		}
 	}
+	if settings, ok := c["settings"].(map[string]any); ok && b.fault == oneClass {
+		if classes, _ := settings["categories"].([]any); len(classes) > 0 {
+			last, _ := classes[len(classes)-1].(map[string]any)
+			last["deadline_s"], last["aim_s"] = 0.02, 0.01
+		}
+	}
 	if text, err = json.Marshal(c); err != nil {
 		return err
 	}
@@ -133,7 +177,7 @@
 		if b.fault == ignoredDrain {
 			h["health"] = "SERVING"
 		}
-		if !slices.Contains([]string{secondCopy, ignoredWait, ignoredError}, b.fault) {
+		if !slices.Contains([]string{secondCopy, ignoredWait, ignoredError, slow}, b.fault) {
 			continue
 		}
 		dial, _ := h["dial"].(string)
@@ -266,6 +310,8 @@
 		n, err := up.Read(buf)
 		text := buf[:n]
 		switch b.fault {
+		case slow:
+			time.Sleep(400 * time.Millisecond)
 		case ignoredWait:
 			text = bytes.ReplaceAll(text, []byte("X-Retry-In-Ms"), []byte("X-Retry-On-Ms"))
 		case ignoredError:
--- /dev/null
+++ b/internal/lab/relays/versions.go
@@ -0,0 +1,134 @@
+package relays
+
+import (
+	"context"
+	"errors"
+	"os"
+	"syscall"
+	"time"
+
+	"milletsail/internal/lab/history"
+	"milletsail/internal/lab/pause"
+)
+
+// Versioned runs one relay's processes for the agent of a rollout: see rollout.Runner. While it does, a process that ends
+// by itself is started again, as an operators' machine would.
+type Versioned struct {
+	r       *Relay
+	crashes int // since the version was changed, under r.mu
+	busy    bool
+}
+
+// busyTries askAgain apart are far more than a start of another process takes.
+const busyTries = 100
+
+// Version puts a relay's processes under an agent, until ctx ends.
+func (r *Relay) Version(ctx context.Context) *Versioned {
+	v := &Versioned{r: r}
+	r.fleet.work.Go(func() {
+		for pause.For(ctx, 50*time.Millisecond) {
+			v.revive(ctx)
+		}
+	})
+	return v
+}
+
+// revive starts a relay again that has ended by itself.
+func (v *Versioned) revive(ctx context.Context) {
+	r := v.r
+	r.mu.Lock()
+	p := r.now
+	busy := v.busy || r.down || p == nil
+	r.mu.Unlock()
+	if busy {
+		return
+	}
+	select {
+	case <-p.exited:
+	default:
+		return
+	}
+	r.mu.Lock()
+	if v.busy || r.now != p {
+		r.mu.Unlock()
+		return
+	}
+	v.crashes++
+	r.mu.Unlock()
+	if pause.For(ctx, backAfter) {
+		_ = r.start(ctx) // the next look sees whether it lives
+	}
+}
+
+// Change brings a program into service beside the one that serves, by the handover; where the new one does not take
+// clients, the old one goes on, or is started again.
+func (v *Versioned) Change(ctx context.Context, program string) error {
+	r := v.r
+	r.mu.Lock()
+	was, old := r.program, r.now
+	r.program, v.busy = program, true
+	if old != nil {
+		old.meant = true
+	}
+	r.mu.Unlock()
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		v.busy = false
+	}()
+	p, err := r.launch()
+	// A program that was just written is busy while a process that was started meanwhile still has its descriptor, up to
+	// its own exec (the fork race of golang.org/issue/22315).
+	for n := 0; errors.Is(err, syscall.ETXTBSY) && n < busyTries && pause.For(ctx, askAgain); n++ {
+		p, err = r.launch()
+	}
+	if err == nil {
+		err = r.await(ctx, p, yesWithin, func() bool { return yes(p.admin) })
+	}
+	if err == nil {
+		if old != nil {
+			r.note("term")
+			r.end(old, syscall.SIGTERM)
+		}
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		v.crashes = 0
+		return nil
+	}
+	if p != nil {
+		r.end(p, syscall.SIGKILL)
+	}
+	r.mu.Lock()
+	r.program, r.now = was, old
+	r.mu.Unlock()
+	if old != nil {
+		select {
+		case <-old.exited:
+		default:
+			if yes(old.admin) {
+				return err
+			}
+			r.end(old, syscall.SIGTERM) // it had handed over
+		}
+	}
+	return errors.Join(err, r.start(ctx))
+}
+
+// Counters is what the operators' door says to "counters", with the memory of the process and how often one of this
+// version has ended by itself.
+func (v *Versioned) Counters() (text string, memoryMB float64, crashes int, err error) {
+	r := v.r
+	p := r.current()
+	if p == nil {
+		return "", 0, 0, os.ErrProcessDone
+	}
+	r.mu.Lock()
+	crashes = v.crashes
+	r.mu.Unlock()
+	var e history.Event
+	if e, err = r.usage(p); err != nil {
+		return "", 0, crashes, err
+	}
+	text, err = Ask(p.admin, "counters")
+	return text, e.MemoryMB, crashes, err
+}
--- /dev/null
+++ b/internal/lab/rolling_test.go
@@ -0,0 +1,70 @@
+package lab
+
+import (
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"milletsail/internal/lab/checker"
+	"milletsail/internal/rollout"
+)
+
+// version builds the relay with a fault planted, or one that is equal but for its checksum, as a version of its own.
+func version(t *testing.T, fault string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), fault)
+	source := "milletsail/internal/lab/faulty"
+	if fault == "equal" {
+		source = "milletsail/cmd/frostlink"
+	}
+	if out, err := exec.Command("go", "build", "-ldflags", "-X main.planted="+fault, "-o", path, source).CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return path
+}
+
+// Stages is a plan for a play: one relay, a third, all.
+func stages() rollout.Plan {
+	return rollout.Plan{Bake: rollout.Duration(2 * time.Second), LongestBake: rollout.Duration(20 * time.Second), MostInChange: 3, ByZone: true, OnDeath: "resume",
+		Gate:   rollout.Gate{FalseStop: 0.01, Missed: 0.05, WorseBy: 0.15, LongerBy: 2, MemoryFactor: 2.5, Every: rollout.Duration(250 * time.Millisecond)},
+		Stages: []rollout.Stage{{Relays: 1}, {Relays: 3}, {Share: 1}}}
+}
+
+// A version that is as good reaches all relays under load, with real processes, and no rule is broken; bad ones are
+// stopped at the first stage, and taken back with nothing lost.
+func TestRollouts(t *testing.T) {
+	type rolled struct {
+		*playing
+		Rolled
+	}
+	all := map[string]*rolled{}
+	versions := map[string]string{}
+	for _, fault := range []string{"equal", "one-class"} {
+		versions[fault] = version(t, fault)
+	}
+	for fault, path := range versions {
+		r := &rolled{}
+		r.playing = begin(t, "rollout9", Options{Binary: relayBinary, Beside: Roll(path, stages(), time.Second, fault != "equal", &r.Rolled)})
+		all[fault] = r
+	}
+	for fault, r := range all {
+		t.Run(fault, func(t *testing.T) {
+			for _, x := range r.end(t).Verdict.Violations {
+				if x.Rule != checker.Crash || fault == "equal" {
+					t.Errorf("%s: relay %d, message %s: %s", x.Rule, x.Relay, x.ID, x.Text)
+				}
+			}
+			s := r.State
+			if fault == "equal" {
+				if s.Phase != rollout.Done || len(s.Changed) != 9 {
+					t.Errorf("%s: %s, %d relays changed, in stage %d", s.Phase, s.Why, len(s.Changed), s.Stage+1)
+				}
+				return
+			}
+			if s.Phase != rollout.RolledBack || r.Most > 1 || len(s.Changed) > 0 {
+				t.Errorf("%s: %s, %d relays had it, %d still have", s.Phase, s.Why, r.Most, len(s.Changed))
+			}
+		})
+	}
+}
