Mark no endpoint out on the word of others, which lost more than it gained

Among many relays single errors soon make three witnesses. Change: that word counts for zones and for whose turn it is, no more.

--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -28,13 +28,10 @@
 func (d *Dispatcher) accused(e Accused) {
 	w := word{e.Origins, e.Rank, d.now - e.First, d.now - e.Last, d.now + e.Until}
 	if ep := d.endpoints[e.Endpoint]; ep != nil {
-		ep.word = w
-		if e.Fresh >= witnesses {
+		// For zones and for whose turn it is alone: among many relays single errors soon make three witnesses.
+		if ep.word = w; e.Fresh >= witnesses {
 			ep.failedAt = max(ep.failedAt, w.last)
 		}
-		if e.Fresh >= witnesses && ep.lastOK < w.first && ep.recovered < w.first {
-			d.markSick(ep, true)
-		}
 		return
 	}
 	dest := d.dests[e.Destination]
