--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -28,7 +28,7 @@
 func (d *Dispatcher) accused(e Accused) {
 	w := word{e.Origins, e.Rank, d.now - e.First, d.now - e.Last, d.now + e.Until}
 	if ep := d.endpoints[e.Endpoint]; ep != nil {
-		// For zones and for whose turn it is alone: among many relays single errors soon make three witnesses.
+		// For zones and turns alone: among many relays single errors soon make three witnesses.
 		if ep.word = w; e.Fresh >= witnesses {
 			ep.failedAt = max(ep.failedAt, w.last)
 		}
