Survey live members once a note, sums once, and homes once a choice

With sharing on, each fact of a note had the live members listed and sorted anew and a digest's sums taken twice; with zones on, each comparison of two endpoints asked three times for the home zone, and verdicts were taken back in a map's order, so that draws differed by run. Change: each is done once where it is needed, the verdicts by zone number; the sum by endpoints is called about, since a node's digest is something else; three comments say again what they stand for.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -23,10 +23,10 @@
 
 // The kinds of fact. docs/fleet.md has their bounds as a table.
 const (
-	Member Kind = iota + 1 // Key: the origin's version of the program; Value: its zone
+	Member Kind = iota + 1 // Key: the origin's version of the program; Value: its zone, and the number of the beat
 	Closed                 // Key: a destination; Value: milliseconds that were told to wait, 0 for none
 	Open                   // Key: a destination that took a call
-	Out                    // Key: an endpoint that is out; Value: calls that this rests on
+	Out                    // Key: an endpoint that is out; Value: the origin's zone
 	Back                   // Key: an endpoint that serves again
 	NoRoom                 // Key: an endpoint that took no connection
 	Pace                   // Key: a destination; Value: see PaceValue
--- a/internal/fleet/live/live.go
+++ b/internal/fleet/live/live.go
@@ -105,7 +105,7 @@
 	s.mu.Lock()
 	now := time.Since(s.begun)
 	out, news := s.node.Heard(from, note, now)
-	said := s.digest(news, now)
+	said := s.about(news, now)
 	s.mu.Unlock()
 	s.send(out)
 	for _, f := range news {
@@ -116,11 +116,19 @@
 	s.say(said)
 }
 
-// digest sums up what is said of the things that facts are about.
-func (s *Service) digest(facts []fleet.Fact, now time.Duration) (all []Said) {
-	done := map[string]bool{}
+// about sums up what is said of the things that facts are about.
+func (s *Service) about(facts []fleet.Fact, now time.Duration) (all []Said) {
+	if len(facts) == 0 {
+		return nil
+	}
+	live := s.node.Live(now)
+	type thing struct {
+		dest     int
+		endpoint string
+	}
+	done := map[thing]bool{}
 	for _, f := range facts {
-		said := Said{Dest: -1}
+		said := Said{Dest: -1, Live: len(live)}
 		switch f.Kind {
 		case fleet.Closed, fleet.Open, fleet.Pace:
 			dest, err := strconv.Atoi(f.Key)
@@ -133,10 +141,10 @@
 		default:
 			continue
 		}
-		if id := said.Endpoint + "\x00" + strconv.Itoa(said.Dest); done[id] {
+		if t := (thing{said.Dest, said.Endpoint}); done[t] {
 			continue
 		} else {
-			done[id] = true
+			done[t] = true
 		}
 		if said.Endpoint != "" {
 			said.Word = s.node.Word(fleet.Out, fleet.Back, f.Key, s.near, now)
@@ -144,11 +152,9 @@
 			said.Word = s.node.Word(fleet.Closed, fleet.Open, f.Key, nil, now)
 			said.Paces = s.node.Paces(f.Key, s.o.Self, now)
 			if said.Paces.Tellers > 0 {
-				said.ByZone = byZone(said.Paces.ByZone, s.node.Zones(now))
+				said.ByZone = byZone(said.Paces.ByZone, s.node.Zones(live, now))
 			}
 		}
-		live := s.node.Live(now)
-		said.Live = len(live)
 		if said.Origins > 0 {
 			said.Rank = fleet.Rank(f.Key, live, s.o.Self)
 		}
@@ -190,7 +196,7 @@
 	s.mu.Lock()
 	now := time.Since(s.begun)
 	s.node.Learn(kind, key, value, common, now-age, now)
-	news := s.digest([]fleet.Fact{{ID: fleet.ID{Kind: kind, Key: key}}}, now)
+	news := s.about([]fleet.Fact{{ID: fleet.ID{Kind: kind, Key: key}}}, now)
 	s.mu.Unlock()
 	s.say(news)
 	select {
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -225,12 +225,7 @@
 	// that differ, with its own sums; and the other gives its own. What both have does not travel.
 	switch {
 	case m.flags&hasSums != 0:
-		var sums *Sums
-		if m.flags&isAnswer != 0 {
-			own := n.Sums(now)
-			sums = &own
-		}
-		return n.differing(from, m.sums, sums, now), fresh
+		return n.differing(from, m.sums, m.flags&isAnswer != 0, now), fresh
 	case m.flags&hasDigest != 0 && m.digest != n.Digest(now):
 		sums := n.Sums(now)
 		note, _ := packSums(isAnswer, 0, &sums, nil, now)
@@ -240,9 +235,13 @@
 }
 
 // differing gives another relay the facts of the buckets in which its sums are not ours, as far as some notes hold them,
-// drawn where there are more; with our own sums, if there are any.
-func (n *Node) differing(to int, theirs Sums, sums *Sums, now time.Duration) (out []Send) {
+// drawn where there are more; with our own sums where it does not have them yet.
+func (n *Node) differing(to int, theirs Sums, tell bool, now time.Duration) (out []Send) {
 	own := n.Sums(now)
+	var sums *Sums
+	if tell {
+		sums = &own
+	}
 	var facts []Fact
 	n.moving(now, func(f Fact) {
 		if b := f.bucket(); own[b] != theirs[b] {
@@ -343,15 +342,16 @@
 	return now - last
 }
 
-// Zones counts the live members by zone: those whose zone is not known are shared out like the others.
-func (n *Node) Zones(now time.Duration) map[int]float64 {
+// Zones counts live members by zone: those whose zone is not known are shared out like the others.
+// live is in order, as Live gives it.
+func (n *Node) Zones(live []int, now time.Duration) map[int]float64 {
 	known, all := map[int]float64{}, 0.0
-	live := map[int]bool{}
-	for _, m := range n.Live(now) {
-		live[m] = true
-	}
-	for _, a := range n.All(Member, now) {
-		if live[int(a.Origin)] {
+	for id, f := range n.facts {
+		if id.Kind != Member {
+			continue
+		}
+		a, ok := f.aged(now)
+		if _, there := slices.BinarySearch(live, int(a.Origin)); ok && there {
 			known[a.Zone()]++
 			all++
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -408,19 +408,20 @@
 // one with the fewest calls out, in the relay's own zone, with an idle connection, used last.
 func (d *Dispatcher) endpoint(q *queue, m *message) *endpoint {
 	var best *endpoint
+	home := d.home(q)
 	for _, ep := range q.eps {
 		second := ep.sick && len(m.attempts) > 0 && len(q.eps) > 1
 		if second || !d.open(ep) || d.leaves(ep, m) || !d.repeatable(m, ep) {
 			continue
 		}
-		if best == nil || d.better(m, ep, best) {
+		if best == nil || d.better(m, home, ep, best) {
 			best = ep
 		}
 	}
 	return best
 }
 
-func (d *Dispatcher) better(m *message, a, b *endpoint) bool {
+func (d *Dispatcher) better(m *message, home int, a, b *endpoint) bool {
 	if a.sick != b.sick {
 		return a.sick // its trial is due
 	}
@@ -430,8 +431,8 @@
 	if s, t := m.against(a), m.against(b); s != t {
 		return s < t
 	}
-	if d.s.Zones && (a.Zone == d.home(a.q)) != (b.Zone == d.home(a.q)) {
-		return a.Zone == d.home(a.q)
+	if d.s.Zones && (a.Zone == home) != (b.Zone == home) {
+		return a.Zone == home
 	}
 	if len(a.out) != len(b.out) {
 		return len(a.out) < len(b.out)
--- a/policy/state.go
+++ b/policy/state.go
@@ -87,7 +87,7 @@
 	waitUntil time.Duration
 	holdUntil time.Duration // our own pause after a refusal without a wait
 	toldUntil time.Duration // other relays know of a refusal up to then
-	refusedAt time.Duration // when what is out or fenced last got a call that a pause is for
+	refusedAt time.Duration // when the last call was sent that a pause is for
 	cutAt     time.Duration // of the pace
 	climbedAt time.Duration
 	pause     time.Duration   // the last after a refusal that told no wait
@@ -320,6 +320,9 @@
 // home is the zone that the next call of a queue should go to: the own, or one that is owed a call.
 func (d *Dispatcher) home(q *queue) int {
 	best := d.s.Zone
+	if !d.s.Zones || len(q.owed) == 0 {
+		return best
+	}
 	for no := range maxZones {
 		if owed := q.owed[no]; owed >= 1 && (best == d.s.Zone || owed > q.owed[best]) {
 			best = no
--- a/policy/zones.go
+++ b/policy/zones.go
@@ -45,8 +45,8 @@
 		case z.state == Ordered && d.now >= z.until:
 			d.restore(no)
 		case ill && z.state == Serving && float64(away+c.listed) > mostAway*float64(all):
-			for no, z := range d.zones { // too much seems ill: all verdicts are taken back
-				if z.state == Evacuated {
+			for no := range seen { // too much seems ill: all verdicts are taken back
+				if d.zone(no).state == Evacuated {
 					d.restore(no)
 				}
 			}
@@ -142,8 +142,11 @@
 	if z == nil || z.state != Evacuated {
 		return true
 	}
+	if d.now < z.until {
+		return false
+	}
 	for _, o := range d.zones {
-		if o.state == Returning || d.now < z.until {
+		if o.state == Returning {
 			return false
 		}
 	}
