Ask at the operators' door by one function, and read a process's memory by one

Need: the same ten lines that put a line to the door stood in the command twice, in the lab and in rollouts; reading VmRSS stood in two places.

--- a/cmd/milletsail/fleet.go
+++ b/cmd/milletsail/fleet.go
@@ -4,13 +4,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"milletsail/internal/door"
 	"milletsail/internal/fleet/live"
 )
 
@@ -50,24 +50,15 @@
 }
 
 // askView asks one relay.
-func askView(door string) (v live.View, err error) {
-	conn, err := net.DialTimeout("tcp", door, doorTime)
+func askView(address string) (v live.View, err error) {
+	reply, err := door.Ask(address, "fleet", doorTime)
 	if err != nil {
 		return v, err
 	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(doorTime))
-	if _, err := io.WriteString(conn, "fleet\n"); err != nil {
-		return v, err
-	}
-	reply, err := io.ReadAll(conn)
-	if err != nil {
-		return v, err
-	}
-	if text := strings.TrimSpace(string(reply)); strings.HasPrefix(text, "ERR") {
+	if text := strings.TrimSpace(reply); strings.HasPrefix(text, "ERR") {
 		return v, fmt.Errorf("%s: is sharing on there?", text)
 	}
-	return v, json.Unmarshal(reply, &v)
+	return v, json.Unmarshal([]byte(reply), &v)
 }
 
 func showViews(to io.Writer, views []live.View, raw bool) error {
--- a/cmd/milletsail/zone.go
+++ b/cmd/milletsail/zone.go
@@ -3,14 +3,13 @@
 import (
 	"encoding/json"
 	"fmt"
-	"io"
-	"net"
 	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
 
+	"milletsail/internal/door"
 	"milletsail/internal/relay"
 )
 
@@ -89,21 +88,12 @@
 }
 
 // askDoor gives a relay's operators' door one line, and its reply. An error of the relay's is one.
-func askDoor(door, line string) (string, error) {
-	conn, err := net.DialTimeout("tcp", door, doorTime)
+func askDoor(address, line string) (string, error) {
+	reply, err := door.Ask(address, line, doorTime)
 	if err != nil {
 		return "", err
 	}
-	defer conn.Close()
-	_ = conn.SetDeadline(time.Now().Add(doorTime))
-	if _, err := io.WriteString(conn, line+"\n"); err != nil {
-		return "", err
-	}
-	reply, err := io.ReadAll(conn)
-	if err != nil {
-		return "", err
-	}
-	text := strings.TrimSpace(string(reply))
+	text := strings.TrimSpace(reply)
 	if what, bad := strings.CutPrefix(text, "ERR "); bad {
 		return "", fmt.Errorf("refused: %s", what)
 	}
--- a/internal/lab/relays/relays.go
+++ b/internal/lab/relays/relays.go
@@ -13,7 +13,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"io/fs"
 	"net"
 	"net/http"
@@ -27,10 +26,12 @@
 	"syscall"
 	"time"
 
+	"milletsail/internal/door"
 	"milletsail/internal/lab/history"
 	"milletsail/internal/lab/pause"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/scenario"
+	"milletsail/internal/procfs"
 )
 
 const (
@@ -288,24 +289,12 @@
 
 // yes asks the door of a process whether it takes clients.
 func yes(admin string) bool {
-	reply, err := Ask(admin, "health")
+	reply, err := ask(admin, "health")
 	return err == nil && strings.HasPrefix(reply, "OK")
 }
 
-// Ask puts one call to the operators' door at an address, and gives the reply.
-func Ask(admin, call string) (string, error) {
-	c, err := net.DialTimeout("tcp", admin, time.Second)
-	if err != nil {
-		return "", err
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(time.Second))
-	if _, err := io.WriteString(c, call+"\n"); err != nil {
-		return "", err
-	}
-	reply, err := io.ReadAll(c)
-	return string(reply), err
-}
+// ask puts one line to the operators' door at an address, and gives the reply.
+func ask(admin, line string) (string, error) { return door.Ask(admin, line, time.Second) }
 
 // Admin is the door of the process that serves.
 func (r *Relay) Admin() string {
@@ -489,9 +478,14 @@
 	work.Wait()
 }
 
+// told has a process say something at its door, in JSON. It may be starting, or ending, and then says nothing.
+func told(p *process, line string, into any) bool {
+	reply, err := ask(p.admin, line)
+	return err == nil && json.Unmarshal([]byte(reply), into) == nil
+}
+
 // lookAtZones asks a process how zones fare with it. The form is the one that the operators' door gives.
 func (r *Relay) lookAtZones(p *process) {
-	reply, err := Ask(p.admin, "zone status")
 	var s struct {
 		CutOff bool `json:"cut_off"`
 		Zones  []struct {
@@ -501,8 +495,8 @@
 			Returns     int    `json:"returns"`
 		} `json:"zones"`
 	}
-	if err != nil || json.Unmarshal([]byte(reply), &s) != nil {
-		return // it may be starting, or ending
+	if !told(p, "zone status", &s) {
+		return
 	}
 	e := history.Event{Kind: history.Zones, Relay: history.N(r.No), CutOff: s.CutOff, Zones: map[string]history.Zone{}}
 	for _, z := range s.Zones {
@@ -513,7 +507,7 @@
 
 // Order gives a relay an operator's line at its door. A refusal is an error.
 func (r *Relay) Order(line string) error {
-	reply, err := Ask(r.Admin(), line)
+	reply, err := ask(r.Admin(), line)
 	if err == nil && strings.TrimSpace(reply) != "OK" {
 		err = errors.New(strings.TrimSpace(reply))
 	}
@@ -522,8 +516,6 @@
 
 // look asks a process what it believes of the fleet. The form is the one that the operators' door gives.
 func (r *Relay) look(p *process, what string) {
-	reply, err := Ask(p.admin, "fleet")
-	now := r.fleet.h.Now()
 	var v struct {
 		Live    []int  `json:"live"`
 		Digest  uint32 `json:"digest"`
@@ -535,9 +527,10 @@
 			Known float64 `json:"known_s"`
 		} `json:"beliefs"`
 	}
-	if err != nil || json.Unmarshal([]byte(reply), &v) != nil {
-		return // it may be starting, or ending
+	if !told(p, "fleet", &v) {
+		return
 	}
+	now := r.fleet.h.Now()
 	e := history.Event{Kind: history.View, Relay: history.N(r.No), What: what, Live: len(v.Live), Beliefs: len(v.Beliefs), Digest: v.Digest,
 		Known: map[string]history.Micros{}}
 	for _, b := range v.Beliefs {
@@ -553,16 +546,10 @@
 func (r *Relay) usage(p *process) (history.Event, error) {
 	e := history.Event{Kind: history.Usage, Relay: history.N(r.No)}
 	proc := fmt.Sprintf("/proc/%d/", p.cmd.Process.Pid)
-	status, err := os.ReadFile(proc + "status")
-	if err != nil {
+	var err error
+	if e.MemoryMB, err = procfs.ResidentMB(p.cmd.Process.Pid); err != nil {
 		return e, err
 	}
-	for line := range strings.Lines(string(status)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-			e.MemoryMB = kb / 1024
-		}
-	}
 	stat, err := os.ReadFile(proc + "stat")
 	if err != nil {
 		return e, err
--- a/internal/lab/relays/versions.go
+++ b/internal/lab/relays/versions.go
@@ -129,6 +129,6 @@
 	if e, err = r.usage(p); err != nil {
 		return "", 0, crashes, err
 	}
-	text, err = Ask(p.admin, "counters")
+	text, err = ask(p.admin, "counters")
 	return text, e.MemoryMB, crashes, err
 }
--- a/internal/rollout/process.go
+++ b/internal/rollout/process.go
@@ -5,18 +5,18 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"os/exec"
-	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
+
+	"milletsail/internal/door"
+	"milletsail/internal/procfs"
 )
 
 // AgentConfig is what the agent of one relay is started with.
@@ -282,36 +282,9 @@
 	}
 	f, err := ParseCounters(text)
 	f.Crashes = crashes
-	f.MemoryMB = residentMB(r.cmd.Process.Pid)
+	f.MemoryMB, _ = procfs.ResidentMB(r.cmd.Process.Pid) // it may have ended just now
 	return f, err
 }
 
-// residentMB is the memory of a process by the system's account, 0 where there is none.
-func residentMB(pid int) float64 {
-	text, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
-	if err != nil {
-		return 0
-	}
-	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
-			kb, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
-			return kb / 1024
-		}
-	}
-	return 0
-}
-
-// ask puts one line to an operators' door.
-func ask(door, line string) (string, error) {
-	c, err := net.DialTimeout("tcp", door, time.Second)
-	if err != nil {
-		return "", err
-	}
-	defer c.Close()
-	_ = c.SetDeadline(time.Now().Add(time.Second))
-	if _, err := io.WriteString(c, line+"\n"); err != nil {
-		return "", err
-	}
-	text, err := io.ReadAll(c)
-	return string(text), err
-}
+// ask puts one line to a relay's operators' door.
+func ask(address, line string) (string, error) { return door.Ask(address, line, time.Second) }
