Write small files, read strict TOML and take a rollout over by one piece each

Change: internal/durable, internal/strict, takeOver, one loop. A plan's error has the key and line that a scenario's has, and orders to a rollout are on disk before they are confirmed. Taken out: a check for room in the agent that tests alone set (the test now has a folder that can't be written), a reason of orders that nobody read, a stage that follows from the state.

--- a/cmd/milletsail/lab.go
+++ b/cmd/milletsail/lab.go
@@ -161,7 +161,7 @@
 		return err
 	}
 	if p.roll != "" {
-		fmt.Fprintf(c.OutOrStdout(), "rollout: ended in stage %d after %.1f s with %d relays changed; taken back in %.1f s\n", rolled.StageAt,
+		fmt.Fprintf(c.OutOrStdout(), "rollout: ended in stage %d after %.1f s with %d relays changed; taken back in %.1f s\n", rolled.State.Stage+1,
 			rolled.Took.Seconds(), rolled.Most, rolled.Back.Seconds())
 		if rolled.State.Plan != nil {
 			showRollout(c.OutOrStdout(), rolled.State)
--- a/cmd/milletsail/rollout.go
+++ b/cmd/milletsail/rollout.go
@@ -82,7 +82,7 @@
 		cmd := &cobra.Command{Use: o.what, Short: o.short, Args: cobra.NoArgs,
 			Long: o.short + ".\nThe controller at work takes the order; where there is none, this command takes over.",
 			RunE: func(c *cobra.Command, _ []string) error {
-				order := rollout.Order{What: o.what, Why: "ordered"}
+				order := rollout.Order{What: o.what}
 				if changed != "" {
 					plan, err := rollout.ReadPlan(changed)
 					if err != nil {
--- a/internal/journal/fs.go
+++ b/internal/journal/fs.go
@@ -1,10 +1,10 @@
 package journal
 
 import (
-	"errors"
 	"io"
 	"os"
-	"path/filepath"
+
+	"milletsail/internal/durable"
 )
 
 // FS is what a journal needs of a file system. Tests put models of crashes and of full disks in its place; all else
@@ -68,11 +68,7 @@
 }
 
 func (disk) SyncDir(dir string) error {
-	d, err := os.Open(filepath.Clean(dir))
-	if err != nil {
-		return err
-	}
-	return errors.Join(d.Sync(), d.Close())
+	return durable.SyncDir(dir)
 }
 
 // bootID tells one start of the machine from another; empty where the system does not say.
--- a/internal/lab/rolling.go
+++ b/internal/lab/rolling.go
@@ -52,11 +52,10 @@
 
 // Rolled is how a rollout in the lab went.
 type Rolled struct {
-	State   rollout.State
-	Most    int           // relays that had the new version at once
-	Took    time.Duration // from its start to its end
-	Back    time.Duration // of the rollback, where there was one
-	StageAt int           // in which it ended, from 1
+	State rollout.State
+	Most  int           // relays that had the new version at once
+	Took  time.Duration // from its start to its end
+	Back  time.Duration // of the rollback, where there was one
 }
 
 // Roll rolls a program out beside a play, by a plan whose agents are the play's, from a while after its begin. Where it
@@ -81,7 +80,7 @@
 		}
 		defer c.Close()
 		err = c.Run(ctx)
-		to.State, to.Took, to.Most, to.StageAt = c.State(), time.Since(begun), len(c.State().Changed), c.State().Stage+1
+		to.State, to.Took, to.Most = c.State(), time.Since(begun), len(c.State().Changed)
 		if err != nil || !back || ctx.Err() != nil {
 			return ignoreEnd(ctx, err)
 		}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -7,38 +7,17 @@
 package scenario
 
 import (
-	"bytes"
-	"encoding"
-	"errors"
 	"fmt"
 	"hash/fnv"
 	"math/rand/v2"
 	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"milletsail/internal/strict"
 )
 
-// Duration is a time in a scenario, written with its unit, such as "1.5s" or "300ms".
-type Duration time.Duration
-
-var _ encoding.TextUnmarshaler = (*Duration)(nil)
-
-// UnmarshalText reads a duration; one without a unit, or below zero, is an error.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil || v < 0 {
-		return fmt.Errorf("%q is no duration with its unit, such as \"1.5s\" or \"300ms\"", text)
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// D gives the duration in the standard library's type.
-func (d Duration) D() time.Duration { return time.Duration(d) }
-
-// S gives the duration in seconds.
-func (d Duration) S() float64 { return time.Duration(d).Seconds() }
+// Duration is a time in a scenario, written with its unit.
+type Duration = strict.Duration
 
 // Scenario is one play of the lab. Fields with a default in Default keep it where the file is silent.
 type Scenario struct {
@@ -172,9 +151,8 @@
 // Parse reads a scenario from a text; name stands for it in errors.
 func Parse(name string, text []byte) (*Scenario, error) {
 	s := Default()
-	in := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := in.Decode(&s); err != nil {
-		return nil, located(name, err)
+	if err := strict.Decode(name, text, &s); err != nil {
+		return nil, err
 	}
 	lines := linesOf(text)
 	s.fill(lines)
@@ -197,20 +175,6 @@
 	return &s, nil
 }
 
-// located gives a decoder's error with its file and line.
-func located(name string, err error) error {
-	if unknown := new(toml.StrictMissingError); errors.As(err, &unknown) && len(unknown.Errors) > 0 {
-		first := unknown.Errors[0]
-		row, _ := first.Position()
-		return fmt.Errorf("%s:%d: unknown key %q", name, row, joined(first.Key()))
-	}
-	if wrong := new(toml.DecodeError); errors.As(err, &wrong) {
-		row, _ := wrong.Position()
-		return fmt.Errorf("%s:%d: %s: %w", name, row, joined(wrong.Key()), err)
-	}
-	return fmt.Errorf("%s: %w", name, err)
-}
-
 // fill gives the entries of lists their defaults, where the file has no value of its own.
 func (s *Scenario) fill(lines lineMap) {
 	for i := range s.Classes {
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -80,19 +80,14 @@
 	if durability := os.Getenv("NODE_DURABILITY"); durability != "" {
 		c.Durability = durability
 	}
-	switch v := os.Getenv("NODE_FLEET"); v {
-	case "":
-	case "on", "off":
-		c.Fleet = v == "on"
-	default:
-		return nil, fmt.Errorf("NODE_FLEET: %q is not \"on\" or \"off\"", v)
-	}
-	switch v := os.Getenv("NODE_ZONES"); v {
-	case "":
-	case "on", "off":
-		c.Zones = v == "on"
-	default:
-		return nil, fmt.Errorf("NODE_ZONES: %q is not \"on\" or \"off\"", v)
+	for name, on := range map[string]*bool{"NODE_FLEET": &c.Fleet, "NODE_ZONES": &c.Zones} {
+		switch v := os.Getenv(name); v {
+		case "":
+		case "on", "off":
+			*on = v == "on"
+		default:
+			return nil, fmt.Errorf("%s: %q is not \"on\" or \"off\"", name, v)
+		}
 	}
 	if err := c.check(); err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -15,6 +15,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"milletsail/internal/durable"
 )
 
 // Runner runs the processes of one relay for its agent. Change brings a version's program into service, from whatever
@@ -31,7 +33,6 @@
 	relay  int
 	dir    string
 	runner Runner
-	free   func() error // tells why nothing more can be kept; nil for no such check
 
 	mu       sync.Mutex
 	state    agentState
@@ -238,11 +239,6 @@
 	if have, err := Checksum(to); err == nil && have == sum {
 		return sum, nil
 	}
-	if s.free != nil {
-		if err := s.free(); err != nil {
-			return "", err
-		}
-	}
 	from, err := os.Open(path)
 	if err != nil {
 		return "", err
@@ -265,16 +261,7 @@
 	if err != nil {
 		return err
 	}
-	next := filepath.Join(s.dir, agentStateName+".new")
-	f, err := os.OpenFile(next, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(text)
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return err
-	}
-	return os.Rename(next, filepath.Join(s.dir, agentStateName))
+	return durable.Replace(filepath.Join(s.dir, agentStateName), text)
 }
 
 // call puts one request to an agent.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -18,9 +18,8 @@
 	store   *Store
 	state   State
 	compare *Comparison
-	stage   int             // that compare is of
-	kept    map[int]bool    // agents that keep the new program
-	figures map[int]Figures // at the last look
+	stage   int          // that compare is of
+	kept    map[int]bool // agents that keep the new program
 	looked  time.Time
 	since   map[int]time.Time // when a relay was first seen with its version
 }
@@ -31,20 +30,16 @@
 	if err != nil {
 		return nil, err
 	}
-	store, err := OpenStore(dir, time.Now(), false)
+	c, err := takeOver(dir, false)
 	if err != nil {
 		return nil, err
 	}
-	c := &Controller{store: store, kept: map[int]bool{}, figures: map[int]Figures{}, since: map[int]time.Time{}}
-	for _, r := range store.Records() {
-		c.state.Apply(r)
-	}
 	if p := c.state.Phase; p == Running || p == Paused || p == RollingBack {
-		return nil, errors.Join(fmt.Errorf("the rollout in %s is %s: resume or end it first", dir, p), store.Close())
+		return nil, errors.Join(fmt.Errorf("the rollout in %s is %s: resume or end it first", dir, p), c.store.Close())
 	}
 	old := map[int]string{}
 	for _, a := range plan.Agents {
-		r, err := call(ctx, a.Address, request{Op: "status", Fence: store.Fence()})
+		r, err := call(ctx, a.Address, request{Op: "status", Fence: c.store.Fence()})
 		switch {
 		case err != nil:
 			err = fmt.Errorf("agent of relay %d at %s: %w", a.Relay, a.Address, err)
@@ -54,7 +49,7 @@
 			err = fmt.Errorf("relay %d is in change", a.Relay)
 		}
 		if err != nil {
-			return nil, errors.Join(err, store.Close())
+			return nil, errors.Join(err, c.store.Close())
 		}
 		old[a.Relay] = r.Version
 	}
@@ -64,16 +59,12 @@
 // Open takes over the rollout of a folder; force does so though another controller seems to be at work. One that was
 // under way goes on or is rolled back, as its plan says.
 func Open(dir string, force bool) (*Controller, error) {
-	store, err := OpenStore(dir, time.Now(), force)
+	c, err := takeOver(dir, force)
 	if err != nil {
 		return nil, err
 	}
-	c := &Controller{store: store, kept: map[int]bool{}, figures: map[int]Figures{}, since: map[int]time.Time{}}
-	for _, r := range store.Records() {
-		c.state.Apply(r)
-	}
 	if c.state.Plan == nil {
-		return nil, errors.Join(fmt.Errorf("there is no rollout in %s", dir), store.Close())
+		return nil, errors.Join(fmt.Errorf("there is no rollout in %s", dir), c.store.Close())
 	}
 	if c.state.Phase == Running && c.state.Plan.OnDeath == "rollback" {
 		return c, c.write(Record{At: time.Now(), Kind: rollback, Why: "the controller had ended, and the plan says so"})
@@ -93,6 +84,19 @@
 	return s, err
 }
 
+// takeOver takes a folder's records over and reads them.
+func takeOver(dir string, force bool) (*Controller, error) {
+	store, err := OpenStore(dir, time.Now(), force)
+	if err != nil {
+		return nil, err
+	}
+	c := &Controller{store: store, kept: map[int]bool{}, since: map[int]time.Time{}}
+	for _, r := range store.Records() {
+		c.state.Apply(r)
+	}
+	return c, nil
+}
+
 // State is what the controller knows.
 func (c *Controller) State() State { return c.state }
 
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -9,7 +9,6 @@
 package rollout
 
 import (
-	"bytes"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -18,27 +17,11 @@
 	"os"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
+	"milletsail/internal/strict"
 )
 
 // Duration is a time in a plan, written with its unit.
-type Duration time.Duration
-
-// UnmarshalText reads a duration; one without a unit, or below zero, is an error.
-func (d *Duration) UnmarshalText(text []byte) error {
-	v, err := time.ParseDuration(string(text))
-	if err != nil || v < 0 {
-		return fmt.Errorf("%q is no duration with its unit, such as \"10s\"", text)
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// MarshalText writes it.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
-// D gives the duration in the standard library's type.
-func (d Duration) D() time.Duration { return time.Duration(d) }
+type Duration = strict.Duration
 
 // Plan is what a rollout is to do.
 type Plan struct {
@@ -104,19 +87,8 @@
 // ParsePlan is ReadPlan for a text; name stands for it in errors.
 func ParsePlan(name string, text []byte) (*Plan, error) {
 	p := defaults()
-	in := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := in.Decode(&p); err != nil {
-		var strict *toml.StrictMissingError
-		if errors.As(err, &strict) && len(strict.Errors) > 0 {
-			row, _ := strict.Errors[0].Position()
-			return nil, fmt.Errorf("%s:%d: unknown key %v", name, row, strict.Errors[0].Key())
-		}
-		var at *toml.DecodeError
-		if errors.As(err, &at) {
-			row, _ := at.Position()
-			return nil, fmt.Errorf("%s:%d: %w", name, row, err)
-		}
-		return nil, fmt.Errorf("%s: %w", name, err)
+	if err := strict.Decode(name, text, &p); err != nil {
+		return nil, err
 	}
 	if err := p.check(); err != nil {
 		return nil, fmt.Errorf("%s: %w", name, err)
--- a/internal/rollout/process.go
+++ b/internal/rollout/process.go
@@ -1,7 +1,6 @@
 package rollout
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -13,10 +12,9 @@
 	"syscall"
 	"time"
 
-	"github.com/pelletier/go-toml/v2"
-
 	"milletsail/internal/door"
 	"milletsail/internal/procfs"
+	"milletsail/internal/strict"
 )
 
 // AgentConfig is what the agent of one relay is started with.
@@ -38,9 +36,8 @@
 		return nil, err
 	}
 	var c AgentConfig
-	in := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
-	if err := in.Decode(&c); err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
+	if err := strict.Decode(path, text, &c); err != nil {
+		return nil, err
 	}
 	for name, bad := range map[string]bool{"address": c.Address == "", "folder": c.Folder == "", "program": c.Program == "", "listen": c.Listen == "",
 		"admin: two addresses": len(c.Admin) != 2, "log": c.Log == "", "env: NODE_CONFIG": !hasEnv(c.Env, "NODE_CONFIG"), "env: NODE_STATE": !hasEnv(c.Env, "NODE_STATE")} {
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -241,7 +241,10 @@
 			t.Errorf("%+v is done", q)
 		}
 	}
-	p.servers[0].free = func() error { return errors.New("the disk is full") }
+	versions := filepath.Join(p.dir, "agent0", versionsName)
+	if err := errors.Join(os.RemoveAll(versions), os.WriteFile(versions, nil, 0o600)); err != nil { // nothing can be written there, as on a full disk
+		t.Fatal(err)
+	}
 	if _, err := call(ctx, address, request{Op: "keep", Fence: 7, Sum: sum, Path: p.new}); err == nil {
 		t.Error("kept on a full disk")
 	}
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -14,6 +14,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"milletsail/internal/durable"
 )
 
 // Store is a rollout's records on disk, and the right to add to them. Each controller that takes over writes a file of
@@ -82,7 +84,7 @@
 		}
 		return nil, err
 	}
-	if err := errors.Join(syncDir(dir), s.Alive()); err != nil {
+	if err := errors.Join(durable.SyncDir(dir), s.Alive()); err != nil {
 		return nil, errors.Join(err, s.file.Close())
 	}
 	return s, nil
@@ -199,14 +201,6 @@
 	return all, in.Err()
 }
 
-func syncDir(dir string) error {
-	f, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	return errors.Join(f.Sync(), f.Close())
-}
-
 // orders are written beside the records by commands, and taken in by the controller at work.
 const ordersName = "order"
 
@@ -221,7 +215,6 @@
 // Order is one of them; a resume may bring a changed plan.
 type Order struct {
 	What string `json:"what"`
-	Why  string `json:"why,omitempty"`
 	Plan *Plan  `json:"plan,omitempty"`
 }
 
@@ -234,11 +227,7 @@
 	if err != nil {
 		return err
 	}
-	next := filepath.Join(dir, ordersName+".new")
-	if err := os.WriteFile(next, text, 0o600); err != nil {
-		return err
-	}
-	return os.Rename(next, filepath.Join(dir, ordersName))
+	return durable.Replace(filepath.Join(dir, ordersName), text)
 }
 
 // takeOrder takes the order that was left, if there is one.
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -16,6 +16,8 @@
 	"path/filepath"
 	"strings"
 	"time"
+
+	"milletsail/internal/durable"
 )
 
 const (
@@ -99,34 +101,13 @@
 	if err != nil {
 		return err
 	}
-	if err := replace(b.path, append(text, '\n')); err != nil {
+	if err := durable.Replace(b.path, append(text, '\n')); err != nil {
 		return err
 	}
 	b.orders = orders
 	return nil
 }
 
-// replace puts a text in a file's place, whole or not at all, and on disk.
-func replace(path string, text []byte) error {
-	next := path + ".new"
-	f, err := os.OpenFile(next, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
-	if err != nil {
-		return err
-	}
-	_, err = f.Write(text)
-	if err = errors.Join(err, f.Sync(), f.Close()); err != nil {
-		return errors.Join(err, os.Remove(next))
-	}
-	if err := os.Rename(next, path); err != nil {
-		return err
-	}
-	folder, err := os.Open(filepath.Dir(path))
-	if err != nil {
-		return err
-	}
-	return errors.Join(folder.Sync(), folder.Close())
-}
-
 // Verb is what a line asks for.
 type Verb string
 
