--- a/internal/lab/faulty/main.go
+++ b/internal/lab/faulty/main.go
@@ -98,8 +98,11 @@
 	if err != nil {
 		return err
 	}
-	// Each start counts as one of the machine: the lab ends processes by the power alone where it matters.
-	cfg.Files, cfg.Boot = &noting{FS: journal.Disk, path: filepath.Join(os.Getenv("TMPDIR"), relays.Synced), deaf: b.fault == noSync}, fmt.Sprint(os.Getpid())
+	if b.fault == none || b.fault == noSync {
+		// Each start counts as one of the machine: these lose power. A version beside another one must not, since a process
+		// that hands over lives on the machine that is.
+		cfg.Files, cfg.Boot = &noting{FS: journal.Disk, path: filepath.Join(os.Getenv("TMPDIR"), relays.Synced), deaf: b.fault == noSync}, fmt.Sprint(os.Getpid())
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 	defer stop()
 	passed := make(chan os.Signal)
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -79,6 +80,24 @@
 	Begun   time.Time `json:"begun,omitzero"`
 }
 
+// agree brings what a journal tells of a message's attempts in line with the one that is out. The process that has it
+// out made them all and knows their number: an attempt that the reading of a damaged journal has added, in case its
+// record is missing, is none, and one whose record is missing is there.
+func (o attemptOut) agree(e *journal.Entry) {
+	n := o.Attempt + 1
+	for i := len(e.Attempts) - 1; i >= 0 && len(e.Attempts) > n; i-- {
+		if e.Attempts[i].Doubt {
+			e.Attempts = slices.Delete(e.Attempts, i, i+1)
+		}
+	}
+	for len(e.Attempts) < n {
+		e.Attempts = append(e.Attempts, journal.Attempt{Begun: e.Taken, Doubt: true})
+	}
+	if len(e.Attempts) == n {
+		e.Attempts[o.Attempt] = journal.Attempt{Host: o.Host, Begun: o.Begun}
+	}
+}
+
 // handedOver is a message that a client handed in to the old process after the handover.
 type handedOver struct {
 	No    int            `json:"no"`
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"slices"
 	"strings"
 	"syscall"
@@ -149,6 +150,63 @@
 	}
 }
 
+// The new process finds the journal damaged, so that each message may have one more attempt: the call that is out is
+// still the only one, and its end counts.
+func TestUpgradeWithADamagedJournal(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	hold := make(chan bool)
+	p.answer = p.held(hold)
+	p.inherits()
+	old := p.start()
+	p.take("order", "out", "25")
+	p.until("its call is out", func() bool { return len(p.sent()) == 1 })
+	p.set(func() { p.answer = func(*http.Request) int { return http.StatusOK } })
+	p.take("status", "over", "25")
+	p.called()
+	p.until("it is over", func() bool { return len(readEntries(t, p.dir)) == 1 })
+	segments, err := filepath.Glob(filepath.Join(p.dir, "segment-*"))
+	if err != nil || len(segments) != 1 {
+		t.Fatal(segments, err)
+	}
+	file, err := os.OpenFile(segments[0], os.O_RDWR, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	info, err := file.Stat()
+	if err != nil {
+		t.Fatal(err)
+	}
+	lastRecords := make([]byte, 60) // that its call has ended, and that it is over
+	if _, err := file.WriteAt(lastRecords, info.Size()-int64(len(lastRecords))); err != nil {
+		t.Fatal(err)
+	}
+	p.take("status", "behind the damage", "25")
+	p.called()
+	p.until("it is over, and the call that is out has one beside it that may be missing", func() bool {
+		e := readEntries(t, p.dir)
+		return !slices.ContainsFunc(e, func(e *journal.Entry) bool { return e.ID == "behind the damage" }) && len(e[0].Attempts) > 1
+	})
+	p.upgrade()
+	p.take("status", "new", "25")
+	p.until("the new process sends", func() bool { return slices.Contains(p.sent(), "new") })
+	once := func() bool {
+		return len(slices.DeleteFunc(p.sent(), func(id string) bool { return id != "out" })) == 1
+	}
+	if !once() {
+		t.Errorf("a second attempt while one is out: %v", p.sent())
+	}
+	close(hold)
+	if err := old.exit(t); err != nil {
+		t.Errorf("the old process: %v", err)
+	}
+	p.until("all are over", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	if !once() || len(p.told()) != 0 {
+		t.Errorf("calls %v, notices %v", p.sent(), p.told())
+	}
+}
+
 // A wait that the old process was told binds the new one too.
 func TestToldWaitThroughUpgrade(t *testing.T) {
 	p := newPlatform(t)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -161,6 +161,9 @@
 		m := &message{Entry: e}
 		l.messages[e.ID] = m
 		l.pend(m)
+		if o, ok := out[e.ID]; ok {
+			o.agree(e)
+		}
 		if e.Owed != nil {
 			m.over = true
 			l.settle(m)
