Hold failures of an outage against an endpoint only until it is back

Cause: policy.go, against(): each failed call counts against its endpoint for the message's class until one of that class succeeds there, and endpoints that nothing counts against go first. An endpoint that came back by another class's trial or by another relay's word was never tried again by a class that had met the outage, while a sibling was open.

Change: what an outage has counted is cleared when it ends. What fails there afterwards counts as before, so that an endpoint that fails one class only is still avoided for it. A relay that decides by zones does not take the slowness of an endpoint on its ramp for a lack of room.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -484,36 +484,6 @@
 	return ep.lastOK <= ep.out[0].sent && d.now >= d.lateAt(ep.out[0], silentAfter)
 }
 
-// send starts a call with a message and, where the kind allows it, others of the queue.
-func (d *Dispatcher) send(q *queue, ep *endpoint, first *message) {
-	d.turn++
-	q.served = d.turn
-	c := &call{ep: ep, no: d.turn, sent: d.now}
-	d.out++
-	d.wake(q)
-	q.out, ep.out = append(q.out, c), append(ep.out, c)
-	ep.lastUsed = d.now
-	d.spend(q)
-	if d.s.Zones {
-		d.spilled(q, ep)
-	}
-	if ep.sick || ep.ramping {
-		ep.tokens = math.Max(0, d.epTokens(ep)-1)
-	}
-	if ep.sick || d.fenced(q) {
-		q.triedAt = d.now
-	}
-	d.attempt(first, c)
-	for i := 0; i < len(q.held) && c.open < q.bundle && !ep.sick; {
-		m := q.held[i]
-		if d.sendable(m) && d.repeatable(m, ep) && (d.s.CallSize == 0 || c.size+m.Size <= d.s.CallSize) {
-			d.attempt(m, c)
-			continue
-		}
-		i++
-	}
-}
-
 // timeout is how long an answer is waited for; an unsafe message waits to its end, since after a
 // time-out it could only be failed.
 func (d *Dispatcher) timeout(m *message, c *call) time.Duration {
@@ -527,21 +497,6 @@
 
 // --- Pace ---
 
-// tokens is what the pace of a queue allows to be sent now.
-func (d *Dispatcher) tokens(q *queue) float64 {
-	d.climb(q)
-	return q.fill(d.now, q.pace, math.Max(1, q.pace*burstSpan.Seconds()))
-}
-
-// epTokens is what the budget of a sick or ramping endpoint allows to be sent now.
-func (d *Dispatcher) epTokens(ep *endpoint) float64 {
-	if ep.ramping && d.coldFor(ep) >= d.s.RampTime {
-		ep.ramping = false
-	}
-	rate := d.budget(ep, d.coldFor(ep))
-	return ep.fill(d.now, rate, math.Max(1, rampBurst*rate*d.s.OverloadFor.Seconds()))
-}
-
 // budget is the calls a second that this relay may make to an endpoint that has been back for so long:
 // its part of what the rule on returning destinations allows. Where no weight is told, one call in
 // each span of the rule.
@@ -690,6 +645,7 @@
 func (d *Dispatcher) returns(ep *endpoint, tokens float64, hearsay bool) {
 	ep.sick, ep.ramping, ep.recovered, ep.failures, ep.q.ill = false, true, d.now, 0, false
 	ep.tokens, ep.tokensAt = tokens, d.now
+	clear(ep.strikes) // the outage's: else none that failed there would ever try it again
 	d.act(Remember{Endpoint: ep.ID, At: d.now, Hearsay: hearsay})
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"math"
@@ -932,6 +933,51 @@
 	expect(t, "others do not", d.Handle(5*ms, []Event{arrive("o", 1)}), "o>a")
 }
 
+// TestOutageOfAllClassesEndsForAll guards against failures of an outage that are held against an endpoint for good, in
+// the classes that happened to meet it.
+func TestOutageOfAllClassesEndsForAll(t *testing.T) {
+	s := plain()
+	s.RampTime = time.Second
+	d := start(t, s, Endpoint{ID: "a", Zone: 0}, Endpoint{ID: "b", Zone: 1})
+	a := d.endpoints["a"]
+	now := time.Duration(0)
+	call := func(class int, atA Outcome) (first string) {
+		now += 100 * ms
+		id := fmt.Sprint(now)
+		actions := d.Handle(now, []Event{arrive(id, class)})
+		for n := 0; len(actions) > 0 && n < 8; n++ {
+			var ends []Event
+			for _, x := range actions {
+				if send, ok := x.(Send); ok {
+					first = cmp.Or(first, send.Endpoint)
+					e := Ended{ID: id, Endpoint: send.Endpoint, Attempt: n, Outcome: OK, Took: 10 * ms}
+					if send.Endpoint == "a" {
+						e.Outcome = atA
+					}
+					ends = append(ends, e)
+				}
+			}
+			now += 10 * ms
+			actions = d.Handle(now, ends)
+		}
+		return first
+	}
+	call(0, ConnectError)
+	call(1, ConnectError)
+	if !a.sick {
+		t.Fatal("an endpoint that takes no connection is not out")
+	}
+	for n := 0; n < 200 && (a.sick || a.ramping); n++ {
+		call(1, OK) // what of the other class is tried there brings it back
+	}
+	for range 20 {
+		if call(0, OK) == "a" {
+			return
+		}
+	}
+	t.Error("messages of the class that met the outage never go there again")
+}
+
 // TestUrgentFirst guards against slots given to what can wait, where few slots make every turn a tie.
 func TestUrgentFirst(t *testing.T) {
 	s := plain()
--- a/policy/state.go
+++ b/policy/state.go
@@ -454,6 +454,51 @@
 	d.act(Send{ID: m.ID, Endpoint: c.ep.ID, Timeout: d.timeout(m, c), Call: c.no, Within: within})
 }
 
+// send starts a call with a message and, where the kind allows it, others of the queue.
+func (d *Dispatcher) send(q *queue, ep *endpoint, first *message) {
+	d.turn++
+	q.served = d.turn
+	c := &call{ep: ep, no: d.turn, sent: d.now}
+	d.out++
+	d.wake(q)
+	q.out, ep.out = append(q.out, c), append(ep.out, c)
+	ep.lastUsed = d.now
+	d.spend(q)
+	if d.s.Zones {
+		d.spilled(q, ep)
+	}
+	if ep.sick || ep.ramping {
+		ep.tokens = math.Max(0, d.epTokens(ep)-1)
+	}
+	if ep.sick || d.fenced(q) {
+		q.triedAt = d.now
+	}
+	d.attempt(first, c)
+	for i := 0; i < len(q.held) && c.open < q.bundle && !ep.sick; {
+		m := q.held[i]
+		if d.sendable(m) && d.repeatable(m, ep) && (d.s.CallSize == 0 || c.size+m.Size <= d.s.CallSize) {
+			d.attempt(m, c)
+			continue
+		}
+		i++
+	}
+}
+
+// tokens is what the pace of a queue allows to be sent now.
+func (d *Dispatcher) tokens(q *queue) float64 {
+	d.climb(q)
+	return q.fill(d.now, q.pace, math.Max(1, q.pace*burstSpan.Seconds()))
+}
+
+// epTokens is what the budget of a sick or ramping endpoint allows to be sent now.
+func (d *Dispatcher) epTokens(ep *endpoint) float64 {
+	if ep.ramping && d.coldFor(ep) >= d.s.RampTime {
+		ep.ramping = false
+	}
+	rate := d.budget(ep, d.coldFor(ep))
+	return ep.fill(d.now, rate, math.Max(1, rampBurst*rate*d.s.OverloadFor.Seconds()))
+}
+
 // withdraw drops a message that nobody wants any more.
 func (d *Dispatcher) withdraw(id string) {
 	m := d.messages[id]
--- a/policy/zones.go
+++ b/policy/zones.go
@@ -235,8 +235,8 @@
 // pressed learns from an outcome in the own zone whether that has room.
 func (d *Dispatcher) pressed(ep *endpoint, e Ended) {
 	took := e.Took.Seconds()
-	if !d.s.Zones || ep.Zone != d.s.Zone || e.Outcome != OK && e.Outcome != QueueFull {
-		return
+	if !d.s.Zones || ep.Zone != d.s.Zone || ep.ramping || e.Outcome != OK && e.Outcome != QueueFull {
+		return // one that comes back is slow for a while, whatever room it has
 	}
 	if ep.usual == 0 {
 		ep.usual = took
