Have endpoints that are new on the list prove themselves before they get their share; off in run

A new endpoint gets 2, 6, 20 and 50% of its destination's calls over the whole fleet, by evidence of all relays (Page's cumulative sum over Wald's likelihood ratio, by class, against what fails at the older endpoints), is held back where it does worse, and begins small again; never where no older endpoint serves beside it.

--- a/cmd/milletsail/rollout.go
+++ b/cmd/milletsail/rollout.go
@@ -71,7 +71,7 @@
 			showRollout(c.OutOrStdout(), s)
 			return nil
 		}}
-	c.AddCommand(start, goOn, status)
+	c.AddCommand(start, goOn, status, serversCommand())
 	for _, o := range []struct{ what, short string }{
 		{rollout.OrderPause, "Have nothing further change, for now"},
 		{rollout.OrderAbort, "Have nothing further change: the versions stay mixed"},
--- a/cmd/milletsail/zone.go
+++ b/cmd/milletsail/zone.go
@@ -1,15 +1,12 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
-	"strings"
-	"text/tabwriter"
+	"io"
 	"time"
 
 	"github.com/spf13/cobra"
 
-	"milletsail/internal/door"
 	"milletsail/internal/relay"
 )
 
@@ -28,26 +25,8 @@
 	var raw bool
 	status := &cobra.Command{Use: "status DOOR...", Short: "Say how zones fare", Args: cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, doors []string) error {
-			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
-			if !raw {
-				fmt.Fprintln(w, "relay\tin\tzone\tstate\tfor s\torder s\tendpoints\tevacuations\treturns\t")
-			}
-			silent := 0
-			for _, door := range doors {
-				reply, err := askDoor(door, "zone status")
-				var s relay.ZoneStatus
-				if err == nil {
-					err = json.Unmarshal([]byte(reply), &s)
-				}
-				if err != nil {
-					fmt.Fprintf(c.ErrOrStderr(), "%s: %v\n", door, err)
-					silent++
-					continue
-				}
-				if raw {
-					fmt.Fprintln(w, reply)
-					continue
-				}
+			head := "relay\tin\tzone\tstate\tfor s\torder s\tendpoints\tevacuations\treturns\t"
+			return askDoors(c, doors, "zone status", head, raw, func(w io.Writer, s relay.ZoneStatus) {
 				for _, z := range s.Zones {
 					note := ""
 					if s.CutOff && z.Zone != s.Zone {
@@ -56,14 +35,7 @@
 					fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%.1f\t%.0f\t%d\t%d\t%d\t%s\n", s.Self, s.Zone, z.Zone, z.State, z.ForS, z.UntilS, z.Endpoints,
 						z.Evacuations, z.Returns, note)
 				}
-			}
-			if err := w.Flush(); err != nil {
-				return err
-			}
-			if silent > 0 {
-				return exit(broken)
-			}
-			return nil
+			})
 		}}
 	status.Flags().BoolVar(&raw, "json", false, "a line of JSON for each relay")
 	c.AddCommand(evacuate, restore, status)
@@ -86,16 +58,3 @@
 	}
 	return nil
 }
-
-// askDoor gives a relay's operators' door one line, and its reply. An error of the relay's is one.
-func askDoor(address, line string) (string, error) {
-	reply, err := door.Ask(address, line, doorTime)
-	if err != nil {
-		return "", err
-	}
-	text := strings.TrimSpace(reply)
-	if what, bad := strings.CutPrefix(text, "ERR "); bad {
-		return "", fmt.Errorf("refused: %s", what)
-	}
-	return text, nil
-}
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"milletsail/internal/lab/checker"
+	"milletsail/internal/lab/report"
 	"milletsail/internal/lab/scenario"
 	"milletsail/scenarios"
 )
@@ -109,7 +110,7 @@
 // fault planted is caught.
 func TestPlays(t *testing.T) {
 	plays := map[string]*playing{}
-	for _, name := range []string{"herd", "zone", "outage", "drain", "upgrade", "wipe", "clients", "order"} {
+	for _, name := range []string{"herd", "zone", "outage", "drain", "upgrade", "wipe", "clients", "order", "servers"} {
 		plays[name] = begin(t, name, Options{Binary: relayBinary})
 	}
 	// Only a relay whose syncs are noted can lose power.
@@ -140,7 +141,15 @@
 			continue
 		}
 		t.Run(name, func(t *testing.T) {
-			v := p.end(t).Verdict
+			r := p.end(t)
+			v := r.Verdict
+			if name == "servers" { // without proving themselves, some 25 calls a second go there
+				for _, n := range report.Of(r.Events, v).Newcomers {
+					if n.Held == nil || n.Failed == 0 || n.Failed > 50 {
+						t.Errorf("a version that fails every call: %+v", n)
+					}
+				}
+			}
 			for _, x := range v.Violations {
 				t.Errorf("%s: relay %d, message %s: %s (lines %v)", x.Rule, x.Relay, x.ID, x.Text, x.Lines)
 			}
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -38,6 +38,8 @@
 	Fleet bool `json:"fleet"`
 	// Zones has this relay decide by zones, and take operators' orders about them at their door.
 	Zones bool `json:"zones"`
+	// Newcomers has endpoints that are new on the list prove themselves before they get their share. Off by default.
+	Newcomers bool `json:"newcomers"`
 	// Files is what the journal is written to, and Boot what tells one start of the machine from another; none for the
 	// system's own. Tests put others in their place.
 	Files journal.FS `json:"-"`
@@ -80,7 +82,7 @@
 	if durability := os.Getenv("NODE_DURABILITY"); durability != "" {
 		c.Durability = durability
 	}
-	for name, on := range map[string]*bool{"NODE_FLEET": &c.Fleet, "NODE_ZONES": &c.Zones} {
+	for name, on := range map[string]*bool{"NODE_FLEET": &c.Fleet, "NODE_ZONES": &c.Zones, "NODE_NEWCOMERS": &c.Newcomers} {
 		switch v := os.Getenv(name); v {
 		case "":
 		case "on", "off":
@@ -147,7 +149,7 @@
 		return err
 	}
 	// In the simulator some deployments are told of changes unasked; on sockets they come to a watch alone.
-	c.policy.Subscribe, c.policy.Shares, c.policy.Zones = true, c.Fleet, c.Zones
+	c.policy.Subscribe, c.policy.Shares, c.policy.Zones, c.policy.Newcomers = true, c.Fleet, c.Zones, c.Newcomers
 	c.policy.CallSize = maxBody - len("[]")
 	_, err = policy.New(c.policy, c.seed) // its own check of the settings
 	return err
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -53,8 +53,12 @@
 	Block  int     `json:"block"`
 	Health string  `json:"health"`
 	Share  float64 `json:"share"`
+	BornMS int64   `json:"born_ms,omitempty"` // when it last started, in milliseconds since 1970; 0 for long ago
 }
 
+// maxBornMS bounds the times of starts: the year 2200.
+const maxBornMS = 7_258_118_400_000
+
 // unasked is the mode of discovery in which changes come to the relay's machine without its asking.
 const unasked = "automatic"
 
@@ -69,7 +73,7 @@
 	e := policy.Listed{Whole: m.Whole}
 	for _, h := range m.Hosts {
 		e.Endpoints = append(e.Endpoints, policy.Endpoint{ID: h.Host, Destination: h.Block,
-			Kind: slices.Index(s.Shapes, h.Class), Zone: slices.Index(s.Localities, h.Site), Weight: h.Share,
+			Kind: slices.Index(s.Shapes, h.Class), Zone: slices.Index(s.Localities, h.Site), Weight: h.Share, Born: time.Duration(max(0, min(h.BornMS, maxBornMS))) * time.Millisecond,
 			Draining: h.Health == draining, Gone: h.Health == deleted})
 	}
 	return e
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -32,6 +32,7 @@
 	figures  *figures
 	shared   atomic.Pointer[live.Service]             // nil where nothing is shared
 	zones    atomic.Pointer[func(line string) string] // nil where zones are off
+	servers  atomic.Pointer[func() string]            // nil where new endpoints have nothing to prove
 
 	mu   sync.Mutex
 	open []*caller // the oldest first
@@ -146,6 +147,9 @@
 			return shared.Text()
 		}
 	}
+	if ask := d.servers.Load(); call == "servers" && ask != nil {
+		return []byte((*ask)() + "\n")
+	}
 	if line, ok := strings.CutPrefix(call, "zone "); ok {
 		if ask := d.zones.Load(); ask != nil {
 			return []byte((*ask)(line) + "\n")
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -319,6 +319,8 @@
 		l.events = append(l.events, policy.Heard{Note: e.note})
 	case zoneCall:
 		e.reply <- l.zoneCalled(e)
+	case serversCall:
+		e.reply <- l.servers()
 	case live.Said:
 		l.events = append(l.events, said(e)...)
 	case watchEnded:
@@ -592,6 +594,8 @@
 		}
 	case policy.Zoned:
 		slog.Info("zone", "zone", a.Zone, "state", a.State)
+	case policy.Proved:
+		slog.Info("new endpoint", "host", a.Endpoint, "share", a.Share, "held", max(0, a.Held-now))
 	case policy.Share:
 		l.shared.Paced(a.Destination, a.Pace, a.Traffic)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -101,6 +101,10 @@
 		ask := l.askZones
 		operators.zones.Store(&ask)
 	}
+	if cfg.Newcomers && operators != nil {
+		ask := l.askServers
+		operators.servers.Store(&ask)
+	}
 	l.restore(before, off) // clients wait to be served until this is done
 	var work sync.WaitGroup
 	work.Go(func() { l.run(live) })
--- a/internal/relay/zoning.go
+++ b/internal/relay/zoning.go
@@ -12,9 +12,6 @@
 	"milletsail/policy"
 )
 
-// zoneWait bounds how long an operator's line waits for the loop.
-const zoneWait = time.Second
-
 // zoning is what a relay has of operators' orders about zones; nil where zones are off.
 type zoning struct {
 	book    *zones.Book
@@ -65,19 +62,7 @@
 		return "ERR " + err.Error()
 	}
 	c := zoneCall{line, make(chan string, 1)}
-	timer := time.NewTimer(zoneWait)
-	defer timer.Stop()
-	select {
-	case l.inbox <- c:
-	case <-timer.C:
-		return "ERR this relay is too busy"
-	}
-	select {
-	case reply := <-c.reply:
-		return reply
-	case <-timer.C:
-		return "ERR no answer in time: ask for the status"
-	}
+	return l.askLoop(c, c.reply)
 }
 
 // zoneCalled answers an operator's line.
--- a/policy/api.go
+++ b/policy/api.go
@@ -100,6 +100,7 @@
 	MaxAttempts    int
 	Peers          bool // notes to other relays are allowed
 	Zones          bool // decide by zones: see zones.go
+	Newcomers      bool // let endpoints that are new on the list prove themselves: see newcomers.go
 	Shares         bool // Share is of use: what relays observe is shared
 	SecondCopies   bool // two attempts of a message may be out at once
 	CanCancel      bool
@@ -122,8 +123,22 @@
 	Kind        int
 	Zone        int
 	Weight      float64
-	Draining    bool // send nothing new
-	Gone        bool // removed
+	Born        time.Duration // when it last started; 0 for long ago
+	Draining    bool          // send nothing new
+	Gone        bool          // removed
+}
+
+// Newcomer is an endpoint on trial.
+type Newcomer struct {
+	Endpoint    string
+	Destination int
+	Stage       int           // from 0
+	Share       float64       // of its destination's calls, with all that are on trial there
+	Since       time.Duration // of the stage, or the end of the time in which it gets nothing
+	Held        time.Duration // until when it gets nothing; past or 0 for not now
+	Holds       int
+	Doubt       float64 // the most that its outcomes in a class speak for its being worse; 1 has it held
+	Proving     bool    // an older endpoint serves beside it, so that it is kept to its share
 }
 
 // Report is a load report of a destination.
@@ -319,6 +334,13 @@
 		Zone  int
 		State ZoneState
 	}
+	// Proved says that an endpoint that is new on the list has a stage begun, or gets nothing until Held, or, with neither,
+	// is through; for logs.
+	Proved struct {
+		Endpoint string
+		Share    float64
+		Held     time.Duration
+	}
 	// Share is for the other relays: this one's pace for a destination, in parts of an even share of the listed
 	// rate, and the messages a second that arrive for it.
 	Share struct {
@@ -339,3 +361,4 @@
 func (Remember) action()  {}
 func (Share) action()     {}
 func (Zoned) action()     {}
+func (Proved) action()    {}
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -129,15 +129,3 @@
 	usual := q.paced.Traffic + q.paced.Error
 	return math.Min(partMost, math.Max(partLeast, q.arrivals.rate(d.now)/math.Max(1e-9, usual)))
 }
-
-// share tells the others this relay's pace for one destination after the other.
-func (d *Dispatcher) share() {
-	if !d.s.Shares || d.now < d.shareAt || len(d.queues) == 0 {
-		return
-	}
-	d.shareAt = d.now + max(shareLeast, time.Duration(d.s.Instances)*shareEach)
-	d.shareNext++
-	if q := d.queues[d.shareNext%len(d.queues)]; !q.apart && q.weight > 0 {
-		d.act(Share{Destination: q.dest.no, Pace: q.pace / d.even(q), Traffic: q.arrivals.rate(d.now)})
-	}
-}
--- /dev/null
+++ b/policy/newcomers_test.go
@@ -0,0 +1,277 @@
+package policy
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// proving is a fleet of relays in virtual time whose destination has two older endpoints and new ones. Notes are carried
+// to all others, but those that lose drops.
+type proving struct {
+	*testing.T
+	relays []*Dispatcher
+	now    time.Duration
+	n      int
+	out    [][]due
+	sent   map[string]int
+	fails  func(ep string, class int) Outcome
+	took   func(ep string) time.Duration
+	lose   func() bool
+	held   map[string]int // relays that held an endpoint back
+	rng    *rand.Rand
+}
+
+func newProving(t *testing.T, relays int, change func(*Settings)) *proving {
+	p := &proving{T: t, sent: map[string]int{}, held: map[string]int{}, rng: rand.New(rand.NewPCG(2, 2)), now: time.Second,
+		fails: func(string, int) Outcome { return OK }, took: func(string) time.Duration { return 30 * ms }, lose: func() bool { return false }}
+	for no := range relays {
+		s := plain()
+		s.Newcomers, s.Peers, s.Instances, s.Slots, s.HoldRoom = true, true, relays, 20, 1000
+		if change != nil {
+			change(&s)
+		}
+		d, err := New(s, int64(no))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d.Handle(0, []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: "old-a"}, {ID: "old-b"}}}})
+		p.relays, p.out = append(p.relays, d), append(p.out, nil)
+	}
+	return p
+}
+
+// list tells all relays of endpoints.
+func (p *proving) list(eps ...Endpoint) {
+	for no := range p.relays {
+		p.handle(no, Listed{Endpoints: eps})
+	}
+}
+
+func (p *proving) handle(no int, events ...Event) {
+	for _, a := range p.relays[no].Handle(p.now, events) {
+		switch a := a.(type) {
+		case Send:
+			p.sent[a.Endpoint]++
+			m := p.relays[no].messages[a.ID]
+			took := p.took(a.Endpoint)
+			p.out[no] = append(p.out[no], due{p.now + took, Ended{ID: a.ID, Endpoint: a.Endpoint, Attempt: len(m.attempts) - 1,
+				Outcome: p.fails(a.Endpoint, m.Class), Took: took}})
+		case Tell:
+			for other := range p.relays {
+				if other != no && !p.lose() {
+					p.out[other] = append(p.out[other], due{p.now + 5*ms, Ended{ID: "", Endpoint: string(a.Note)}})
+				}
+			}
+		case Proved:
+			if a.Held > p.now {
+				p.held[a.Endpoint]++
+			}
+		}
+	}
+}
+
+// run has each relay get rate messages a second, one in five of them of the second class.
+func (p *proving) run(until time.Duration, rate float64) {
+	for ; p.now < until; p.now += 10 * ms {
+		for no := range p.relays {
+			var events []Event
+			rest := p.out[no][:0:0]
+			for _, x := range p.out[no] {
+				switch {
+				case x.at > p.now:
+					rest = append(rest, x)
+				case x.e.ID == "":
+					events = append(events, Heard{Note: []byte(x.e.Endpoint)})
+				default:
+					events = append(events, x.e)
+				}
+			}
+			p.out[no] = rest
+			if p.rng.Float64() < rate*0.01 {
+				p.n++
+				class := 0
+				if p.n%5 == 0 {
+					class = 1
+				}
+				events = append(events, Arrived{ID: fmt.Sprint(p.n), Class: class, Left: 5 * time.Second})
+			}
+			p.handle(no, append(events, Woken{})...)
+		}
+	}
+}
+
+// share is an endpoint's share of the calls of a span.
+func (p *proving) share(ep string, until time.Duration, rate float64) float64 {
+	clear(p.sent)
+	p.run(until, rate)
+	all := 0
+	for _, n := range p.sent {
+		all += n
+	}
+	return float64(p.sent[ep]) / float64(max(1, all))
+}
+
+// A version that fails is held back by nearly all relays with few of the calls; one that is as good comes to its share.
+func TestNewcomers(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		fails   func(ep string, class int) Outcome
+		slow    bool
+		lose    float64
+		held    bool
+		served  float64 // share of the calls in the first 14 s, at most
+		through int     // relays that are through with it after 30 s, at least
+	}{
+		{name: "good", served: 1, through: 20},
+		{name: "good, half of the notes lost", served: 1, lose: 0.5, through: 20},
+		{name: "good beside errors of all", fails: func(string, int) Outcome { return Failed }, served: 1, through: 1},
+		{name: "bad", fails: func(ep string, _ int) Outcome { return map[bool]Outcome{true: Failed}[ep == "new"] }, held: true, served: 0.03},
+		{name: "bad, half of the notes lost", fails: func(ep string, _ int) Outcome { return map[bool]Outcome{true: Reset}[ep == "new"] }, lose: 0.5, held: true, served: 0.04},
+		{name: "bad for one class", fails: func(ep string, class int) Outcome { return map[bool]Outcome{true: Failed}[ep == "new" && class == 1] }, held: true, served: 0.15},
+		{name: "slow", slow: true, held: true, served: 0.03},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newProving(t, 20, nil)
+			p.lose = func() bool { return p.rng.Float64() < c.lose }
+			if c.fails != nil {
+				p.fails = func(ep string, class int) Outcome {
+					if c.name == "good beside errors of all" && p.rng.Float64() > 0.2 {
+						return OK
+					}
+					return c.fails(ep, class)
+				}
+			}
+			if c.slow {
+				p.took = func(ep string) time.Duration {
+					if ep == "new" {
+						return 400 * ms
+					}
+					return 30 * ms
+				}
+			}
+			p.run(10*time.Second, 2)
+			p.list(Endpoint{ID: "new", Born: p.now})
+			share := p.share("new", 24*time.Second, 2)
+			if share > c.served {
+				t.Errorf("%.3f of the calls go there", share)
+			}
+			if held := p.held["new"]; c.held && held < 15 || !c.held && held > 0 {
+				t.Errorf("held back by %d of 20 relays", held)
+			}
+			if !c.held {
+				p.run(40*time.Second, 2)
+				through := 0
+				for _, d := range p.relays {
+					if d.endpoints["new"].trial == nil {
+						through++
+					}
+				}
+				if through < c.through {
+					t.Errorf("after 30 s it is through at %d of 20 relays", through)
+				}
+			}
+		})
+	}
+}
+
+// What is new is never held to a share where no older endpoint serves beside it, nor where it is off.
+func TestNewcomersAlone(t *testing.T) {
+	for name, change := range map[string]func(*proving) []Endpoint{
+		"all are new": func(p *proving) []Endpoint {
+			return []Endpoint{{ID: "old-a", Gone: true}, {ID: "old-b", Gone: true}, {ID: "new", Born: p.now}}
+		},
+		"the older ones drain": func(p *proving) []Endpoint {
+			return []Endpoint{{ID: "old-a", Draining: true}, {ID: "old-b", Draining: true}, {ID: "new", Born: p.now}}
+		},
+		"the older ones are out": func(p *proving) []Endpoint {
+			for _, d := range p.relays {
+				for _, ep := range d.endpoints {
+					d.sicken(ep)
+				}
+			}
+			p.fails = func(ep string, _ int) Outcome { return map[bool]Outcome{true: ConnectError}[ep != "new"] }
+			return []Endpoint{{ID: "new", Born: p.now}}
+		},
+		"long ago": func(p *proving) []Endpoint { return []Endpoint{{ID: "new", Born: p.now - 2*newFor}} },
+		"off": func(p *proving) []Endpoint {
+			for _, d := range p.relays {
+				d.s.Newcomers = false
+			}
+			return []Endpoint{{ID: "new", Born: p.now}}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newProving(t, 5, nil)
+			p.now = 5 * time.Minute
+			p.run(5*time.Minute+5*time.Second, 2)
+			p.list(change(p)...)
+			if ep := p.relays[0].endpoints["new"]; name == "long ago" || name == "off" {
+				if ep.trial != nil {
+					t.Error("it is on trial")
+				}
+				return // calls gather at few endpoints while there is little to do, as they always did
+			}
+			if share := p.share("new", p.now+5*time.Second, 2); share < 0.25 {
+				t.Errorf("it gets %.2f of the calls", share)
+			}
+		})
+	}
+}
+
+// A hold ends by itself, and what follows begins small again; a copy of a note counts once; a relay whose own calls fail
+// everywhere speaks against nobody; notes that are cut off or name what is not there change nothing.
+func TestNewcomersEvidence(t *testing.T) {
+	p := newProving(t, 1, nil)
+	p.run(3*time.Second, 5)
+	p.list(Endpoint{ID: "new", Born: p.now})
+	d := p.relays[0]
+	ep := d.endpoints["new"]
+	bad := trialNote{"new", 0, true, 7}.note()
+	for range 10 {
+		p.handle(0, Heard{Note: bad})
+	}
+	if ep.trial.held > 0 || ep.trial.seen != 1 {
+		t.Errorf("ten copies of a note count %d times", ep.trial.seen)
+	}
+	for _, note := range [][]byte{bad[:1], bad[:2], {}, trialNote{"none", 0, true, 1}.note(), trialNote{"new", 99, true, 1}.note(), trialNote{"old-a", 0, true, 1}.note()} {
+		p.handle(0, Heard{Note: note})
+	}
+	if ep.trial.seen != 1 {
+		t.Errorf("%d outcomes after notes that say nothing", ep.trial.seen)
+	}
+	for no := range uint64(3) {
+		p.handle(0, Heard{Note: trialNote{"new", 0, true, no}.note()})
+	}
+	if held := ep.trial.held - p.now; held != holdFor || ep.trial.stage != 0 {
+		t.Errorf("held for %v", held)
+	}
+	if share := p.share("new", ep.trial.held-50*ms, 5); share > 0 {
+		t.Errorf("%.3f of the calls while it is held back", share)
+	}
+	if share := p.share("new", p.now+time.Second, 5); share > 0.25 || d.waits(ep) && ep.trial.credit >= 1 {
+		t.Errorf("%.3f of the calls at once after a hold", share)
+	}
+
+	lone := newProving(t, 2, nil)
+	lone.fails = func(string, int) Outcome { return Failed }
+	lone.run(6*time.Second, 5)
+	lone.list(Endpoint{ID: "new", Born: lone.now})
+	told := 0
+	for range 50 {
+		lone.now += 50 * ms
+		d := lone.relays[0]
+		d.judged(d.endpoints["new"], &message{Arrived: Arrived{Class: 0}}, Ended{Outcome: Failed}, false)
+		for _, a := range d.actions {
+			if tell, ok := a.(Tell); ok {
+				if _, trial := readTrial(tell.Note); trial {
+					told++
+				}
+			}
+		}
+	}
+	if told > 0 {
+		t.Errorf("a relay whose calls all fail speaks %d times against a newcomer", told)
+	}
+}
--- a/policy/notes.go
+++ b/policy/notes.go
@@ -18,6 +18,42 @@
 // endpoint is back, or has taken no connection, with its name.
 const closedMark, openMark, backMark, noRoomMark = 'c', 'o', 'b', 'n'
 
+// trialNote is what relays tell each other of an endpoint on trial: how a message of a class fared there. Its number,
+// drawn, tells it from a copy of itself.
+type trialNote struct {
+	endpoint string
+	class    int
+	bad      bool
+	no       uint64
+}
+
+// The first byte of a trialNote.
+const trialOKMark, trialBadMark = 'g', 'w'
+
+func (n trialNote) note() []byte {
+	b := []byte{trialOKMark}
+	if n.bad {
+		b[0] = trialBadMark
+	}
+	return append(binary.AppendUvarint(binary.AppendUvarint(b, uint64(n.class)), n.no), n.endpoint...)
+}
+
+// readTrial reads a trialNote; one that is not whole says nothing.
+func readTrial(note []byte) (n trialNote, ok bool) {
+	if len(note) == 0 || note[0] != trialOKMark && note[0] != trialBadMark {
+		return n, false
+	}
+	class, l := binary.Uvarint(note[1:])
+	if l <= 0 || class > maxNumber {
+		return n, false
+	}
+	no, k := binary.Uvarint(note[1+l:])
+	if k <= 0 || no > maxNumber {
+		return n, false
+	}
+	return trialNote{string(note[1+l+k:]), int(class), note[0] == trialBadMark, no}, true
+}
+
 // Observed is what a note of Tell and Heard says: that a destination has refused a call that was sent an age ago, for a
 // wait or for none that was told, or has taken one; or that an endpoint is back, or has taken no connection.
 type Observed struct {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -114,6 +115,7 @@
 		}
 	}
 	d.judge()
+	d.prove()
 	d.expire()
 	d.dispatch()
 	d.reap()
@@ -411,7 +413,7 @@
 	home := d.home(q)
 	for _, ep := range q.eps {
 		second := ep.sick && len(m.attempts) > 0 && len(q.eps) > 1
-		if second || !d.open(ep) || d.leaves(ep, m) || !d.repeatable(m, ep) {
+		if second || d.waits(ep) || !d.open(ep) || d.leaves(ep, m) || !d.repeatable(m, ep) {
 			continue
 		}
 		if best == nil || d.better(m, home, ep, best) {
@@ -421,26 +423,17 @@
 	return best
 }
 
+// better tells whether the first of two endpoints that are open is chosen for a message.
 func (d *Dispatcher) better(m *message, home int, a, b *endpoint) bool {
-	if a.sick != b.sick {
-		return a.sick // its trial is due
-	}
-	if s, t := d.silent(a), d.silent(b); s != t {
-		return t
-	}
-	if s, t := m.against(a), m.against(b); s != t {
-		return s < t
-	}
-	if d.s.Zones && (a.Zone == home) != (b.Zone == home) {
-		return a.Zone == home
-	}
-	if len(a.out) != len(b.out) {
-		return len(a.out) < len(b.out)
-	}
-	if near, far := a.Zone == d.s.Zone, b.Zone == d.s.Zone; near != far {
-		return near
-	}
-	return a.lastUsed > b.lastUsed
+	return cmp.Or(
+		cmp.Compare(truth(a.sick), truth(b.sick)),           // its trial is due
+		cmp.Compare(truth(d.proves(a)), truth(d.proves(b))), // its share is
+		cmp.Compare(truth(d.silent(b)), truth(d.silent(a))),
+		cmp.Compare(m.against(b), m.against(a)),
+		cmp.Compare(truth(d.s.Zones && a.Zone == home), truth(d.s.Zones && b.Zone == home)),
+		cmp.Compare(len(b.out), len(a.out)),
+		cmp.Compare(truth(a.Zone == d.s.Zone), truth(b.Zone == d.s.Zone)),
+		cmp.Compare(a.lastUsed, b.lastUsed)) > 0
 }
 
 // against counts what speaks against an endpoint for a message: failures of its class in a row, and a
@@ -574,6 +567,7 @@
 		}
 	}
 	d.pressed(ep, e)
+	d.judged(ep, m, e, q.class[m.Class] > 0 && took > stuckAfter*q.class[m.Class])
 	switch e.Outcome {
 	case OK:
 		if c.sent < ep.noRoomAt { // the endpoint served us while it turned another's connection away
@@ -720,6 +714,7 @@
 	if ep := d.endpoints[readEndpoint(noRoomMark, note)]; ep != nil {
 		ep.noRoomAt = d.now
 	}
+	d.witness(note)
 	l, ok := readLimit(note)
 	if dest := d.dests[l.dest]; !ok || dest == nil || dest.queues[0].apart {
 		return
@@ -837,13 +832,3 @@
 	}
 	return n >= failuresToSick || d.now < q.waitUntil || d.chance.Float64() < onceShare
 }
-
-// weigh takes in the rate that a queue's destination is listed with.
-func (d *Dispatcher) weigh(q *queue, weight float64) {
-	if d.s.Weights == WeightsOff || !(weight > 0) || math.IsInf(weight, 0) || weight == q.weight {
-		return
-	}
-	q.weight = weight
-	q.pace, q.cutAt = d.even(q), d.now
-	q.tokens, q.tokensAt = math.Max(1, q.pace*burstSpan.Seconds()), d.now
-}
--- a/policy/state.go
+++ b/policy/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math"
 	"math/bits"
@@ -104,6 +105,7 @@
 	owed      map[int]float64 // calls that are to go to another zone
 	paced     Paced           // by other relays; used until pacedTo
 	pacedTo   time.Duration
+	failing   []failing // at older endpoints, by class
 	arrivals  aged
 	misses    aged // of the virtual copy under the basic rule
 	copyWork  float64
@@ -189,6 +191,111 @@
 	failedAt  time.Duration // the last failure of a call, here or as several relays found; 0 for never
 	usual     float64       // mean latency of calls that were not slow
 	crowdedAt time.Duration // when it last was known to serve this relay all the same; 0 for never
+	trial     *trial        // nil where it is not new on the list, or has proved itself
+}
+
+// trial is how an endpoint that is new on the list fares.
+type trial struct {
+	stage  int           // of stageShares
+	since  time.Duration // of the stage, or the end of the time in which it gets nothing
+	held   time.Duration // until when it gets nothing
+	holds  int
+	seen   int             // outcomes in the stage, of all relays
+	credit float64         // calls that it may get now
+	score  []float64       // by class: how much its outcomes speak for its being worse
+	heard  map[uint64]bool // numbers of notes in this stage
+}
+
+// failing counts outcomes and those that are bad; older ones fade.
+type failing struct{ bad, all float64 }
+
+// fade is what is left of the counts with each outcome: about the last fifty count.
+const fade = 0.98
+
+func (f *failing) add(bad bool) { f.bad, f.all = fade*f.bad+truth(bad), fade*f.all+1 }
+
+// share is the share that is bad, with one outcome more as a beginning, and a standard error more: few calls tell little.
+func (f *failing) share() float64 {
+	share := (f.bad + leastFailing) / (f.all + 1)
+	return math.Min(1-leastFailing, share+math.Sqrt(share*(1-share)/(f.all+1)))
+}
+
+// maxHeard bounds the notes of a stage that are told from copies of themselves.
+const maxHeard = 256
+
+// stage begins a stage.
+func (d *Dispatcher) stage(ep *endpoint, no int, at time.Duration) {
+	t := ep.trial
+	t.stage, t.since, t.seen, t.credit, t.heard = no, at, 0, d.chance.Float64(), nil
+	clear(t.score)
+	d.act(Proved{Endpoint: ep.ID, Share: stageShares[no], Held: t.held})
+}
+
+// trials lists the endpoints on trial, in the order of the queues.
+func (d *Dispatcher) trials() (all []*endpoint) {
+	if !d.s.Newcomers {
+		return nil
+	}
+	for _, q := range d.queues {
+		for _, ep := range q.eps {
+			if ep.trial != nil {
+				all = append(all, ep)
+			}
+		}
+	}
+	return all
+}
+
+// Newcomers lists the endpoints on trial.
+func (d *Dispatcher) Newcomers() (all []Newcomer) {
+	for _, ep := range d.trials() {
+		t := ep.trial
+		n := Newcomer{Endpoint: ep.ID, Destination: ep.Destination, Stage: t.stage, Share: stageShares[t.stage], Since: t.since,
+			Held: t.held, Holds: t.holds, Proving: d.proves(ep)}
+		for _, score := range t.score {
+			n.Doubt = math.Max(n.Doubt, score/math.Log(worseTimes))
+		}
+		all = append(all, n)
+	}
+	return all
+}
+
+// credit gives the newcomers of a queue their parts of a call, which went to one of its endpoints.
+func (d *Dispatcher) credit(q *queue, to *endpoint) {
+	trials := 0.0
+	for _, ep := range q.eps {
+		trials += truth(ep.trial != nil && d.now >= ep.trial.held)
+	}
+	for _, ep := range q.eps {
+		if t := ep.trial; t != nil && d.now >= t.held {
+			t.credit = math.Min(2, t.credit+math.Min(stageShares[t.stage]/trials, 1/float64(len(q.eps))))
+		}
+	}
+	if to.trial != nil {
+		to.trial.credit = math.Max(0, to.trial.credit-1)
+	}
+}
+
+// witness takes in what another relay tells of an endpoint on trial.
+func (d *Dispatcher) witness(note []byte) {
+	n, ok := readTrial(note)
+	ep := d.endpoints[n.endpoint]
+	if !ok || ep == nil || ep.trial == nil || n.class >= len(d.s.Classes) || len(ep.trial.heard) >= maxHeard || ep.trial.heard[n.no] {
+		return
+	}
+	if ep.trial.heard == nil {
+		ep.trial.heard = map[uint64]bool{}
+	}
+	ep.trial.heard[n.no] = true
+	d.compare(ep, n.class, n.bad)
+}
+
+// truth is 1 for what is so.
+func truth(so bool) float64 {
+	if so {
+		return 1
+	}
+	return 0
 }
 
 // word is what the fleet says, with the times by this relay's clock.
@@ -293,6 +400,36 @@
 	return all, d.cutOff
 }
 
+// Order has a zone left until a moment by the order of operators, or restored where that is 0. One that
+// makes no sense is refused with the reason. Handle has to be called after it.
+func (d *Dispatcher) Order(no int, until time.Duration) error {
+	seen, _ := d.survey()
+	if !d.s.Zones || no < 0 || no >= len(seen) || seen[no].listed == 0 {
+		return errors.New("zones are off, or no endpoint is listed in this one")
+	}
+	z, others := d.zone(no), 0
+	for o, c := range seen {
+		if o != no && c.listed > 0 && d.zone(o).state != Ordered {
+			others++
+		}
+	}
+	switch {
+	case until == 0 && z.state != Ordered:
+		return errors.New("it is not evacuated by order")
+	case until == 0:
+		d.restore(no)
+	case z.state == Ordered:
+		return errors.New("it is evacuated by order already")
+	case others == 0:
+		return errors.New("it is the last zone that is left")
+	default:
+		z.until = until
+		z.evacuations++
+		d.leave(no, Ordered)
+	}
+	return nil
+}
+
 // callOff ends the wait for a call.
 func (d *Dispatcher) callOff(c *call) {
 	c.canceled = true
@@ -467,6 +604,7 @@
 	if d.s.Zones {
 		d.spilled(q, ep)
 	}
+	d.credit(q, ep)
 	if ep.sick || ep.ramping {
 		ep.tokens = math.Max(0, d.epTokens(ep)-1)
 	}
@@ -741,7 +879,7 @@
 
 // addQueue adds a queue to a destination.
 func (d *Dispatcher) addQueue(dest *destination, bundle int, apart bool) *queue {
-	q := &queue{dest: dest, latencies: latencies{class: make([]float64, len(d.s.Classes))}, bundle: max(1, bundle), apart: apart,
+	q := &queue{dest: dest, failing: make([]failing, len(d.s.Classes)), latencies: latencies{class: make([]float64, len(d.s.Classes))}, bundle: max(1, bundle), apart: apart,
 		bucket: bucket{tokensAt: d.now}, arrivals: aged{since: d.now}, misses: aged{since: d.now}}
 	dest.queues = append(dest.queues, q)
 	d.queues = append(d.queues, q)
@@ -882,6 +1020,7 @@
 		ep.q.eps = append(ep.q.eps, ep)
 		defer d.joins(ep)
 	}
+	d.arrives(ep, e)
 	ep.Endpoint = e
 	d.weigh(ep.q, e.Weight)
 }
@@ -980,3 +1119,25 @@
 		d.act(Wake{After: next - d.now})
 	}
 }
+
+// share tells the others this relay's pace for one destination after the other.
+func (d *Dispatcher) share() {
+	if !d.s.Shares || d.now < d.shareAt || len(d.queues) == 0 {
+		return
+	}
+	d.shareAt = d.now + max(shareLeast, time.Duration(d.s.Instances)*shareEach)
+	d.shareNext++
+	if q := d.queues[d.shareNext%len(d.queues)]; !q.apart && q.weight > 0 {
+		d.act(Share{Destination: q.dest.no, Pace: q.pace / d.even(q), Traffic: q.arrivals.rate(d.now)})
+	}
+}
+
+// weigh takes in the rate that a queue's destination is listed with.
+func (d *Dispatcher) weigh(q *queue, weight float64) {
+	if d.s.Weights == WeightsOff || !(weight > 0) || math.IsInf(weight, 0) || weight == q.weight {
+		return
+	}
+	q.weight = weight
+	q.pace, q.cutAt = d.even(q), d.now
+	q.tokens, q.tokensAt = math.Max(1, q.pace*burstSpan.Seconds()), d.now
+}
--- a/policy/zones.go
+++ b/policy/zones.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"errors"
 	"math"
 	"time"
 )
@@ -178,36 +177,6 @@
 	return false
 }
 
-// Order has a zone left until a moment by the order of operators, or restored where that is 0. One that
-// makes no sense is refused with the reason. Handle has to be called after it.
-func (d *Dispatcher) Order(no int, until time.Duration) error {
-	seen, _ := d.survey()
-	if !d.s.Zones || no < 0 || no >= len(seen) || seen[no].listed == 0 {
-		return errors.New("zones are off, or no endpoint is listed in this one")
-	}
-	z, others := d.zone(no), 0
-	for o, c := range seen {
-		if o != no && c.listed > 0 && d.zone(o).state != Ordered {
-			others++
-		}
-	}
-	switch {
-	case until == 0 && z.state != Ordered:
-		return errors.New("it is not evacuated by order")
-	case until == 0:
-		d.restore(no)
-	case z.state == Ordered:
-		return errors.New("it is evacuated by order already")
-	case others == 0:
-		return errors.New("it is the last zone that is left")
-	default:
-		z.until = until
-		z.evacuations++
-		d.leave(no, Ordered)
-	}
-	return nil
-}
-
 // spill is how zones share a destination: the part of each zone's messages (rows) that each (columns)
 // serves, by what arrives and what there is room for. Each serves its own first; the rest goes to the others
 // in proportion to the room that they have left, and what nobody has room for stays.
