Compare versions' forms before a rollout begins, and pause it while a zone is left

Change: `frostlink -forms` says which forms of journals and notes a version reads and writes (internal/forms). Before anything moves each agent asks the version that runs and the new one: a new one that can't read the old journals is refused, and, unless the plan goes one way, one from which there is no way back or that does not say. The controller pauses while more than a tenth of the relays that answer have left a zone. Not taken: forms written into the plan, which nobody would keep true.

--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
 	"fmt"
 	"math"
@@ -13,6 +14,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"milletsail/internal/forms"
 	"milletsail/internal/relay"
 )
 
@@ -23,7 +25,15 @@
 func main() {
 	config := flag.String("config", os.Getenv("NODE_CONFIG"), "configuration `file` (default $NODE_CONFIG)")
 	state := flag.String("state", os.Getenv("NODE_STATE"), "`folder` that outlasts the process (default $NODE_STATE)")
+	show := flag.Bool(forms.Flag[1:], false, "print which forms of journals and notes this version reads and writes, and end")
 	flag.Parse()
+	if *show {
+		if err := json.NewEncoder(os.Stdout).Encode(relay.Forms()); err != nil {
+			fmt.Fprintln(os.Stderr, "frostlink:", err)
+			os.Exit(1)
+		}
+		return
+	}
 	if err := run(*config, *state); err != nil {
 		fmt.Fprintln(os.Stderr, "frostlink:", err)
 		os.Exit(1)
--- a/internal/fleet/note.go
+++ b/internal/fleet/note.go
@@ -13,8 +13,8 @@
 const (
 	// Mark is the first byte of a note; notes of other forms that relays send one another begin with another one.
 	Mark byte = 'F'
-	// version is that of the form. A note of another version says nothing: in a rolling upgrade both do without.
-	version = 1
+	// Version is that of the form. A note of another version says nothing: in a rolling upgrade both do without.
+	Version = 1
 	// MaxNote is the longest datagram that a relay may send.
 	MaxNote = 256
 	// maxKey bounds a key: an endpoint's name or a number.
@@ -60,7 +60,7 @@
 	if sums != nil {
 		flags |= hasSums
 	}
-	note = []byte{Mark, version, flags}
+	note = []byte{Mark, Version, flags}
 	if flags&hasDigest != 0 {
 		note = binary.LittleEndian.AppendUint32(note, digest)
 	}
@@ -82,7 +82,7 @@
 
 // parse reads a note; one that is not whole, of another version, or with numbers that make no sense says nothing.
 func parse(note []byte) (m message, ok bool) {
-	if len(note) < 3 || len(note) > MaxNote || note[0] != Mark || note[1] != version {
+	if len(note) < 3 || len(note) > MaxNote || note[0] != Mark || note[1] != Version {
 		return m, false
 	}
 	m.flags, note = note[2], note[3:]
--- a/internal/lab/faulty/main.go
+++ b/internal/lab/faulty/main.go
@@ -24,6 +24,7 @@
 	"syscall"
 	"time"
 
+	"milletsail/internal/forms"
 	"milletsail/internal/journal"
 	"milletsail/internal/lab/relays"
 	"milletsail/internal/relay"
@@ -54,6 +55,10 @@
 var planted string
 
 func main() {
+	if slices.Contains(os.Args[1:], forms.Flag) {
+		_ = json.NewEncoder(os.Stdout).Encode(relay.Forms())
+		return
+	}
 	if err := run(); err != nil {
 		fmt.Fprintln(os.Stderr, "faulty:", err)
 		os.Exit(1)
--- a/internal/lab/relays/versions.go
+++ b/internal/lab/relays/versions.go
@@ -114,6 +114,19 @@
 	return errors.Join(err, r.start(ctx))
 }
 
+// ZoneStatus is what the operators' door says to "zone status".
+func (v *Versioned) ZoneStatus() string {
+	p := v.r.current()
+	if p == nil {
+		return ""
+	}
+	text, err := ask(p.admin, "zone status")
+	if err != nil {
+		return ""
+	}
+	return text
+}
+
 // Counters is what the operators' door says to "counters", with the memory of the process and how often one of this
 // version has ended by itself.
 func (v *Versioned) Counters() (text string, memoryMB float64, crashes int, err error) {
--- a/internal/lab/rolling.go
+++ b/internal/lab/rolling.go
@@ -21,7 +21,7 @@
 		return rollout.Figures{}, err
 	}
 	f, err := rollout.ParseCounters(text)
-	f.MemoryMB, f.Crashes = memory, crashes
+	f.MemoryMB, f.Crashes, f.Left = memory, crashes, rollout.ParseZones(r.ZoneStatus())
 	return f, err
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,6 +10,8 @@
 	"sync"
 	"time"
 
+	"milletsail/internal/fleet"
+	"milletsail/internal/forms"
 	"milletsail/internal/journal"
 	"milletsail/internal/settings"
 	"milletsail/policy"
@@ -145,6 +147,12 @@
 	return nil
 }
 
+// Forms is what this version reads and writes.
+func Forms() forms.Forms {
+	return forms.Forms{Journal: forms.Form{Writes: journal.Format, Reads: []int{1, journal.Format}},
+		Notes: forms.Form{Writes: fleet.Version, Reads: []int{fleet.Version}}}
+}
+
 // version is what this program was built from, in short.
 func version() string {
 	info, ok := debug.ReadBuildInfo()
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"milletsail/internal/durable"
+	"milletsail/internal/forms"
 )
 
 // Runner runs the processes of one relay for its agent. Change brings a version's program into service, from whatever
@@ -33,6 +34,7 @@
 	relay  int
 	dir    string
 	runner Runner
+	forms  func(context.Context, string) (forms.Forms, error) // forms.Ask, but in tests
 
 	mu       sync.Mutex
 	state    agentState
@@ -61,7 +63,7 @@
 
 // request is one line to an agent, reply its answer.
 type request struct {
-	Op    string `json:"op"` // "status", "keep" or "change"
+	Op    string `json:"op"` // "status", "keep", "forms" or "change"
 	Fence uint64 `json:"fence"`
 	Sum   string `json:"sum,omitempty"`
 	Path  string `json:"path,omitempty"`
@@ -74,6 +76,10 @@
 	Settled bool     `json:"settled"`
 	Last    string   `json:"last,omitempty"` // what went wrong in the last change
 	Figures *Figures `json:"figures,omitempty"`
+	// Of "forms": of the version that runs, and of the one that was asked for; Unsaid is why one could not be had.
+	Now    *forms.Forms `json:"now,omitempty"`
+	Next   *forms.Forms `json:"next,omitempty"`
+	Unsaid string       `json:"unsaid,omitempty"`
 }
 
 // NewServer gives the agent of a relay whose folder for programs and state is dir. version is the program that runs,
@@ -82,7 +88,7 @@
 	if err := os.MkdirAll(filepath.Join(dir, versionsName), 0o700); err != nil {
 		return nil, err
 	}
-	s := &Server{relay: relay, dir: dir, runner: runner}
+	s := &Server{relay: relay, dir: dir, runner: runner, forms: forms.Ask}
 	text, err := os.ReadFile(filepath.Join(dir, agentStateName))
 	if err == nil {
 		err = json.Unmarshal(text, &s.state)
@@ -181,6 +187,19 @@
 	case "keep":
 		_, err := s.keep(q.Path, q.Sum)
 		return err
+	case "forms":
+		for _, of := range []struct {
+			sum string
+			to  **forms.Forms
+		}{{s.state.Version, &r.Now}, {q.Sum, &r.Next}} {
+			f, err := s.forms(s.ctx, s.program(of.sum))
+			if err != nil {
+				r.Unsaid = fmt.Sprintf("version %.12s: %v", of.sum, err)
+				return nil
+			}
+			*of.to = &f
+		}
+		return nil
 	case "change":
 		if s.changing || s.state.Version == q.Sum && s.lastErr == "" {
 			return nil // under way, or done
@@ -323,6 +342,23 @@
 	return f, nil
 }
 
+// ParseZones reads what an operators' door says to "zone status": the zones that the relay has left. A door that does not
+// know the call tells of none.
+func ParseZones(text string) (left []string) {
+	var s struct {
+		Zones []struct{ Zone, State string }
+	}
+	if json.Unmarshal([]byte(text), &s) != nil {
+		return nil
+	}
+	for _, z := range s.Zones {
+		if strings.HasPrefix(z.State, "evacuated") {
+			left = append(left, z.Zone)
+		}
+	}
+	return left
+}
+
 // Serving is the program that the relay of an agent's folder runs: the one given, until a rollout has changed it.
 func Serving(dir, first string) (string, error) {
 	text, err := os.ReadFile(filepath.Join(dir, agentStateName))
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"milletsail/internal/forms"
 )
 
 // settling is how long a relay that was changed is not compared: it works off what the old process left.
@@ -53,9 +55,47 @@
 		}
 		old[a.Relay] = r.Version
 	}
+	if err := c.fits(ctx, plan, sum); err != nil {
+		return nil, errors.Join(err, c.store.Close())
+	}
 	return c, c.write(Record{At: time.Now(), Kind: began, Plan: plan, To: sum, Old: old})
 }
 
+// fits has each agent keep the new program, and tells why it can't take the place of what runs there. One from which
+// there is no way back, or of which that is not known, is refused unless the plan says that it goes one way.
+func (c *Controller) fits(ctx context.Context, plan *Plan, sum string) error {
+	var mu sync.Mutex
+	var all error
+	eachOf(plan.Agents, func(a Agent) {
+		_, err := call(ctx, a.Address, request{Op: "keep", Fence: c.store.Fence(), Sum: sum, Path: plan.Version})
+		var r reply
+		if err == nil {
+			r, err = call(ctx, a.Address, request{Op: "forms", Fence: c.store.Fence(), Sum: sum})
+		}
+		switch {
+		case err != nil:
+		case r.Now == nil || r.Next == nil:
+			if err = fmt.Errorf("%w, as far as is known: %s", forms.ErrNoWayBack, r.Unsaid); plan.OneWay {
+				err = nil
+			}
+		default:
+			if err = forms.Follows(*r.Now, *r.Next); plan.OneWay && errors.Is(err, forms.ErrNoWayBack) {
+				err = nil
+			}
+			if err == nil && forms.Mute(*r.Now, *r.Next) {
+				slog.Warn("rollout: relays of the two versions do not read each other's notes", "relay", a.Relay)
+			}
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		c.kept[a.Relay] = err == nil
+		if err != nil && all == nil { // one says enough
+			all = fmt.Errorf("relay %d: %w", a.Relay, err)
+		}
+	})
+	return all
+}
+
 // Open takes over the rollout of a folder; force does so though another controller seems to be at work. One that was
 // under way goes on or is rolled back, as its plan says.
 func Open(dir string, force bool) (*Controller, error) {
@@ -237,6 +277,9 @@
 			return
 		}
 		seen[a.Relay] = Seen{Known: true, Version: r.Version, Settled: r.Settled, Error: r.Last}
+		if r.Figures != nil {
+			seen[a.Relay] = Seen{Known: true, Version: r.Version, Settled: r.Settled, Error: r.Last, Left: r.Figures.Left}
+		}
 		if c.since[a.Relay].IsZero() || !r.Settled {
 			c.since[a.Relay] = time.Now()
 		}
@@ -304,10 +347,12 @@
 // atOnce agents are asked side by side.
 const atOnce = 32
 
-func (c *Controller) each(do func(Agent)) {
+func (c *Controller) each(do func(Agent)) { eachOf(c.state.Plan.Agents, do) }
+
+func eachOf(agents []Agent, do func(Agent)) {
 	var work sync.WaitGroup
 	limit := make(chan bool, atOnce)
-	for _, a := range c.state.Plan.Agents {
+	for _, a := range agents {
 		limit <- true
 		work.Go(func() {
 			defer func() { <-limit }()
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -11,7 +11,8 @@
 	Ends     map[string][3]int64 `json:"ends"` // by class: delivered, refused, failed
 	Pending  int64               `json:"pending"`
 	MemoryMB float64             `json:"memory_mb"`
-	Crashes  int                 `json:"crashes"` // ends that nobody asked for, since the version was changed
+	Crashes  int                 `json:"crashes"`        // ends that nobody asked for, since the version was changed
+	Left     []string            `json:"left,omitempty"` // zones that it has left, where it decides by zones
 }
 
 // group is relays of one version, over one step between two looks.
--- a/internal/rollout/machine.go
+++ b/internal/rollout/machine.go
@@ -113,8 +113,31 @@
 type Seen struct {
 	Known   bool // it answers
 	Version string
-	Settled bool   // no change is under way there
-	Error   string // of the last change
+	Settled bool     // no change is under way there
+	Error   string   // of the last change
+	Left    []string // zones that it has left
+}
+
+// leftBy of the relays that answer, and one at least, have to have left a zone for a rollout to pause: one alone may err.
+const leftBy = 0.1
+
+// evacuated names a zone that the fleet has left, if there is one.
+func evacuated(seen map[int]Seen) (zone string, relays int) {
+	count, known := map[string]int{}, 0
+	for _, at := range seen {
+		if at.Known {
+			known++
+		}
+		for _, z := range at.Left {
+			count[z]++
+		}
+	}
+	for z, n := range count {
+		if float64(n) > leftBy*float64(known) && (n > relays || n == relays && z < zone) {
+			zone, relays = z, n
+		}
+	}
+	return zone, relays
 }
 
 // Verdict is what the gates say of a stage.
@@ -159,6 +182,10 @@
 			add(Record{Kind: stop, Why: v.Why})
 			return next
 		}
+		if zone, n := evacuated(seen); n > 0 {
+			add(Record{Kind: pause, Why: fmt.Sprintf("zone %s is left by %d relays: resume when it is served again", zone, n)})
+			return next
+		}
 		return s.forward(now, seen, v)
 	case RollingBack:
 		return s.backward(now, seen)
--- a/internal/rollout/process.go
+++ b/internal/rollout/process.go
@@ -279,6 +279,9 @@
 	}
 	f, err := ParseCounters(text)
 	f.Crashes = crashes
+	if zones, err := ask(p.c.Admin[r.door], "zone status"); err == nil {
+		f.Left = ParseZones(zones)
+	}
 	f.MemoryMB, _ = procfs.ResidentMB(r.cmd.Process.Pid) // it may have ended just now
 	return f, err
 }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"milletsail/internal/forms"
 )
 
 // fake runs no process: it notes which program is in service, and serves figures by it.
@@ -19,6 +21,7 @@
 	begun   time.Time
 	broken  string // a program that does not start
 	hangs   chan bool
+	left    []string // zones
 }
 
 func (f *fake) Change(ctx context.Context, program string) error {
@@ -39,11 +42,17 @@
 	return nil
 }
 
+func (f *fake) leaves(zones ...string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.left = zones
+}
+
 func (f *fake) Figures() (Figures, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := int64(time.Since(f.begun) / time.Millisecond)
-	return Figures{Ends: map[string][3]int64{"a": {n, 0, 0}}, Pending: 30, MemoryMB: 10}, nil
+	return Figures{Ends: map[string][3]int64{"a": {n, 0, 0}}, Pending: 30, MemoryMB: 10, Left: f.left}, nil
 }
 
 // park is agents of relays with a fake each, and a plan over them.
@@ -53,6 +62,25 @@
 	fakes    []*fake
 	servers  []*Server
 	plan     *Plan
+	forms    map[string]forms.Forms // what programs say, by what they hold; the rest says the same
+}
+
+// both is what all versions say that nothing else is set for.
+var both = forms.Forms{Journal: forms.Form{Writes: 2, Reads: []int{1, 2}}, Notes: forms.Form{Writes: 1, Reads: []int{1}}}
+
+// say stands for a program's own words about its forms.
+func (p *park) say(_ context.Context, program string) (forms.Forms, error) {
+	text, err := os.ReadFile(program)
+	if err != nil {
+		return forms.Forms{}, err
+	}
+	if f, ok := p.forms[string(text)]; ok {
+		if f.Journal.Writes == 0 {
+			return f, errors.New("it does not say")
+		}
+		return f, nil
+	}
+	return both, nil
 }
 
 func newPark(t *testing.T, relays int) *park {
@@ -73,6 +101,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		s.forms = p.say
 		address, err := s.Listen("127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -133,6 +162,64 @@
 	}
 }
 
+// A version that can't read the old one's journals, one whose journals the old one can't read, and one that does not say
+// which it reads are refused before anything moves; the last two are not where the plan goes one way.
+func TestFormsAreComparedFirst(t *testing.T) {
+	newer := forms.Forms{Journal: forms.Form{Writes: 3, Reads: []int{2, 3}}, Notes: both.Notes}
+	deaf := forms.Forms{Journal: forms.Form{Writes: 3, Reads: []int{3}}, Notes: both.Notes}
+	mute := forms.Forms{Journal: both.Journal, Notes: forms.Form{Writes: 2, Reads: []int{2}}}
+	for _, c := range []struct {
+		name        string
+		says        forms.Forms
+		oneWay, may bool
+	}{
+		{"newer journals", newer, false, false}, {"newer journals, one way", newer, true, true},
+		{"does not read the old ones", deaf, false, false}, {"does not read the old ones, one way", deaf, true, false},
+		{"does not say", forms.Forms{}, false, false}, {"does not say, one way", forms.Forms{}, true, true},
+		{"other notes", mute, false, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			p := newPark(t, 3)
+			p.forms = map[string]forms.Forms{"program new": c.says}
+			p.plan.OneWay = c.oneWay
+			ctl, err := Start(context.Background(), filepath.Join(p.dir, "state"), p.plan)
+			if c.may != (err == nil) {
+				t.Fatalf("begun: %v", err)
+			}
+			if err == nil {
+				_ = ctl.Close()
+			}
+			for i, f := range p.fakes {
+				if f.changes > 0 {
+					t.Errorf("relay %d was changed", i)
+				}
+			}
+		})
+	}
+}
+
+// A rollout pauses, with its reason, where the fleet leaves a zone, and not where one relay of many does; it goes on when
+// that is ordered.
+func TestPausesForAZone(t *testing.T) {
+	p := newPark(t, 12)
+	c, err := Start(context.Background(), filepath.Join(p.dir, "state"), p.plan)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.fakes[11].leaves("b")
+	p.fakes[10].leaves("b")
+	if err := run(t, c); err != nil || c.State().Phase != Paused || p.running(t, p.old) != 12 {
+		t.Fatalf("%v, %+v", err, c.State())
+	}
+	p.fakes[10].leaves() // one alone may err
+	if err := c.Obey(Order{What: OrderResume}); err != nil {
+		t.Fatal(err)
+	}
+	if err := run(t, c); err != nil || c.State().Phase != Done {
+		t.Fatalf("%v, %+v", err, c.State())
+	}
+}
+
 // A version that does not start on a relay is stopped there, and nothing further changes.
 func TestStopsWhereItDoesNotStart(t *testing.T) {
 	p := newPark(t, 6)
