Note a call that a fault resets as out until the reset, not until its service is done

The history shows the fault at 14.795 s and the second call at 14.801 s, but the end of the first only at 14.883 s: the stand-in serves a call to its end before it writes its line. The relay was right.

Change: the line has the time of the reset.

--- a/internal/lab/platform/hosts.go
+++ b/internal/lab/platform/hosts.go
@@ -157,6 +157,7 @@
 	sentAt time.Time // when the relay sent the latest bytes that were read
 	// closedAt is when the relay closed, in nanoseconds since 1970; 0 while it has not.
 	closedAt atomic.Int64
+	resetAt  atomic.Int64 // when a fault reset it, in the same form
 }
 
 // call is one call at an endpoint.
@@ -295,6 +296,9 @@
 		event.T = p.h.At(at)
 	} else if c.ctx.Err() != nil {
 		event.Kind, event.What = history.Broken, "closed"
+		if at := c.resetAt.Load(); at != 0 { // what was being served went on until now
+			event.T = p.h.At(time.Unix(0, at))
+		}
 	}
 	p.h.Add(event)
 	return false
--- a/internal/lab/platform/links.go
+++ b/internal/lab/platform/links.go
@@ -316,6 +316,7 @@
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		_ = tcp.SetLinger(0)
 	}
+	c.resetAt.CompareAndSwap(0, time.Now().UnixNano())
 	c.end()
 	_ = c.Conn.Close()
 }
