--- a/cmd/milletsail/campaign.go
+++ b/cmd/milletsail/campaign.go
@@ -91,7 +91,7 @@
 	c.Flags().StringVar(&relay, "relay", "", "the relay's `binary` (default as for run)")
 	c.Flags().StringVar(&out, "out", "", "`file` for the plays, a line of JSON each")
 	c.Flags().StringSliceVar(&cases, "case", nil, "`names` of cases (default all)")
-	c.Flags().StringSliceVar(&figures, "figures", []string{"served", "late", "local_part", "evacuations", "returns", "fell", "carried", "zone_back", "accused"}, "`names` of figures for the table")
+	c.PersistentFlags().StringSliceVar(&figures, "figures", []string{"served", "late", "local_part", "evacuations", "returns", "fell", "carried", "zone_back", "accused"}, "`names` of figures for the table")
 	c.Flags().IntVar(&atOnce, "at-once", 0, "plays side by side (default as the campaign has it)")
 	c.Flags().IntVar(&seeds, "seeds", 0, "seeds of each case, from 1 on (default as the campaign has it)")
 	c.AddCommand(sumCommand(&figures))
--- a/internal/lab/campaign/campaign.go
+++ b/internal/lab/campaign/campaign.go
@@ -81,8 +81,13 @@
 		}
 		return float64(z.Left)
 	}),
-	"cut_off":   zones(func(z *report.ZoneFigures) float64 { return float64(z.CutOff) }),
-	"zone_back": zones(func(z *report.ZoneFigures) float64 { return orNever(z.Back) }),
+	"cut_off": zones(func(z *report.ZoneFigures) float64 { return float64(z.CutOff) }),
+	"zone_back": zones(func(z *report.ZoneFigures) float64 {
+		if !z.Hit {
+			return 0
+		}
+		return orNever(z.Back)
+	}),
 	// exposed is the most of a new endpoint's share of its destination's calls, until it was held back or for 20 s.
 	"exposed": func(f *report.Figures) (most float64) {
 		for _, n := range f.Newcomers {
--- a/internal/lab/campaign/campaign_test.go
+++ b/internal/lab/campaign/campaign_test.go
@@ -146,6 +146,22 @@
 	}
 }
 
+// Of zones only those that a fault has struck can be accused rightly, or come back.
+func TestZoneFigures(t *testing.T) {
+	back := 2.5
+	f := &report.Figures{Zones: []report.ZoneFigures{{Zone: "a", Left: 3}, {Zone: "b", Left: 20, Hit: true, Back: &back}}}
+	if v := Figures["zone_back"](f); v != back {
+		t.Errorf("back after %v", v)
+	}
+	if v := Figures["accused"](f); v != 3 {
+		t.Errorf("%v accuse a zone that is well", v)
+	}
+	f.Zones[1].Back = nil
+	if v := Figures["zone_back"](f); !math.IsInf(v, 1) {
+		t.Errorf("a zone that never came back is back after %v", v)
+	}
+}
+
 // The campaigns that come with the program can be played.
 func TestCampaigns(t *testing.T) {
 	for _, name := range []string{"zones", "servers"} {
