--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -25,7 +25,7 @@
 func main() {
 	config := flag.String("config", os.Getenv("NODE_CONFIG"), "configuration `file` (default $NODE_CONFIG)")
 	state := flag.String("state", os.Getenv("NODE_STATE"), "`folder` that outlasts the process (default $NODE_STATE)")
-	show := flag.Bool(forms.Flag[1:], false, "print which forms of journals and notes this version reads and writes, and end")
+	show := flag.Bool(forms.Flag, false, "print which forms of journals and notes this version reads and writes, and end")
 	flag.Parse()
 	if *show {
 		if err := json.NewEncoder(os.Stdout).Encode(relay.Forms()); err != nil {
--- a/internal/fleet/live/live.go
+++ b/internal/fleet/live/live.go
@@ -7,7 +7,6 @@
 package live
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"strconv"
@@ -292,10 +291,10 @@
 }
 
 // Text is the view as the operators' door gives it: one line of JSON.
-func (s *Service) Text() []byte {
-	var b bytes.Buffer
-	if err := json.NewEncoder(&b).Encode(s.View()); err != nil {
-		return []byte("{}\n") // numbers and texts always have a form
+func (s *Service) Text() string {
+	text, err := json.Marshal(s.View())
+	if err != nil {
+		return "{}" // numbers and texts always have a form
 	}
-	return b.Bytes()
+	return string(text)
 }
--- a/internal/forms/forms.go
+++ b/internal/forms/forms.go
@@ -28,8 +28,8 @@
 	Notes   Form `json:"notes"` // between relays; a note that can't be read says nothing
 }
 
-// Flag has a relay's program print its forms, as JSON on one line, and end.
-const Flag = "-forms"
+// Flag is the name of the flag that has a relay's program print its forms, as JSON on one line, and end.
+const Flag = "forms"
 
 // askTime bounds the asking of a program, maxReply the length of what it says.
 const (
@@ -41,20 +41,20 @@
 func Ask(ctx context.Context, program string) (f Forms, err error) {
 	ctx, cancel := context.WithTimeout(ctx, askTime)
 	defer cancel()
-	c := exec.CommandContext(ctx, program, Flag)
+	c := exec.CommandContext(ctx, program, "-"+Flag)
 	c.Env = []string{}
 	c.WaitDelay = time.Second // a child of its own may keep the pipe
 	var out limited
 	c.Stdout = &out
 	if err := c.Run(); err != nil {
-		return f, fmt.Errorf("%s does not say which forms it reads: %w", Flag, err)
+		return f, fmt.Errorf("-%s does not say which forms it reads: %w", Flag, err)
 	}
 	if err := json.Unmarshal(out.Bytes(), &f); err != nil {
-		return f, fmt.Errorf("%s: %w", Flag, err)
+		return f, fmt.Errorf("-%s: %w", Flag, err)
 	}
 	for _, form := range []Form{f.Journal, f.Notes} {
 		if form.Writes < 1 || !slices.Contains(form.Reads, form.Writes) {
-			return f, fmt.Errorf("%s: %+v is no form that can be read", Flag, form)
+			return f, fmt.Errorf("-%s: %+v is no form that can be read", Flag, form)
 		}
 	}
 	return f, nil
--- a/internal/journal/format.go
+++ b/internal/journal/format.go
@@ -19,10 +19,15 @@
 // The marker is there so that records after damage are found again; the sequence tells what is missing between; the
 // gist (operation and the low 24 bits of the message's number) tells of a single missing record what it was.
 
+// Reads are the forms on disk that this program reads.
+var Reads = []int{formatV1, Format}
+
 const (
 	magic = "MSAILJNL"
 	// Format is the newest version of the form on disk that this program reads, and the one that it writes.
 	Format = 2
+	// formatV1 is the form before, which v1.go reads.
+	formatV1 = 1
 	// marker begins each record.
 	marker     uint32 = 0xa55e_c0de
 	recordHead        = 24
--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -16,9 +16,9 @@
 	"time"
 
 	"milletsail/internal/lab/history"
-	"milletsail/internal/lab/pause"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/scenario"
+	"milletsail/internal/pause"
 )
 
 const (
--- a/internal/lab/clients/crowd.go
+++ b/internal/lab/clients/crowd.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"milletsail/internal/lab/history"
-	"milletsail/internal/lab/pause"
+	"milletsail/internal/pause"
 )
 
 // peerWaits is how long a malformed peer waits for an error or a close: a second more than it is owed.
--- a/internal/lab/faulty/main.go
+++ b/internal/lab/faulty/main.go
@@ -55,7 +55,7 @@
 var planted string
 
 func main() {
-	if slices.Contains(os.Args[1:], forms.Flag) {
+	if slices.Contains(os.Args[1:], "-"+forms.Flag) {
 		_ = json.NewEncoder(os.Stdout).Encode(relay.Forms())
 		return
 	}
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -25,10 +25,10 @@
 	"milletsail/internal/lab/checker"
 	"milletsail/internal/lab/clients"
 	"milletsail/internal/lab/history"
-	"milletsail/internal/lab/pause"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/relays"
 	"milletsail/internal/lab/scenario"
+	"milletsail/internal/pause"
 )
 
 // Options are what a play needs beside its scenario.
@@ -337,9 +337,9 @@
 		t.Shut, t.Wait = true, f.Wait.D()
 	case "silent":
 		t.Silent = true
-	case "errors":
+	case "errors", "release-errors":
 		t.Errors = f.Size
-	case "slow":
+	case "slow", "release-slow":
 		t.Slow = f.Size
 	case "stall":
 		t.Stall = f.Size
@@ -383,11 +383,8 @@
 		if h.Born != i+1 {
 			continue
 		}
-		switch f.Kind {
-		case "release-errors":
-			t.p.Strike(i, n, platform.Trouble{Errors: f.Size})
-		case "release-slow":
-			t.p.Strike(i, n, platform.Trouble{Slow: f.Size})
+		if f.Kind != "drain" { // what takes the place is worse
+			t.p.Strike(i, n, troubleOf(f))
 		}
 		if err := errors.Join(t.p.List(n, "SERVING"), t.p.List(h.Old, "DRAINING")); err != nil {
 			return err
--- a/internal/lab/platform/hosts.go
+++ b/internal/lab/platform/hosts.go
@@ -16,8 +16,8 @@
 	"time"
 
 	"milletsail/internal/lab/history"
-	"milletsail/internal/lab/pause"
 	"milletsail/internal/lab/scenario"
+	"milletsail/internal/pause"
 )
 
 const (
--- a/internal/lab/platform/links.go
+++ b/internal/lab/platform/links.go
@@ -11,7 +11,7 @@
 	"time"
 
 	"milletsail/internal/lab/history"
-	"milletsail/internal/lab/pause"
+	"milletsail/internal/pause"
 )
 
 // link is the way between one relay and one endpoint. A cut direction says nothing: what was sent stays on its way,
--- a/internal/lab/relays/disk.go
+++ b/internal/lab/relays/disk.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"milletsail/internal/lab/history"
-	"milletsail/internal/lab/pause"
+	"milletsail/internal/pause"
 )
 
 // Turn turns bits in the journal of a relay that is down, at places drawn from the seed.
--- a/internal/lab/relays/relays.go
+++ b/internal/lab/relays/relays.go
@@ -28,9 +28,9 @@
 
 	"milletsail/internal/door"
 	"milletsail/internal/lab/history"
-	"milletsail/internal/lab/pause"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/scenario"
+	"milletsail/internal/pause"
 	"milletsail/internal/procfs"
 )
 
--- a/internal/lab/relays/versions.go
+++ b/internal/lab/relays/versions.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"milletsail/internal/lab/history"
-	"milletsail/internal/lab/pause"
+	"milletsail/internal/pause"
 )
 
 // Versioned runs one relay's processes for the agent of a rollout: see rollout.Runner. While it does, a process that ends
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"milletsail/internal/journal"
+	"milletsail/internal/pause"
 	"milletsail/internal/settings"
 	"milletsail/policy"
 )
@@ -174,7 +175,7 @@
 		here, base := w.begin(ctx)
 		var lines int
 		var err error
-		if sleep(here, least+w.draw(span)) {
+		if pause.For(here, least+w.draw(span)) {
 			lines, err = w.watch(here, base)
 		}
 		if ctx.Err() != nil {
@@ -250,15 +251,3 @@
 	}
 	return lines, errors.New("end of the answer")
 }
-
-// sleep waits for d, and tells whether ctx is still alive after it.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -10,10 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
-
-	"milletsail/internal/fleet/live"
 )
 
 const (
@@ -23,16 +20,22 @@
 	doorTime = 2 * time.Second
 	// maxCall bounds the line of a call.
 	maxCall = 128
+	// doorWait bounds how long an operator's line waits for the loop.
+	doorWait = time.Second
 )
 
+// doorCall is an operator's line: the loop gives the answer, which it alone can.
+type doorCall struct {
+	answer func() string
+	reply  chan string // room for one
+}
+
 // door answers operators: a connection carries one line, and gets one reply. It stands apart from the clients'
 // side, so that no crowd there keeps an operator out.
 type door struct {
 	listener net.Listener
 	figures  *figures
-	shared   atomic.Pointer[live.Service]             // nil where nothing is shared
-	zones    atomic.Pointer[func(line string) string] // nil where zones are off
-	servers  atomic.Pointer[func() string]            // nil where new endpoints have nothing to prove
+	offers   sync.Map // by its first word, what answers a call of a part that is on: func(rest string) string
 
 	mu   sync.Mutex
 	open []*caller // the oldest first
@@ -44,6 +47,26 @@
 	called bool // its line is here: it keeps its place until it has the reply
 }
 
+// unknownCall answers what is no call here.
+const unknownCall = "ERR unknown call"
+
+// offer has calls that begin with a word answered. Without a door there is nobody to answer.
+func (d *door) offer(word string, answer func(rest string) string) {
+	if d != nil {
+		d.offers.Store(word, answer)
+	}
+}
+
+// alone is an answer to a call of one word.
+func alone(answer func() string) func(rest string) string {
+	return func(rest string) string {
+		if rest != "" {
+			return unknownCall
+		}
+		return answer()
+	}
+}
+
 // openDoor listens at an address.
 func openDoor(addr string, f *figures) (*door, error) {
 	l, err := net.Listen("tcp", addr)
@@ -142,18 +165,28 @@
 		return []byte("ERR this process takes no clients now\n")
 	case "counters":
 		return append(d.figures.text(), "END\n"...)
-	case "fleet":
-		if shared := d.shared.Load(); shared != nil { // only where it is on is there such a call
-			return shared.Text()
-		}
 	}
-	if ask := d.servers.Load(); call == "servers" && ask != nil {
-		return []byte((*ask)() + "\n")
+	word, rest, _ := strings.Cut(call, " ")
+	if answer, ok := d.offers.Load(word); ok {
+		return []byte(answer.(func(string) string)(rest) + "\n")
 	}
-	if line, ok := strings.CutPrefix(call, "zone "); ok {
-		if ask := d.zones.Load(); ask != nil {
-			return []byte((*ask)(line) + "\n")
-		}
+	return []byte(unknownCall + "\n")
+}
+
+// ask has the loop answer an operator's line; for goroutines of the door.
+func (l *loop) ask(answer func() string) string {
+	c := doorCall{answer, make(chan string, 1)}
+	timer := time.NewTimer(doorWait)
+	defer timer.Stop()
+	select {
+	case l.inbox <- c:
+	case <-timer.C:
+		return "ERR this relay is too busy"
+	}
+	select {
+	case reply := <-c.reply:
+		return reply
+	case <-timer.C:
+		return "ERR no answer in time: ask for the status"
 	}
-	return []byte("ERR unknown call\n")
 }
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"milletsail/internal/journal"
+	"milletsail/internal/pause"
 	"milletsail/policy"
 )
 
@@ -220,7 +221,7 @@
 			o, err := ownBy(ctx, dir, time.Now().Add(deposeTime))
 			return o, nil, nil, err
 		}
-		if !sleep(ctx, askAgainOwn) {
+		if !pause.For(ctx, askAgainOwn) {
 			return nil, nil, nil, ctx.Err()
 		}
 	}
@@ -235,7 +236,7 @@
 		if time.Now().After(by) {
 			return nil, errors.New("another process owns the folder")
 		}
-		if !sleep(ctx, askAgainOwn) {
+		if !pause.For(ctx, askAgainOwn) {
 			return nil, ctx.Err()
 		}
 	}
@@ -422,6 +423,8 @@
 			busy = busy || m.cancel != nil && !l.orphaned
 		}
 		e.idle <- !busy
+	case doorCall:
+		e.reply <- "ERR a newer process has taken over"
 	case takeover:
 		e.link.close()
 	}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -317,10 +317,8 @@
 		l.journal.List(Members{Seq: e.Seq, Whole: true, Hosts: slices.Collect(maps.Values(l.hosts))}.kept())
 	case heard:
 		l.events = append(l.events, policy.Heard{Note: e.note})
-	case zoneCall:
-		e.reply <- l.zoneCalled(e)
-	case serversCall:
-		e.reply <- l.servers()
+	case doorCall:
+		e.reply <- e.answer()
 	case live.Said:
 		l.events = append(l.events, said(e)...)
 	case watchEnded:
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"milletsail/internal/journal"
+	"milletsail/internal/pause"
 )
 
 // The ends of a message that was taken on and not delivered.
@@ -76,7 +77,7 @@
 		for batch, body := n.next(); len(batch) > 0; batch, body = n.next() {
 			if err := n.post(ctx, body); err != nil {
 				slog.Warn("notices not received", "notices", len(batch), "first", batch[0], "err", err)
-				if !sleep(ctx, postAgain) {
+				if !pause.For(ctx, postAgain) {
 					return
 				}
 				continue
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -7,6 +7,8 @@
 	"net/netip"
 	"sync/atomic"
 	"time"
+
+	"milletsail/internal/pause"
 )
 
 const (
@@ -62,7 +64,7 @@
 		if err == nil {
 			p.serve(ctx, conn.(*net.UDPConn))
 		}
-		if !sleep(ctx, listenAgain) {
+		if !pause.For(ctx, listenAgain) {
 			return
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"milletsail/internal/fleet"
 	"milletsail/internal/forms"
 	"milletsail/internal/journal"
+	"milletsail/internal/pause"
 	"milletsail/internal/settings"
 	"milletsail/policy"
 )
@@ -90,22 +91,18 @@
 	})
 	if cfg.Fleet && l.peers != nil {
 		l.shared = l.share()
-		if operators != nil {
-			operators.shared.Store(l.shared)
-		}
+		operators.offer("fleet", alone(l.shared.Text))
 	}
 	srv := newServer(cfg, func(a *arrival) { l.put(a) }, func(a *arrival) { l.put(departure{a}) })
 	if err := heir(deciding, dir, func(k *link) { l.put(takeover{k}) }); err != nil {
 		slog.Error("no newer process can take over", "err", err)
 	}
 	l.openZones(dir)
-	if l.zoning != nil && operators != nil {
-		ask := l.askZones
-		operators.zones.Store(&ask)
+	if l.zoning != nil {
+		operators.offer("zone", l.askZones)
 	}
-	if cfg.Newcomers && operators != nil {
-		ask := l.askServers
-		operators.servers.Store(&ask)
+	if cfg.Newcomers {
+		operators.offer("servers", alone(func() string { return l.ask(l.servers) }))
 	}
 	l.restore(before, off) // clients wait to be served until this is done
 	var work sync.WaitGroup
@@ -149,7 +146,7 @@
 
 // Forms is what this version reads and writes.
 func Forms() forms.Forms {
-	return forms.Forms{Journal: forms.Form{Writes: journal.Format, Reads: []int{1, journal.Format}},
+	return forms.Forms{Journal: forms.Form{Writes: journal.Format, Reads: journal.Reads},
 		Notes: forms.Form{Writes: fleet.Version, Reads: []int{fleet.Version}}}
 }
 
@@ -175,12 +172,12 @@
 	end, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer context.AfterFunc(ctx, func() {
-		if sleep(end, callsOn) {
+		if pause.For(end, callsOn) {
 			cancel()
 		}
 	})()
 	for l.gate.clients() > 0 || !l.idle() {
-		if !sleep(end, askIdle) {
+		if !pause.For(end, askIdle) {
 			break
 		}
 	}
--- a/internal/relay/zoning.go
+++ b/internal/relay/zoning.go
@@ -18,12 +18,6 @@
 	pending []zones.Order // of an earlier process, until endpoints are listed that they are about
 }
 
-// zoneCall is an operator's line about zones.
-type zoneCall struct {
-	zones.Line
-	reply chan string // room for one
-}
-
 // ZoneStatus is what a relay says of zones at its operators' door.
 type ZoneStatus struct {
 	Self   int          `json:"self"`
@@ -61,15 +55,11 @@
 	if err != nil {
 		return "ERR " + err.Error()
 	}
-	c := zoneCall{line, make(chan string, 1)}
-	return l.askLoop(c, c.reply)
+	return l.ask(func() string { return l.zoneCalled(line) })
 }
 
 // zoneCalled answers an operator's line.
-func (l *loop) zoneCalled(c zoneCall) string {
-	if l.heir != nil {
-		return "ERR a newer process has taken over"
-	}
+func (l *loop) zoneCalled(c zones.Line) string {
 	if c.Verb == zones.Status {
 		text, err := json.Marshal(l.zoneStatus())
 		if err != nil {
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -282,10 +282,11 @@
 		if err != nil || r.Relay != a.Relay {
 			return
 		}
-		seen[a.Relay] = Seen{Known: true, Version: r.Version, Settled: r.Settled, Error: r.Last}
+		at := Seen{Known: true, Version: r.Version, Settled: r.Settled, Error: r.Last}
 		if r.Figures != nil {
-			seen[a.Relay] = Seen{Known: true, Version: r.Version, Settled: r.Settled, Error: r.Last, Left: r.Figures.Left}
+			at.Left = r.Figures.Left
 		}
+		seen[a.Relay] = at
 		if c.since[a.Relay].IsZero() || !r.Settled {
 			c.since[a.Relay] = time.Now()
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -604,7 +604,9 @@
 	if d.s.Zones {
 		d.spilled(q, ep)
 	}
-	d.credit(q, ep)
+	if d.s.Newcomers {
+		d.credit(q, ep)
+	}
 	if ep.sick || ep.ramping {
 		ep.tokens = math.Max(0, d.epTokens(ep)-1)
 	}
