Find texts, play for figures and count calls by one function each in campaigns and reports

Need: `campaign` and `campaign sum` read a campaign each in their own way, of which the second did not find a scenario in a file; compare and campaign played for figures by the same lines; the report counted calls in a span, and looked for when they are as many as before, once for zones and once for new endpoints; four figures took the most of a list by loops of their own.

Change: findCampaign, figuresOf, regained and most serve all. The table comes in its order instead of being sorted after.

--- a/cmd/milletsail/campaign.go
+++ b/cmd/milletsail/campaign.go
@@ -13,7 +13,6 @@
 
 	"github.com/spf13/cobra"
 
-	"milletsail/internal/lab"
 	"milletsail/internal/lab/campaign"
 	"milletsail/internal/lab/report"
 	"milletsail/internal/lab/scenario"
@@ -28,19 +27,8 @@
 		Long: "Play a campaign (a file, or the name of one that comes with the program): cases made from one scenario, each over\n" +
 			"several seeds and variants, and hold the figures against what each case expects.",
 		Args: cobra.ExactArgs(1),
-		RunE: func(c *cobra.Command, args []string) (err error) {
-			text, err := os.ReadFile(args[0])
-			if err != nil {
-				if text, err = scenarios.Campaign(args[0]); err != nil {
-					return fmt.Errorf("there is no file %s, and no campaign of that name", args[0])
-				}
-			}
-			p, err := campaign.Read(args[0], text, func(name string) ([]byte, error) {
-				if text, err := os.ReadFile(name); err == nil {
-					return text, nil
-				}
-				return scenarios.Get(name)
-			})
+		RunE: func(c *cobra.Command, args []string) error {
+			p, err := findCampaign(args[0])
 			if err != nil {
 				return err
 			}
@@ -73,11 +61,7 @@
 				lines = file
 			}
 			player := func(ctx context.Context, s *scenario.Scenario) (*report.Figures, error) {
-				r, err := lab.Play(ctx, s, lab.Options{Binary: path})
-				if err != nil {
-					return nil, err
-				}
-				return report.Of(r.Events, r.Verdict), nil
+				return figuresOf(ctx, s, path)
 			}
 			plays, err := p.Run(c.Context(), cases, player, func(one campaign.Play) {
 				_ = json.NewEncoder(lines).Encode(one) // the sum below does not need it
@@ -98,18 +82,20 @@
 	return c
 }
 
+// findCampaign reads a campaign: a file, else one that comes with the program; its scenario is found in the same way.
+func findCampaign(name string) (*campaign.Plan, error) {
+	text, err := textOf(name, scenarios.Campaign)
+	if err != nil {
+		return nil, fmt.Errorf("there is no file %s, and no campaign of that name", name)
+	}
+	return campaign.Read(name, text, func(base string) ([]byte, error) { return textOf(base, scenarios.Get) })
+}
+
 // sumCommand sums plays up that were written before, of one run or of several.
 func sumCommand(figures *[]string) *cobra.Command {
 	return &cobra.Command{Use: "sum CAMPAIGN FILE...", Short: "Sum up plays that were written with --out", Args: cobra.MinimumNArgs(2),
 		RunE: func(c *cobra.Command, args []string) error {
-			text, err := scenarios.Campaign(args[0])
-			if file, e := os.ReadFile(args[0]); e == nil {
-				text, err = file, nil
-			}
-			if err != nil {
-				return err
-			}
-			p, err := campaign.Read(args[0], text, scenarios.Get)
+			p, err := findCampaign(args[0])
 			if err != nil {
 				return err
 			}
@@ -153,14 +139,7 @@
 func sum(to io.Writer, p *campaign.Plan, plays []campaign.Play, figures []string) error {
 	w := tabwriter.NewWriter(to, 0, 4, 2, ' ', 0)
 	fmt.Fprintln(w, "case\tfigure\tvariant\tplays\tmean\tfrom\tto\tpaired difference, 95%")
-	rows := p.Table(plays, figures)
-	slices.SortStableFunc(rows, func(a, b campaign.Row) int { // variants of a figure stand together
-		if a.Case != b.Case {
-			return 0
-		}
-		return slices.Index(figures, a.Figure) - slices.Index(figures, b.Figure)
-	})
-	for _, r := range rows {
+	for _, r := range p.Table(plays, figures) {
 		fmt.Fprintf(w, "%s\t%s\t%s\t%d\t%.4g\t%.4g\t%.4g", r.Case, r.Figure, r.Variant, r.Plays, r.Mean, r.Low, r.High)
 		if r.Pairs > 0 {
 			fmt.Fprintf(w, "\t%+.3g (%+.3g to %+.3g)", r.Diff, r.DiffLow, r.DiffUpp)
--- a/cmd/milletsail/compare.go
+++ b/cmd/milletsail/compare.go
@@ -7,7 +7,6 @@
 
 	"github.com/spf13/cobra"
 
-	"milletsail/internal/lab"
 	"milletsail/internal/lab/compare"
 	"milletsail/internal/lab/report"
 )
@@ -51,11 +50,7 @@
 						return nil, err
 					}
 					s.Seed = seed
-					r, err := lab.Play(c.Context(), s, lab.Options{Binary: of.relay})
-					if err != nil {
-						return nil, err
-					}
-					return report.Of(r.Events, r.Verdict), nil
+					return figuresOf(c.Context(), s, of.relay)
 				}
 			}
 			result, err := compare.Pairs(sides, seeds, func(seed uint64, side int, f *report.Figures) {
--- a/cmd/milletsail/lab.go
+++ b/cmd/milletsail/lab.go
@@ -97,6 +97,23 @@
 		}}
 }
 
+// textOf gives a text: a file's, else one that comes with the program.
+func textOf(name string, embedded func(string) ([]byte, error)) ([]byte, error) {
+	if info, err := os.Stat(name); err == nil && info.Mode().IsRegular() {
+		return os.ReadFile(name)
+	}
+	return embedded(name)
+}
+
+// figuresOf plays a scenario with a relay and gives the figures.
+func figuresOf(ctx context.Context, s *scenario.Scenario, relay string) (*report.Figures, error) {
+	r, err := lab.Play(ctx, s, lab.Options{Binary: relay})
+	if err != nil {
+		return nil, err
+	}
+	return report.Of(r.Events, r.Verdict), nil
+}
+
 // find gives a scenario: a file, else one that comes with the program.
 func find(name string) (*scenario.Scenario, error) {
 	if info, err := os.Stat(name); err == nil && info.Mode().IsRegular() {
--- a/internal/lab/campaign/campaign.go
+++ b/internal/lab/campaign/campaign.go
@@ -71,43 +71,35 @@
 	"local_part":  func(f *report.Figures) float64 { return f.Local / math.Max(1e-9, f.LocalMost) },
 	"p99":         func(f *report.Figures) float64 { return f.Latency["p99"] },
 	"fell":        func(f *report.Figures) float64 { return float64(f.Fell) },
-	"evacuations": zones(func(z *report.ZoneFigures) float64 { return float64(z.Evacuations) }),
-	"returns":     zones(func(z *report.ZoneFigures) float64 { return float64(z.Returns) }),
-	"left":        zones(func(z *report.ZoneFigures) float64 { return float64(z.Left) }),
+	"evacuations": most(zones, func(z *report.ZoneFigures) float64 { return float64(z.Evacuations) }),
+	"returns":     most(zones, func(z *report.ZoneFigures) float64 { return float64(z.Returns) }),
+	"left":        most(zones, func(z *report.ZoneFigures) float64 { return float64(z.Left) }),
 	// accused is the relays that left a zone that no fault has struck.
-	"accused": zones(func(z *report.ZoneFigures) float64 {
+	"accused": most(zones, func(z *report.ZoneFigures) float64 {
 		if z.Hit {
 			return 0
 		}
 		return float64(z.Left)
 	}),
-	"cut_off": zones(func(z *report.ZoneFigures) float64 { return float64(z.CutOff) }),
-	"zone_back": zones(func(z *report.ZoneFigures) float64 {
+	"cut_off": most(zones, func(z *report.ZoneFigures) float64 { return float64(z.CutOff) }),
+	"zone_back": most(zones, func(z *report.ZoneFigures) float64 {
 		if !z.Hit {
 			return 0
 		}
 		return orNever(z.Back)
 	}),
-	// exposed is the most of a new endpoint's share of its destination's calls, until it was held back or for 20 s.
-	"exposed": func(f *report.Figures) (most float64) {
-		for _, n := range f.Newcomers {
-			most = math.Max(most, n.Exposed)
-		}
-		return most
-	},
-	// new_failed is the calls to new endpoints that got an error, new_full when the last of these had its whole share.
+	"carried": most(faults, func(x *report.FaultFigures) float64 { return x.Carried }),
+	"back":    most(faults, func(x *report.FaultFigures) float64 { return orNever(x.Back) }),
+	// exposed is the most of a new endpoint's share of its destination's calls, until it was held back or for 20 s, new_full
+	// when the last had its whole share, new_failed the calls to them that got an error.
+	"exposed":  most(newcomers, func(n *report.Newcomer) float64 { return n.Exposed }),
+	"new_full": most(newcomers, func(n *report.Newcomer) float64 { return orNever(n.Full) }),
 	"new_failed": func(f *report.Figures) (sum float64) {
 		for _, n := range f.Newcomers {
 			sum += float64(n.Failed)
 		}
 		return sum
 	},
-	"new_full": func(f *report.Figures) (most float64) {
-		for _, n := range f.Newcomers {
-			most = math.Max(most, orNever(n.Full))
-		}
-		return most
-	},
 	"held": func(f *report.Figures) (n float64) {
 		for _, x := range f.Newcomers {
 			if x.Held != nil {
@@ -116,8 +108,6 @@
 		}
 		return n
 	},
-	"carried": faults(func(f *report.FaultFigures) float64 { return f.Carried }),
-	"back":    faults(func(f *report.FaultFigures) float64 { return orNever(f.Back) }),
 }
 
 func orNever(v *float64) float64 {
@@ -127,20 +117,15 @@
 	return *v
 }
 
-// zones gives the most over the zones that a fault struck or a relay left, faults the most over the faults.
-func zones(of func(*report.ZoneFigures) float64) func(*report.Figures) float64 {
-	return func(f *report.Figures) (most float64) {
-		for i := range f.Zones {
-			most = math.Max(most, of(&f.Zones[i]))
-		}
-		return most
-	}
-}
+func zones(f *report.Figures) []report.ZoneFigures   { return f.Zones }
+func faults(f *report.Figures) []report.FaultFigures { return f.Faults }
+func newcomers(f *report.Figures) []report.Newcomer  { return f.Newcomers }
 
-func faults(of func(*report.FaultFigures) float64) func(*report.Figures) float64 {
+// most is the most of a figure over the zones, the faults or the new endpoints of a play; 0 where there are none.
+func most[T any](all func(*report.Figures) []T, of func(*T) float64) func(*report.Figures) float64 {
 	return func(f *report.Figures) (most float64) {
-		for i := range f.Faults {
-			most = math.Max(most, of(&f.Faults[i]))
+		for _, x := range all(f) {
+			most = math.Max(most, of(&x))
 		}
 		return most
 	}
@@ -375,7 +360,7 @@
 	Diff, DiffLow, DiffUpp float64
 }
 
-// Table sums up plays by case, variant and figure. Void plays are left out, and figures that did not come about in each.
+// Table sums up plays by case, figure and variant. Void plays are left out, and figures that did not come about in each.
 func (p *Plan) Table(plays []Play, figures []string) (rows []Row) {
 	for _, c := range p.Cases {
 		by := map[string]map[uint64]Play{}
@@ -387,8 +372,8 @@
 				by[one.Variant][one.Seed] = one
 			}
 		}
-		for n, v := range p.Variants {
-			for _, figure := range figures {
+		for _, figure := range figures {
+			for n, v := range p.Variants {
 				row := Row{Case: c.Name, Variant: v.Name, Figure: figure}
 				var values, diffs []float64
 				for _, seed := range slices.Sorted(maps.Keys(by[v.Name])) {
--- a/internal/lab/report/newcomers.go
+++ b/internal/lab/report/newcomers.go
@@ -20,7 +20,7 @@
 	Exposed float64  `json:"exposed"`
 	Failed  int      `json:"failed"` // of its calls, those that got an error, over the whole play
 	Calls   int      `json:"calls"`
-	// Full is when it first got fullShare, in a span of fullSpan, of the calls that the one before it had got; none where it
+	// Full is when it first got fullShare, in a span of callSpan, of the calls that the one before it had got; none where it
 	// did not.
 	Full *float64 `json:"full,omitempty"`
 }
@@ -28,7 +28,6 @@
 const (
 	exposedFor = 20 * time.Second
 	fullShare  = 0.85
-	fullSpan   = 2 * time.Second
 )
 
 // newcomers finds how endpoints that took the place of others fared.
@@ -92,13 +91,8 @@
 		}
 		n.Exposed = own / math.Max(1, all)
 		before, _, _ := strings.Cut(host, "-n")
-		usual := within(calls[before], n.At-2*fullSpan.Seconds(), n.At) / 2
-		for t := n.At; usual > 0 && len(calls[host]) > 0 && t <= calls[host][len(calls[host])-1]; t += bucket.Seconds() / 2 {
-			if within(calls[host], t, t+fullSpan.Seconds()) >= fullShare*usual {
-				full := t - n.At
-				n.Full = &full
-				break
-			}
+		if usual := usualCalls(calls[before], n.At); usual > 0 {
+			n.Full = regained(calls[host], fullShare*usual, n.At)
 		}
 		f.Newcomers = append(f.Newcomers, n)
 	}
@@ -110,16 +104,6 @@
 	return times[len(times)/2]
 }
 
-// within counts the times in a span.
-func within(times []float64, from, to float64) (n float64) {
-	for _, t := range times {
-		if t >= from && t < to {
-			n++
-		}
-	}
-	return n
-}
-
 // newcomersText writes them for a terminal.
 func (f *Figures) newcomersText(line func(name, format string, args ...any)) {
 	for _, n := range f.Newcomers {
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -24,7 +24,7 @@
 	// before is the span before a fault that its service is compared with, backShare the share of that which counts as
 	// back, for backFor at least.
 	before, backShare, backFor = 4 * time.Second, 0.95, time.Second
-	// zoneShare of the calls that it got before, in spans of zoneSpan, count as back for a zone: a span holds some 200.
+	// zoneShare of the calls that it got before, in spans of callSpan, count as back for a zone: a span holds some 200.
 	zoneShare = 0.9
 )
 
@@ -104,7 +104,7 @@
 	CutOff      int     `json:"cut_off"` // of its relays, those that took themselves for cut off
 	At          float64 `json:"at"`      // when the first was seen to have left
 	// Back is how many seconds after the end of the last fault that struck the zone it got as many calls again as before the
-	// first, by zoneShare and in spans of zoneSpan; none where it did not, or where no fault struck it.
+	// first, by zoneShare and in spans of callSpan; none where it did not, or where no fault struck it.
 	Back *float64 `json:"back,omitempty"`
 	Hit  bool     `json:"hit"` // by a fault
 }
@@ -503,9 +503,6 @@
 	}
 }
 
-// zoneSpan is the span over which calls into a zone are counted.
-const zoneSpan = 2 * time.Second
-
 // zoneBack finds when a zone that was struck gets as many calls again as before.
 func (f *Figures) zoneBack(z *ZoneFigures, at []float64) {
 	from, until := math.Inf(1), 0.0
@@ -514,26 +511,39 @@
 			from, until = math.Min(from, x.At), math.Max(until, x.Until)
 		}
 	}
-	count := func(from float64) (n float64) {
-		for _, t := range at {
-			if t >= from && t < from+zoneSpan.Seconds() {
-				n++
-			}
+	z.Hit = !math.IsInf(from, 1)
+	if z.Hit && from >= 2*callSpan.Seconds() {
+		z.Back = regained(at, zoneShare*usualCalls(at, from), until)
+	}
+}
+
+// callSpan is the span over which calls are counted, to tell when they are as many as they were.
+const callSpan = 2 * time.Second
+
+// usualCalls is how many calls a span has, in the mean of the two up to a moment.
+func usualCalls(calls []float64, until float64) float64 {
+	return within(calls, until-2*callSpan.Seconds(), until) / 2
+}
+
+// regained is how long after a moment the first whole span begins that has so many calls; nil where there is none.
+func regained(calls []float64, enough, from float64) *float64 {
+	for t := from; len(calls) > 0 && t+callSpan.Seconds() <= calls[len(calls)-1]; t += bucket.Seconds() / 2 {
+		if within(calls, t, t+callSpan.Seconds()) >= enough {
+			after := t - from
+			return &after
 		}
-		return n
 	}
-	z.Hit = !math.IsInf(from, 1)
-	if !z.Hit || from < 2*zoneSpan.Seconds() {
-		return
-	}
-	usual := (count(from-2*zoneSpan.Seconds()) + count(from-zoneSpan.Seconds())) / 2
-	for t := until; len(at) > 0 && t+zoneSpan.Seconds() <= at[len(at)-1]; t += bucket.Seconds() / 2 {
-		if count(t) >= zoneShare*usual {
-			back := t - until
-			z.Back = &back
-			return
+	return nil
+}
+
+// within counts the times in a span.
+func within(times []float64, from, to float64) (n float64) {
+	for _, t := range times {
+		if t >= from && t < to {
+			n++
 		}
 	}
+	return n
 }
 
 func percentiles(h *hdrhistogram.Histogram) map[string]float64 {
