Give a call up for all its messages once the time of one is up

Change: call() in loop.go waits no longer than the least time left among the call's messages; at that moment the connection is closed for all and what may be repeated goes out again.

--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -697,8 +697,8 @@
 	}
 }
 
-// call makes a call in a goroutine of its own. Its messages share its fate, and it is out for as long as any of
-// them is waited for; one whose time is up before that ends alone.
+// call makes a call in a goroutine of its own. Its messages share its fate: it is given up for all of them once the
+// time of one is up, and for none while any of them is still waited for.
 func (l *loop) call(sends []send) {
 	ctx, cancel := context.WithCancel(l.calls)
 	r := request{addr: sends[0].host.Dial}
@@ -706,10 +706,13 @@
 		return answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: took, result: res}
 	}
 	waiting := len(sends)
+	for _, s := range sends {
+		r.timeout = max(r.timeout, s.timeout)
+	}
 	for _, s := range sends {
 		p := parcel{ID: s.m.ID, Key: s.m.Key, Body: s.m.Body, fate: new(fate)}
 		r.parcels = append(r.parcels, p)
-		r.timeout = max(r.timeout, s.timeout)
+		r.timeout = min(r.timeout, s.left)
 		if s.within > 0 && (r.within == 0 || s.within < r.within) {
 			r.within = s.within
 		}
@@ -728,18 +731,6 @@
 	go func() {
 		defer cancel()
 		begun := time.Now()
-		for i, s := range sends {
-			if s.left < r.timeout {
-				over := time.AfterFunc(s.left, func() {
-					res := result{outcome: policy.TimedOut}
-					if r.parcels[i].fate.settle() {
-						res.outcome = policy.Ignored // not written, and won't be
-					}
-					l.put(ended{end(s, time.Since(begun), res)})
-				})
-				defer over.Stop()
-			}
-		}
 		results := l.pool.call(ctx, r)
 		all := make(ended, len(sends))
 		for i, s := range sends {
