Believe the first line of an answer only once it is whole

An answer that broke off after "HTTP/1.1 200" counted as a delivery: firstLine matched without the line's end, and http.ReadResponse takes a line that ends with the connection for one. The message was then lost: no whole answer, no further attempt, no notice.

Change: answer() in calls.go waits for the line's end; without it the call ends as a reset, which may have run. TestOutcomes has the orders (an end, a reset, silence after half a line, a line in pieces); three of four fail without the change.

--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -40,8 +40,8 @@
 	mostInterim = 8
 )
 
-// firstLine begins an answer that says that a message was delivered.
-var firstLine = regexp.MustCompile(`^HTTP/1\.[01] 200\s`)
+// firstLine is that of an answer that says that a message was delivered. Without its end it says nothing yet.
+var firstLine = regexp.MustCompile(`^HTTP/1\.[01] 200(?: [^\r\n]*)?\r?\n$`)
 
 // request is one call to a host, with one message or with several.
 type request struct {
@@ -296,8 +296,7 @@
 			return nil, err
 		}
 		c.stall = stallTime
-		line, _ := c.in.Peek(len("HTTP/1.1 200 "))
-		delivered := firstLine.Match(line)
+		delivered := firstLine.Match(c.line())
 		if delivered && single {
 			c.stall = drainTime
 		}
@@ -312,6 +311,21 @@
 	return nil, errors.New("too many interim answers")
 }
 
+// line waits for the line that is next, and gives it without taking it: with its end, unless that does not come or the
+// line is longer than any of use.
+func (c *conn) line() []byte {
+	for n := 1; ; n = c.in.Buffered() + 1 {
+		_, err := c.in.Peek(n)
+		seen, _ := c.in.Peek(c.in.Buffered())
+		if i := bytes.IndexByte(seen, '\n'); i >= 0 {
+			return seen[:i+1]
+		}
+		if err != nil {
+			return seen
+		}
+	}
+}
+
 // classify reads an outcome from an answer, as the protocol has them.
 func classify(resp *http.Response) result {
 	res := result{outcome: policy.Failed, report: parseReport(resp.Header.Get("Server-Load"))}
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -115,6 +115,22 @@
 		{"a head that can't be read", reply("HTTP/1.1 200 OK\r\nno header\r\n\r\n"), result{outcome: policy.OK, over: true}},
 		{"an error's head that can't be read", reply("HTTP/1.1 500 No\r\nno header\r\n\r\n"),
 			result{outcome: policy.Reset}},
+		{"half a first line, then an end", readThen(func(c net.Conn) { _, _ = io.WriteString(c, "HTTP/1.1 200 OK") }),
+			result{outcome: policy.Reset}},
+		{"half a first line, then a reset", readThen(func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 ")
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}), result{outcome: policy.Reset}},
+		{"half a first line, then silence", readThen(func(c net.Conn) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r")
+			_, _ = c.Read(make([]byte, 1))
+		}), result{outcome: policy.Reset}},
+		{"a first line in pieces", readThen(func(c net.Conn) {
+			for _, piece := range []string{"HTTP/1", ".1 200 O", "K\r", "\n"} {
+				_, _ = io.WriteString(c, piece)
+				time.Sleep(time.Millisecond) // so that most come apart; the outcome is the same if they do not
+			}
+		}), result{outcome: policy.OK, over: true}},
 		{"a longer status", reply("HTTP/1.1 2000 OK\r\n\r\n"), result{outcome: policy.Reset}},
 		{"a body without end", readThen(func(c net.Conn) {
 			_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
