Send messages with little time left in calls of their own

Change: a message joins a call only if it and the first one both have, or both lack, stuckAfter mean latencies (short() in policy.go).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -678,13 +678,6 @@
 	}
 }
 
-// joins takes in a new endpoint: at a destination that is out it is as cold as the others.
-func (d *Dispatcher) joins(ep *endpoint) {
-	if ep.q.ill {
-		d.sicken(ep)
-	}
-}
-
 // full notes a refusal by the destination, and tells the other relays what they do not know of it; a run of
 // refusals is a destination that is shut.
 func (d *Dispatcher) full(q *queue, l limitNote) {
@@ -799,6 +792,12 @@
 	return m.expires - max(2*d.s.Tick, x)
 }
 
+// short tells whether a message's time may be up before a call with it ends, which ends it for all messages of the call:
+// such share calls with their like.
+func (d *Dispatcher) short(q *queue, m *message) bool {
+	return (m.expires - d.now).Seconds() < stuckAfter*q.class[m.Class]
+}
+
 // giveUp ends a message: a refusal where trying again is harmless, which tells when its queue may send next,
 // else a failure.
 func (d *Dispatcher) giveUp(m *message) {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -85,6 +85,30 @@
 	}
 }
 
+// The end of one message's time ends the call for all: those that may run out of time before a usual call ends travel with
+// their like, and the others are not given up with them.
+func TestLittleTimeInACall(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a", Kind: 1})
+	d.Handle(ms, []Event{arrive("first", 0)})
+	d.Handle(time.Second, []Event{Ended{ID: "first", Endpoint: "a", Outcome: OK, Took: time.Second, Over: true}})
+	var events []Event
+	for _, m := range []struct {
+		id   string
+		left time.Duration
+	}{{"s1", 2 * time.Second}, {"l1", 9 * time.Second}, {"s2", 2500 * ms}, {"l2", 8 * time.Second}} {
+		events = append(events, Arrived{ID: m.id, Left: m.left})
+	}
+	calls := map[int]string{}
+	for _, a := range d.Handle(1100*ms, events) {
+		if a, ok := a.(Send); ok {
+			calls[a.Call] += a.ID
+		}
+	}
+	if got, want := slices.Sorted(maps.Values(calls)), []string{"l1l2", "s1s2"}; !slices.Equal(got, want) {
+		t.Errorf("calls %q, want %q", got, want)
+	}
+}
+
 // Held messages that travel together take the time of their calls, not a call's time each.
 func TestBacklogCountsCalls(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a", Kind: 1})
--- a/policy/state.go
+++ b/policy/state.go
@@ -600,7 +600,9 @@
 	d.wake(q)
 	q.out, ep.out = append(q.out, c), append(ep.out, c)
 	ep.lastUsed = d.now
-	d.spend(q)
+	if q.pace > 0 {
+		q.tokens = math.Max(0, d.tokens(q)-1)
+	}
 	if d.s.Zones {
 		d.spilled(q, ep)
 	}
@@ -616,7 +618,7 @@
 	d.attempt(first, c)
 	for i := 0; i < len(q.held) && c.open < q.bundle && !ep.sick; {
 		m := q.held[i]
-		if d.sendable(m) && d.repeatable(m, ep) && (d.s.CallSize == 0 || c.size+m.Size <= d.s.CallSize) {
+		if d.sendable(m) && d.short(q, m) == d.short(q, first) && d.repeatable(m, ep) && (d.s.CallSize == 0 || c.size+m.Size <= d.s.CallSize) {
 			d.attempt(m, c)
 			continue
 		}
@@ -1020,7 +1022,9 @@
 		}
 		ep.q.bundle, ep.q.apart, ep.q.kind = max(1, kind.Bundle), kind.Separate, e.Kind
 		ep.q.eps = append(ep.q.eps, ep)
-		defer d.joins(ep)
+		if ep.q.ill { // at a destination that is out it is as cold as the others
+			defer d.sicken(ep)
+		}
 	}
 	d.arrives(ep, e)
 	ep.Endpoint = e
@@ -1045,12 +1049,6 @@
 	d.retire(m)
 }
 
-func (d *Dispatcher) spend(q *queue) {
-	if q.pace > 0 {
-		q.tokens = math.Max(0, d.tokens(q)-1)
-	}
-}
-
 // retire forgets a message that is over and has nothing out, and lets the next of its key go.
 func (d *Dispatcher) retire(m *message) {
 	if !m.over || m.open > 0 {
