Post a notice alone that hangs or that the platform can't read

Need: a notice refused for its form, or one whose post hangs, must not hold up the others beyond their 300 ms. All went in one post, which was repeated until the whole of it was taken: one bad notice held up all for good.

TestNoticesOfABody compares whole notices now, since next() gives those.

--- a/internal/relay/notices_test.go
+++ b/internal/relay/notices_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -19,17 +21,17 @@
 	for i := range owed {
 		n.owe(journal.Notice{ID: fmt.Sprintf("%04d%s", i, strings.Repeat("\x01", 100)), Status: deferred, AgainMS: 5})
 	}
-	ids, body := n.next()
-	if len(ids) == 0 || len(ids) == owed || len(body) > maxBody {
-		t.Fatalf("%d notices in %d bytes", len(ids), len(body))
+	batch, body := n.next()
+	if len(batch) == 0 || len(batch) == owed || len(body) > maxBody {
+		t.Fatalf("%d notices in %d bytes", len(batch), len(body))
 	}
 	lines := strings.Split(strings.TrimSpace(string(body)), "\n")
-	if len(lines) != len(ids) {
-		t.Fatalf("%d lines for %d ids", len(lines), len(ids))
+	if len(lines) != len(batch) {
+		t.Fatalf("%d lines for %d notices", len(lines), len(batch))
 	}
 	for i, line := range lines {
 		var notice journal.Notice
-		if err := json.Unmarshal([]byte(line), &notice); err != nil || notice.ID != ids[i] || notice.AgainMS != 5 {
+		if err := json.Unmarshal([]byte(line), &notice); err != nil || notice != batch[i] || notice.AgainMS != 5 {
 			t.Fatalf("line %d: %s (%v)", i, line, err)
 		}
 	}
@@ -64,3 +66,61 @@
 		}
 	})
 }
+
+// A notice that the platform does not take for its form, or whose post hangs each time, holds up no other beyond 300 ms, and
+// gets there itself once the platform takes it; nothing is received twice.
+func TestNoticeThatIsNotTaken(t *testing.T) {
+	for _, hangs := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			type receipt struct {
+				id string
+				at time.Time
+			}
+			got := make(chan receipt, 1000)
+			n := newNotifier("platform", func(ids []string) {
+				for _, id := range ids {
+					got <- receipt{id, time.Now()}
+				}
+			})
+			healed := time.Now().Add(5 * time.Second)
+			n.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
+				body, _ := io.ReadAll(r.Body)
+				switch odd := strings.Contains(string(body), `"odd"`) && time.Now().Before(healed); {
+				case odd && hangs:
+					<-r.Context().Done()
+					return nil, r.Context().Err()
+				case odd:
+					return &http.Response{StatusCode: http.StatusBadRequest, Body: http.NoBody}, nil
+				}
+				return &http.Response{StatusCode: http.StatusNoContent, Body: http.NoBody}, nil
+			})
+			go n.run(ctx)
+			due := map[string]time.Time{"odd": healed}
+			for i := range 40 {
+				for _, id := range []string{fmt.Sprint(i, "a"), fmt.Sprint(i, "b")} {
+					due[id] = time.Now()
+					n.owe(journal.Notice{ID: id, Status: deferred})
+				}
+				if i == 3 {
+					n.owe(journal.Notice{ID: "odd", Status: undeliverable})
+				}
+				time.Sleep(30 * time.Millisecond)
+			}
+			for len(due) > 0 {
+				r := <-got
+				most := 300 * time.Millisecond
+				if r.id == "odd" {
+					most = postAgainMost + postTime
+				}
+				at, owed := due[r.id]
+				if late := r.at.Sub(at); !owed || late > most {
+					t.Errorf("hangs %v: %s received after %v, owed %v", hangs, r.id, late, owed)
+				}
+				delete(due, r.id)
+			}
+			stop()
+			synctest.Wait()
+		})
+	}
+}
