Read lists over many lines, and tell half a list from a watch that lives

Change: discovery.go reads objects, over lines and in pieces of any size, up to 16 MB; empty lines count as life only between objects. A list that breaks off is asked for again from the last whole version, a spoilt one as the whole list, as before. TestIndentedLists and TestHalfAList fail without it.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -1,12 +1,12 @@
 package relay
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net/http"
@@ -34,8 +34,8 @@
 	askWithin    = 3 * time.Second
 	askAgain     = 250 * time.Millisecond
 	askAgainMost = 2 * time.Second
-	// maxMemberLine bounds one line of a watch.
-	maxMemberLine = 16 << 20
+	// maxList bounds one list of a watch.
+	maxList = 16 << 20
 )
 
 // Members is the list of hosts, or a change of it, in discovery's form.
@@ -228,26 +228,48 @@
 		after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		return 0, &busyError{resp.Status, min(settings.Seconds(max(0, after)), askAgainMost)}
 	}
-	in := bufio.NewScanner(resp.Body)
-	in.Buffer(nil, maxMemberLine)
-	for in.Scan() {
-		dead.Reset(w.silence)
-		line := bytes.TrimSpace(in.Bytes())
-		if len(line) == 0 {
-			continue
-		}
+	in := &lists{Reader: resp.Body, came: func() { dead.Reset(w.silence) }}
+	for decoder := json.NewDecoder(in); ; lines++ {
 		var m Members
-		if err := json.Unmarshal(line, &m); err != nil {
-			// What an unreadable line held is lost to the changes that follow: ask for the whole list.
+		switch err := decoder.Decode(&m); {
+		case err == io.EOF:
+			return lines, errors.New("end of the answer")
+		case errors.As(err, new(*json.SyntaxError)), errors.As(err, new(*json.UnmarshalTypeError)):
+			// What it held is lost to the changes that follow: ask for the whole list.
 			w.seq = 0
-			return lines, fmt.Errorf("unreadable line: %w", err)
+			return lines, fmt.Errorf("unreadable list: %w", err)
+		case err != nil: // in the middle of a list, or by silence: what was missed is told anew after the last version
+			return lines, err
 		}
 		w.seq = m.Seq
 		w.told(m)
-		lines++
+		rest, _ := io.ReadAll(decoder.Buffered())
+		in.taken(rest)
+	}
+}
+
+// lists reads the lists of a watch, each a JSON object over one line or many, with empty lines while nothing changes.
+type lists struct {
+	io.Reader
+	came func()
+	open bool // in the middle of an object, as far as is known
+	size int  // bytes read since the last object
+}
+
+// Read notes that the watch is alive: more of an object came, or empty lines between objects. Those behind half an object
+// say that nothing changes, and the rest of it will not come.
+func (l *lists) Read(b []byte) (int, error) {
+	n, err := l.Reader.Read(b)
+	more := len(bytes.TrimSpace(b[:n])) > 0
+	if n > 0 && (more || !l.open) {
+		l.came()
 	}
-	if err := in.Err(); err != nil {
-		return lines, err
+	l.open = l.open || more
+	if l.size += n; l.size > maxList {
+		return 0, errors.New("list too long")
 	}
-	return lines, errors.New("end of the answer")
+	return n, err
 }
+
+// taken notes that an object was taken, and what had been read behind it.
+func (l *lists) taken(rest []byte) { l.open, l.size = len(bytes.TrimSpace(rest)) > 0, len(rest) }
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -139,6 +140,53 @@
 	}
 }
 
+// A list may come over many lines and in pieces; what follows it in the same piece is the next one.
+func TestIndentedLists(t *testing.T) {
+	hosts := []Member{{Host: "h1", Dial: "127.0.0.1:1", Block: 7, Health: "SERVING"}, {Host: "h2", Block: 8, Health: draining}}
+	var text []byte
+	for seq := range int64(3) {
+		list, err := json.MarshalIndent(Members{Seq: 41 + seq, Whole: seq == 0, Hosts: hosts[:seq]}, "  ", "\t")
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = append(append(text, list...), "\r\n\n"...)
+	}
+	for _, size := range []int{1, 7, len(text)} {
+		_, members, _ := watchOf(t, long, func(rw http.ResponseWriter, r *http.Request) {
+			for piece := range slices.Chunk(text, size) {
+				_, _ = rw.Write(piece)
+				rw.(http.Flusher).Flush()
+			}
+			<-r.Context().Done()
+		})
+		for seq := range int64(3) {
+			if m := receive(t, members); m.Seq != 41+seq || m.Whole != (seq == 0) || !slices.Equal(m.Hosts, hosts[:seq]) {
+				t.Errorf("pieces of %d: told %+v", size, m)
+			}
+		}
+	}
+}
+
+// Empty lines behind half a list say that the rest of it will not come: the watch counts as silent, and the next one asks
+// from the last version that came whole.
+func TestHalfAList(t *testing.T) {
+	asked := make(chan string, 10)
+	w, _, failed := watchOf(t, 300*time.Millisecond, func(rw http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.Query().Get("index")
+		_, err := io.WriteString(rw, `{"seq":41,"whole":true,"hosts":[]}{"seq":42,`+"\n")
+		for err == nil && r.Context().Err() == nil {
+			rw.(http.Flusher).Flush()
+			time.Sleep(20 * time.Millisecond)
+			_, err = io.WriteString(rw, "\n")
+		}
+	})
+	receive(t, failed)
+	w.ask()
+	if first, second := receive(t, asked), receive(t, asked); first != "40" || second != "41" {
+		t.Errorf("indexes %s, %s", first, second)
+	}
+}
+
 // A line that can't be read is skipped, and since what it held is missing the whole list is asked for.
 func TestUnreadableLine(t *testing.T) {
 	asked := make(chan string, 10)
