Have a watch that fell silent tell within 6 s, draws and back-off included

Need: what a silent watch misses counts as told 6 s after it fell silent. On paper the old constants gave 4.5 s until it counted as dead, 0.5 s of the module's, and a draw of up to 3 s: 8 s; up to 11 s where the watch had brought no list, and 6.5 s after a refused ask.

Change: the sum stands as a comment beside the constants of discovery.go and comes to 5.5 s at most: dead after 2.5 s (an empty line comes every 2 s), draws from 2.5 s, and a silent ask is drawn for like a silent watch, since it has taken its time already. A relay that has nobody beside it at discovery waits 1 s for an answer and backs off to 0.5 s only, since there what it gets counts at once.

--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -22,18 +22,30 @@
 	"milletsail/policy"
 )
 
+// What discovery has to tell counts as told 6 s after it had it and could be reached, 4 s after a reload. Until then it has
+// to be here, whatever went before. The module waits 0.5 s before it asks again, and an answer has what is left:
+//
+//	a watch falls silent:   watchSilence 2.5 + 0.5 + askWithin 2.5            = 5.5
+//	an ask gets no answer:  watchSilence 2.5 + 0.5 + askWithin 2.5            = 5.5
+//	an ask is refused:      0.5 + what discovery wants and a draw, 2 askWithin = 5.5
+//	after a reload:         askWithin                                         = 2.5
+//
+// Where a relay is alone at discovery, or has an agent of its own to ask, what that has counts at once: then
+// answerWithin 1 + 0.5 after an ask without an answer, and 0.5 + askAgainAlone 0.5 after a refusal, where no wait was told.
 const (
-	// watchSilence without a byte means that a watch is dead: an empty line comes every 2 s, and what
-	// discovery has to tell counts as told after 6 s, so that the answer to a new ask comes in time.
-	watchSilence = 4500 * time.Millisecond
+	// watchSilence without a byte means that a watch is dead: an empty line comes every 2 s.
+	watchSilence = 2500 * time.Millisecond
+	// answerWithin is how long the only relay waits for an answer to begin.
+	answerWithin = time.Second
 	// Where changes come only to those who ask, a relay waits before it asks, for a time drawn from a span of askSpread
-	// for each relay of the fleet, since a cause that ends one watch mostly ends all; but no longer than askWithin
-	// allows: what discovery has to tell counts as told after 6 s, 4 s after a reload. askAgain is the least span
-	// after a failure. It doubles with each further one, up to askAgainMost or what the fleet needs.
-	askSpread    = 80 * time.Millisecond
-	askWithin    = 3 * time.Second
-	askAgain     = 250 * time.Millisecond
-	askAgainMost = 2 * time.Second
+	// for each relay of the fleet, since a cause that ends one watch mostly ends all; but no longer than askWithin.
+	// askAgain is the least span after a refusal. It doubles with each further one, up to askAgainMost or what the fleet
+	// needs, and to askAgainAlone for a relay that is alone.
+	askSpread     = 80 * time.Millisecond
+	askWithin     = 2500 * time.Millisecond
+	askAgain      = 250 * time.Millisecond
+	askAgainMost  = 2 * time.Second
+	askAgainAlone = 500 * time.Millisecond
 	// maxList bounds one list of a watch.
 	maxList = 16 << 20
 )
@@ -188,17 +200,31 @@
 		}
 		w.moved(nil)
 		slog.Warn("watch ended", "lines", lines, "err", err)
-		span, least = min(max(askAgainMost, 2*w.spread), 2*span+askAgain), 0
-		if lines > 0 {
-			span = w.spread
-		}
-		if busy := new(busyError); errors.As(err, &busy) {
-			least = busy.after
-		}
+		span, least = w.next(span, lines, err)
 		w.failed()
 	}
 }
 
+// next gives the span from which to draw the time before the next ask, and the least wait, after a watch that ended. One
+// that was open, or an ask that got no answer, has taken its time already; refusals come quickly, and are spaced out.
+func (w *watcher) next(span time.Duration, lines int, err error) (time.Duration, time.Duration) {
+	if lines > 0 || errors.Is(err, errSilent) {
+		return w.spread, 0
+	}
+	most := askAgainAlone
+	if w.spread > 0 {
+		most = max(askAgainMost, 2*w.spread)
+	}
+	least := time.Duration(0)
+	if busy := new(busyError); errors.As(err, &busy) {
+		least = busy.after
+	}
+	return min(most, 2*span+askAgain, 2*askWithin-least), least
+}
+
+// errSilent is why a watch, or an ask, ends on which nothing more has come.
+var errSilent = errors.New("silence")
+
 // busyError is an answer other than 200, with the time that discovery wants to be left alone.
 type busyError struct {
 	status string
@@ -209,10 +235,19 @@
 
 // watch follows one watch to its end and returns how many lists it brought.
 func (w *watcher) watch(ctx context.Context, base string) (lines int, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer func() {
+		if context.Cause(ctx) == errSilent {
+			err = errSilent
+		}
+	}()
 	// Guards against a watch that has gone silent: a cut link ends no connection.
-	dead := time.AfterFunc(w.silence, cancel)
+	answer := w.silence
+	if w.spread == 0 {
+		answer = min(answer, answerWithin)
+	}
+	dead := time.AfterFunc(answer, func() { cancel(errSilent) })
 	defer dead.Stop()
 	query := url.Values{"stream": {"1"}, "index": {strconv.FormatInt(w.seq, 10)}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, base+"?"+query.Encode(), nil)
@@ -228,6 +263,7 @@
 		after, _ := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64)
 		return 0, &busyError{resp.Status, min(settings.Seconds(max(0, after)), askAgainMost)}
 	}
+	dead.Reset(w.silence)
 	in := &lists{Reader: resp.Body, came: func() { dead.Reset(w.silence) }}
 	for decoder := json.NewDecoder(in); ; lines++ {
 		var m Members
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -1,8 +1,10 @@
 package relay
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +13,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"milletsail/internal/settings"
@@ -251,7 +254,7 @@
 		relays int
 		want   time.Duration
 	}{
-		{"subscribe", 1, 0}, {"subscribe", 11, 10 * askSpread}, {"subscribe", 300, 3 * time.Second}, {"automatic", 300, 0},
+		{"subscribe", 1, 0}, {"subscribe", 11, 10 * askSpread}, {"subscribe", 300, askWithin}, {"automatic", 300, 0},
 	} {
 		if got := fleetSpread(&settings.Settings{Discovery: tt.mode, NInstances: tt.relays}); got != tt.want {
 			t.Errorf("%d relays, %s: %v, want %v", tt.relays, tt.mode, got, tt.want)
@@ -259,6 +262,93 @@
 	}
 }
 
+// outage is a time in which discovery tells nothing: watches that are open fall silent for good, and what is asked
+// meanwhile gets no answer, or is turned away.
+type outage struct {
+	from, until time.Time
+	refuses     bool
+}
+
+// toldAfter plays a watcher through an outage that begins after a watch has been open for a while, and gives the time from
+// the moment at which discovery had a change and could be reached to that at which the watcher told it. Draws are the
+// longest ones.
+func toldAfter(t *testing.T, relays int, mode string, open, lasts time.Duration, refuses bool) (took time.Duration) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, stop := context.WithCancel(t.Context())
+		spread := fleetSpread(&settings.Settings{Discovery: mode, NInstances: relays})
+		begun := time.Now().Add(spread + open)
+		down := outage{begun, begun.Add(lasts), refuses}
+		told := make(chan time.Time, 100)
+		var w *watcher
+		w = newWatcher("discovery", spread, func(m Members) {
+			if m.Seq == 42 {
+				told <- time.Now()
+			}
+		}, func() {
+			time.AfterFunc(500*time.Millisecond, w.ask) // as the module does
+		})
+		w.prompt = true
+		w.draw = func(span time.Duration) time.Duration { return span }
+		w.client.Transport = roundTrip(func(r *http.Request) (*http.Response, error) {
+			now := time.Now()
+			switch {
+			case now.Before(down.from):
+				in, out := io.Pipe()
+				context.AfterFunc(r.Context(), func() { _ = in.CloseWithError(r.Context().Err()) })
+				go func() {
+					_, err := io.WriteString(out, `{"seq":41,"whole":true,"hosts":[]}`+"\n")
+					for time.Sleep(2 * time.Second); err == nil && time.Now().Before(down.from); time.Sleep(2 * time.Second) {
+						_, err = io.WriteString(out, "\n")
+					}
+				}()
+				return &http.Response{StatusCode: http.StatusOK, Body: in}, nil
+			case now.Before(down.until) && down.refuses:
+				return &http.Response{StatusCode: http.StatusServiceUnavailable, Body: http.NoBody,
+					Header: http.Header{"Retry-After": {"9"}}}, nil
+			case now.Before(down.until):
+				<-r.Context().Done()
+				return nil, r.Context().Err()
+			}
+			return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader(`{"seq":42,"hosts":[]}`))}, nil
+		})
+		go w.run(ctx)
+		w.ask()
+		took = (<-told).Sub(down.until)
+		stop()
+		time.Sleep(time.Minute) // what still waits ends
+	})
+	return took
+}
+
+// Discovery's changes are here before they count as told, which is after 6 s, at each phase of a watch that falls silent
+// and of an outage, whatever the size of the fleet; and far sooner where the relay has nobody beside it to spare.
+func TestToldInTime(t *testing.T) {
+	const counts = 6 * time.Second
+	for _, tt := range []struct {
+		mode   string
+		relays int
+		most   time.Duration
+	}{
+		{"subscribe", 1, watchSilence + time.Second}, {"automatic", 300, watchSilence + time.Second},
+		{"subscribe", 2, counts}, {"subscribe", 12, counts}, {"subscribe", 60, counts}, {"subscribe", 300, counts},
+	} {
+		for _, refuses := range []bool{false, true} {
+			worst, when := time.Duration(0), ""
+			for open := 50 * time.Millisecond; open < 2*time.Second; open += 130 * time.Millisecond {
+				for lasts := time.Duration(0); lasts < 20*time.Second; lasts += 410 * time.Millisecond {
+					if took := toldAfter(t, tt.relays, tt.mode, open, lasts, refuses); took > worst {
+						worst, when = took, fmt.Sprintf("silent after %v for %v", open, lasts)
+					}
+				}
+			}
+			t.Logf("%s, %d relays, refuses %v: told after %v at worst (%s)", tt.mode, tt.relays, refuses, worst, when)
+			if worst > tt.most {
+				t.Errorf("%s, %d relays, refuses %v: told after %v (%s), at most %v", tt.mode, tt.relays, refuses, worst, when, tt.most)
+			}
+		}
+	}
+}
+
 // A process that took over from another asks at once: what changes meanwhile would come too late.
 func TestWatchAfterTakeover(t *testing.T) {
 	spans := make(chan time.Duration, 1)
