Answer before the close: no request behind it is taken up, and none is reset away

Need: bytes may come in the instant in which a connection is closed. Read and found by probes of the tests: (1) a connection that was evicted just after its bytes were read still had its request taken up and sent on, with nobody to answer; (2) a close over unread bytes, behind an answer with Connection: close or an error, reset the answer away; (3) a client that ended only its sending was told 200, by a handler that returned, for the message that was withdrawn; (4) SIGHUP during the planned end was ignored, so that notices went to the address that was gone; (5) a process told to end while it waits for the folder ended as failed.

Change: client.go (out of gate.go) decides under the gate's lock whether a request or the close is first; after an answer it ends the sending side and reads off for 0.5 s or 1 MiB at most. Such a connection keeps its place 0.1 s at least, and goes before one that stalls. The planned end waits until the last answers are read, 3.65 s at most. Three descriptors more are kept for single notices. Each of client_test.go and shutdown_test.go was seen to fail with its mend out, but those of paths that held before.

--- a/cmd/frostlink/main.go
+++ b/cmd/frostlink/main.go
@@ -54,5 +54,5 @@
 	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	return relay.Run(ctx, cfg, state, relay.Reloads(ctx, config, hup))
+	return relay.Run(ctx, cfg, state, relay.Reloads(context.Background(), config, hup)) // to the end of the process
 }
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -15,7 +15,7 @@
 const patience = 500 * time.Millisecond
 
 // fixedRoom is for what a process has open whatever its load: files, listeners, discovery, operators, the runtime.
-const fixedRoom = 22
+const fixedRoom = 22 + lanes
 
 // minShare of the room for clients' connections is left to a new process while the one before has the rest.
 const minShare = 0.25
@@ -84,6 +84,7 @@
 			worst.stage, worst.heard = reading, time.Now()
 			continue
 		} else if worst != nil {
+			worst.closed = true
 			delete(g.open, worst)
 			_ = worst.Conn.Close()
 			break
@@ -97,12 +98,13 @@
 	return c, nil
 }
 
-// leastPromise is the connection to close for a newcomer: one that has sent nothing before one that stopped in the
-// middle of a request, and of these the one silent longest. One with a request that waits for its answer stays, and
-// so does one that was heard of within the patience that a request at an honest pace needs.
+// leastPromise is the connection to close for a newcomer: one that has sent nothing before one whose last answer is out,
+// this before one that stopped in the middle of a request, and of these the one silent longest. One with a request that
+// waits for its answer stays, and so does one that was heard of within the patience that a request at an honest pace
+// needs, or whose answer may still be on its way.
 func (g *gate) leastPromise(now time.Time) (worst *client) {
 	for c := range g.open {
-		if c.stage == answerDue || c.stage == reading && now.Sub(c.heard) < patience {
+		if silent := now.Sub(c.heard); c.stage == answerDue || c.stage == reading && silent < patience || c.stage == lingering && silent < lingerLeast {
 			continue
 		}
 		if worst == nil || c.stage < worst.stage || c.stage == worst.stage && c.heard.Before(worst.heard) {
@@ -137,61 +139,16 @@
 }
 
 // busy tells whether a request is being read or waits for its answer on some connection.
-func (g *gate) busy() bool {
+func (g *gate) busy() bool { return g.any(func(c *client) bool { return c.stage >= reading }) }
+
+// any tells whether some connection is such.
+func (g *gate) any(such func(*client) bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for c := range g.open {
-		if c.stage != waiting {
+		if such(c) {
 			return true
 		}
 	}
 	return false
 }
-
-// The stages of a connection, by the promise of a message that they show.
-type stage int
-
-const (
-	waiting   stage = iota // for the first byte of a request
-	reading                // in the middle of one
-	answerDue              // it is complete, and is owed its answer
-)
-
-// client is a connection of a client.
-type client struct {
-	net.Conn
-	gate  *gate
-	stage stage     // the gate's lock guards this and the next
-	heard time.Time // when its last bytes came, or its last request ended
-}
-
-// Read notes that the client is heard of.
-func (c *client) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.gate.mu.Lock()
-		c.heard = time.Now()
-		if c.stage == waiting {
-			c.stage = reading
-		}
-		c.gate.mu.Unlock()
-	}
-	return n, err
-}
-
-// at notes the stage of a connection.
-func (c *client) at(s stage) {
-	c.gate.mu.Lock()
-	defer c.gate.mu.Unlock()
-	c.stage, c.heard = s, time.Now()
-	c.gate.changed.Broadcast()
-}
-
-// Close closes the connection and makes room for another.
-func (c *client) Close() error {
-	c.gate.mu.Lock()
-	delete(c.gate.open, c)
-	c.gate.changed.Broadcast()
-	c.gate.mu.Unlock()
-	return c.Conn.Close()
-}
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -21,6 +21,8 @@
 		{"the oldest that sent nothing", []*client{ago(waiting, 3*time.Second), ago(waiting, time.Second)}, false},
 		{"one that sent nothing before one that stalls", []*client{ago(waiting, time.Millisecond), ago(reading, 2*time.Second)}, false},
 		{"the one stalled longest", []*client{ago(reading, 2*time.Second), ago(reading, time.Second), ago(answerDue, time.Minute)}, false},
+		{"one whose last answer is out before one that stalls", []*client{ago(lingering, lingerLeast), ago(reading, 2*time.Second)}, false},
+		{"none whose answer is on its way", []*client{ago(lingering, lingerLeast/2), ago(answerDue, time.Minute)}, true},
 		{"none that writes on or is owed its answer", []*client{ago(reading, patience/2), ago(answerDue, time.Minute)}, true},
 	}
 	for _, tt := range tests {
@@ -40,7 +42,7 @@
 
 // Clients get what is left beside calls, idle connections and another process, within their share.
 func TestClientRoom(t *testing.T) {
-	for _, tt := range []struct{ sockets, slots, want int }{{1024, 33, 512}, {192, 33, 67}, {192, 100, 64}, {3, 9, 1}} {
+	for _, tt := range []struct{ sockets, slots, want int }{{1024, 33, 512}, {224, 33, 85}, {192, 33, 64}, {192, 100, 64}, {3, 9, 1}} {
 		if got := clientRoom(tt.sockets, tt.slots); got != tt.want {
 			t.Errorf("%d descriptors, %d slots: room %d, want %d", tt.sockets, tt.slots, got, tt.want)
 		}
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -41,7 +41,7 @@
 		defer stop()
 		hup := make(chan os.Signal, 1)
 		signal.Notify(hup, syscall.SIGHUP)
-		err = Run(ctx, cfg, os.Getenv(childState), Reloads(ctx, path, hup))
+		err = Run(ctx, cfg, os.Getenv(childState), Reloads(context.Background(), path, hup))
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -26,6 +26,7 @@
 	callsOn   = 3500 * time.Millisecond // until then calls come to their end
 	askIdle   = 50 * time.Millisecond   // between looks whether all is done
 	lastWords = 100 * time.Millisecond  // for answers that are being written
+	goneBy    = 3650 * time.Millisecond // until then clients may read the last answers
 )
 
 // Run runs a relay until ctx ends, and then brings it to an orderly end: it goes on serving for as long as
@@ -51,6 +52,9 @@
 	}
 	defer gate.Close()
 	owner, before, off, err := takeOver(ctx, dir)
+	if err != nil && ctx.Err() != nil {
+		return nil // told to end before there was anything to bring to an end
+	}
 	if err != nil {
 		return err
 	}
@@ -118,23 +122,15 @@
 	go func() { served <- srv.http.Serve(gate) }()
 	figures.taking.Store(true)
 
-	for running := true; running; {
-		select {
-		case err = <-served:
-			running = false
-		case address := <-discovery:
-			slog.Info("discovery moved", "address", address)
-			l.watch.redirect(address)
-			l.notices.redirect(address)
-		case <-l.ceded:
-			figures.taking.Store(false)
-			l.retire(ctx, srv)
-			running = false
-		case <-ctx.Done():
-			figures.taking.Store(false)
-			l.drain(srv)
-			running = false
-		}
+	work.Go(func() { l.follows(live, discovery) }) // to the end: notices are owed while it drains too
+	select {
+	case err = <-served:
+	case <-l.ceded:
+		figures.taking.Store(false)
+		l.retire(ctx, srv)
+	case <-ctx.Done():
+		figures.taking.Store(false)
+		l.drain(srv)
 	}
 	stop()
 	work.Wait()
@@ -144,6 +140,20 @@
 	return nil
 }
 
+// follows moves the watch and the notices to each new address of discovery until ctx ends.
+func (l *loop) follows(ctx context.Context, discovery <-chan string) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case address := <-discovery:
+			slog.Info("discovery moved", "address", address)
+			l.watch.redirect(address)
+			l.notices.redirect(address)
+		}
+	}
+}
+
 // Forms is what this version reads and writes.
 func Forms() forms.Forms {
 	return forms.Forms{Journal: forms.Form{Writes: journal.Format, Reads: journal.Reads},
@@ -181,7 +191,7 @@
 			break
 		}
 	}
-	l.shutdown(srv)
+	l.shutdown(srv, time.Now().Add(lastWords))
 }
 
 // drain brings a relay to its end. No request that was read goes unanswered: answers close their
@@ -199,16 +209,20 @@
 	for until(callsOn) > 0 && l.busy() {
 		time.Sleep(askIdle)
 	}
-	l.shutdown(srv)
+	l.shutdown(srv, begun.Add(goneBy))
 }
 
-// shutdown closes the clients' connections, once the answers that are being written are out.
-func (l *loop) shutdown(srv *server) {
+// shutdown closes the clients' connections: those that rest at once, the others once the answers that are being written
+// are out. The process ends when the clients have read these, or at a moment.
+func (l *loop) shutdown(srv *server, by time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
 	defer cancel()
 	if err := srv.http.Shutdown(ctx); err != nil {
 		slog.Warn("connections left", "err", err)
 	}
+	for l.gate.clients() > 0 && time.Now().Before(by) {
+		time.Sleep(askIdle / 10)
+	}
 }
 
 // busy tells whether a message is held, or a request that may become one is still being written.
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -71,7 +71,7 @@
 	s.http = &http.Server{Handler: http.HandlerFunc(s.serve), ReadTimeout: readTime, IdleTimeout: idleTime, MaxHeaderBytes: maxHead,
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if c, ok := c.(*client); ok && state == http.StateIdle {
-				c.at(waiting)
+				c.rest()
 			}
 		},
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
@@ -113,16 +113,18 @@
 		s.finish(w, verdict{status: status})
 		return
 	}
-	if c, ok := r.Context().Value(connKey{}).(*client); ok {
-		c.at(answerDue)
+	if c, ok := r.Context().Value(connKey{}).(*client); ok && !c.begin() {
+		panic(http.ErrAbortHandler) // the relay's close went before it
 	}
 	s.admit(a)
 	select {
 	case v := <-a.verdict:
 		s.finish(w, v)
 	case <-r.Context().Done():
-		// The client left before an answer: it may hand the message in again, and this copy counts for nothing.
+		// The client left before an answer: it may hand the message in again, and this copy counts for nothing. One that
+		// ended only its sending must not be told 200 by a handler that returns.
 		s.gone(a)
+		panic(http.ErrAbortHandler)
 	}
 }
 
--- /dev/null
+++ b/internal/relay/shutdown_test.go
@@ -0,0 +1,185 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"milletsail/internal/journal"
+)
+
+// While calls hang, a planned end leaves their messages on disk for the next process, in time before the platform kills the
+// process, and each is made again only as its class allows. Further signals change nothing.
+func TestPlannedEndWithCallsThatHang(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.answer = func(*http.Request) int { return 0 }
+	old := p.start()
+	want := []string{"status", "payment", "order"}
+	for _, class := range want {
+		p.take(class, class, "25")
+		p.called()
+	}
+	begun := time.Now()
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} {
+		if err := old.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if err := old.exit(t); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if took := time.Since(begun); took < callsOn {
+		t.Errorf("calls that were out had only %v", took)
+	}
+	if callsOn+lastWords > goneBy || goneBy >= 3700*time.Millisecond {
+		t.Errorf("it ends %v after the signal, and is killed after 3.7 s", goneBy)
+	}
+	entries := readEntries(t, p.dir)
+	if len(entries) != len(want) || slices.ContainsFunc(entries, func(e *journal.Entry) bool {
+		return e.Owed != nil || len(e.Attempts) != 1 || e.Attempts[0].Ended && e.Attempts[0].Unrun
+	}) {
+		t.Fatalf("left for the next process: %v", entries)
+	}
+	p.set(func() { p.answer = func(*http.Request) int { return http.StatusOK } })
+	p.start()
+	p.until("each has its end", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	calls := p.sent()[len(want):]
+	slices.Sort(calls)
+	if !slices.Equal(calls, []string{"payment", "status"}) {
+		t.Errorf("made again: %v", calls)
+	}
+	if n := p.told(); len(n) != 1 || n[0] != (journal.Notice{ID: "order", Status: undeliverable}) {
+		t.Errorf("notices %v", n)
+	}
+}
+
+// A message whose time is up during a planned end gets its notice then, at the address that discovery has by then.
+func TestNoticeDuringAPlannedEnd(t *testing.T) {
+	p, next := newPlatform(t), newPlatform(t)
+	p.addHost("h1", 7)
+	p.answer = func(*http.Request) int { return 0 }
+	p.deaf = 1 << 30
+	old := p.start()
+	p.take("order", "m", "2.5")
+	p.called()
+	next.addr = p.addr
+	text, err := os.ReadFile(next.config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(old.config, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP} {
+		if err := old.Process.Signal(s); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	if err := old.exit(t); err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	if n := next.told(); len(n) != 1 || n[0].ID != "m" {
+		t.Errorf("notices at the new address: %v", n)
+	}
+	if e := readEntries(t, p.dir); len(e) != 0 {
+		t.Errorf("left in the journal: %v", e)
+	}
+}
+
+// A process that is told to end while it still waits for the folder ends at once, with nothing begun.
+func TestEndBeforeTheStart(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	owner, err := journal.Own(p.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer owner.Release()
+	cfg, err := ReadConfig(p.config())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- Run(ctx, cfg, p.dir, nil) }()
+	stop()
+	if err := receive(t, ended); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// A message is killed with its process between any two of its steps; the next process ends it once, as its class allows.
+func TestKilledAtEachStep(t *testing.T) {
+	for _, tt := range []struct {
+		name        string
+		entry       journal.Entry
+		calls, told int
+	}{
+		{"taken on, not sent", journal.Entry{}, 1, 0},
+		{"its call noted, perhaps not written", journal.Entry{Attempts: []journal.Attempt{{Host: "h1", Begun: time.Now()}}}, 0, 1},
+		{"its call's end noted as never run", journal.Entry{Attempts: []journal.Attempt{{Host: "h1", Begun: time.Now(), Ended: true, Unrun: true}}}, 1, 0},
+		{"its call's end noted, its own not", journal.Entry{Attempts: []journal.Attempt{{Host: "h1", Begun: time.Now(), Ended: true}}}, 0, 1},
+		{"its notice owed, perhaps received", journal.Entry{Owed: &journal.Notice{ID: "m", Status: undeliverable}}, 0, 1},
+	} {
+		t.Run(strings.ReplaceAll(tt.name, " ", "_"), func(t *testing.T) {
+			p := newPlatform(t)
+			p.addHost("h1", 7)
+			j := openJournal(t, p.dir, 3)
+			e := &journal.Entry{ID: "m", Class: "order", Dest: 7, Expires: time.Now().Add(time.Minute), Body: []byte("m")}
+			j.Take(e)
+			for _, a := range tt.entry.Attempts {
+				j.Begin(e, a.Host, a.Begun)
+				if a.Ended {
+					j.End(e, a.Unrun)
+				}
+			}
+			if tt.entry.Owed != nil {
+				j.Owe(e, *tt.entry.Owed)
+			}
+			commit(t, j)
+			p.start()
+			p.until("it has its end", func() bool { return len(readEntries(t, p.dir)) == 0 })
+			if calls, told := p.sent(), p.told(); len(calls) != tt.calls || len(told) != tt.told {
+				t.Errorf("calls %v, notices %v, want %d and %d", calls, told, tt.calls, tt.told)
+			}
+		})
+	}
+}
+
+// Clients that leave in a burst, before their answers are decided, take back what is theirs and nothing else.
+func TestClientsThatLeaveInABurst(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	hold := make(chan bool)
+	var held atomic.Int64
+	p.answer = func(r *http.Request) int {
+		held.Add(1)
+		return p.held(hold)(r)
+	}
+	p.start()
+	p.take("status", "stays", "25")
+	p.called()
+	for range 30 {
+		c := p.keep()
+		_, _ = c.Write([]byte(posted("burst" + c.LocalAddr().String()))) // its answer is not read, and the close resets it
+		_ = c.Close()
+	}
+	close(hold)
+	p.until("all have their end", func() bool { return len(readEntries(t, p.dir)) == 0 })
+	p.take("status", "after", "25")
+	p.until("a later one is delivered", func() bool { return slices.Contains(p.sent(), "after") })
+	for _, n := range p.told() {
+		if !strings.HasPrefix(n.ID, "burst") {
+			t.Errorf("notice %v", n)
+		}
+	}
+}
