--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -432,11 +433,12 @@
 				return
 			}
 			calls.Add(1)
-			if mode.Load() == "reset" {
+			m := mode.Load() // of this call: the next one's is set as soon as the answer is read
+			if m == "reset" {
 				return
 			}
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
-			if mode.Load() == "close" {
+			if m == "close" {
 				_ = c.Close()
 				closed <- true
 				return
@@ -465,6 +467,73 @@
 	}
 }
 
+// What a host sends on a resting connection, half a line or a whole answer, is no answer to the next call.
+func TestBytesOnARestingConnection(t *testing.T) {
+	for _, stray := range []string{"HTTP/1.1 2", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"} {
+		var conns atomic.Int32
+		sent := make(chan bool, 1)
+		addr := rawHost(t, func(c net.Conn) {
+			in := bufio.NewReader(c)
+			if _, err := readCall(in); err != nil {
+				return
+			}
+			if conns.Add(1) > 1 {
+				_, _ = io.WriteString(c, "HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n")
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			_, _ = io.WriteString(c, stray)
+			sent <- true
+			_, _ = readCall(in)
+		})
+		p := testPool()
+		if got := p.call(t.Context(), testCall(addr))[0]; got.outcome != policy.OK {
+			t.Errorf("the first call: %v", got.outcome)
+		}
+		receive(t, sent)
+		if got := p.call(t.Context(), testCall(addr))[0]; got.outcome != policy.Failed || conns.Load() != 2 {
+			t.Errorf("%q: outcome %v over %d connections", stray, got.outcome, conns.Load())
+		}
+	}
+}
+
+// A connection that never comes up is given up after the limit for it, and the call has not run.
+func TestConnectionThatNeverComesUp(t *testing.T) {
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer syscall.Close(fd)
+	if err := errors.Join(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}), syscall.Listen(fd, 0)); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := fmt.Sprint("127.0.0.1:", name.(*syscall.SockaddrInet4).Port)
+	for range 9 { // until its queue is full and what comes is dropped
+		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
+		if err != nil {
+			break
+		}
+		defer c.Close()
+	}
+	p := newPool(50*time.Millisecond, 10*time.Second, 4, &atomic.Int64{})
+	if got := p.call(t.Context(), testCall(addr))[0]; got.outcome != policy.ConnectError || p.written.Load() != 0 {
+		t.Errorf("outcome %v, %d written", got.outcome, p.written.Load())
+	}
+}
+
+// A call for which this process has no descriptor left says nothing of the host.
+func TestNoDescriptorForACall(t *testing.T) {
+	p := testPool()
+	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error { return syscall.EMFILE }
+	if got := p.call(t.Context(), testCall(rawHost(t, func(net.Conn) {})))[0]; got.outcome != policy.Ignored {
+		t.Errorf("outcome %v", got.outcome)
+	}
+}
+
 func TestPoolBounds(t *testing.T) {
 	p := newPool(time.Second, 10*time.Second, 2, &atomic.Int64{})
 	var addrs []string
