--- a/internal/lab/checker/checker.go
+++ b/internal/lab/checker/checker.go
@@ -513,7 +513,7 @@
 		end = min(end, n.T)
 	}
 	for _, k := range h.calls {
-		if k.states[h.id] == "delivered" {
+		if k.states[h.id] == "delivered" && k.told <= c.fateOf(k) {
 			end = min(end, k.told)
 		}
 		// "over" is the platform's own word that nothing more is owed.
@@ -533,6 +533,20 @@
 	}
 }
 
+// fateOf is until when the answer to a call counts: messages that share a call share its fate, and the time of one that is
+// up ends it for all.
+func (c *checker) fateOf(k *call) us {
+	until := forever
+	if len(k.IDs) > 1 {
+		for _, id := range k.IDs {
+			if h := c.handed[key{of(&k.Event), id}]; h != nil {
+				until = min(until, h.in.T+h.in.Left+history.M(slack))
+			}
+		}
+	}
+	return until
+}
+
 // costs tells whether a bit that turned while a message was held can have cost it; each costs one at most.
 func (c *checker) costs(l *life, from, to us) bool {
 	i := slices.IndexFunc(l.turned, func(t us) bool { return t > from && t < to })
--- a/internal/lab/checker/checker_test.go
+++ b/internal/lab/checker/checker_test.go
@@ -143,6 +143,11 @@
 			func(p *planted) { p.taken(s, "m", "status").call(2*s, "h1", "m").reply(11*s+340*mil, "200", 0) }},
 		{Lost, "an answer that is no delivery", func(p *planted) { p.taken(s, "m", "status").call(2*s, "h1", "m").reply(3*s, "500", 0) },
 			func(p *planted) { p.taken(s, "m", "status").call(2*s, "h1", "m").reply(3*s, "410", 0) }},
+		{Lost, "an answer after the time of another message of its call", func(p *planted) {
+			p.taken(s, "m", "status").taken(2*s, "n", "status").call(3*s, "h1", "m", "n").notice(11*s, "m", "deferred").reply(11*s+60*mil, "200", 0)
+		}, func(p *planted) {
+			p.taken(s, "m", "status").taken(2*s, "n", "status").call(3*s, "h1", "m", "n").reply(11*s+40*mil, "200", 0)
+		}},
 		{Lost, "over a restart", func(p *planted) {
 			p.relay(0, "started").taken(s, "m", "status").relay(8*s, "killed").relay(8*s, "ended").relay(9*s, "started").relay(9*s+500*mil, "ready").notice(11*s+400*mil, "m", "deferred")
 		}, func(p *planted) {
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -698,7 +698,8 @@
 }
 
 // call makes a call in a goroutine of its own. Its messages share its fate: it is given up for all of them once the
-// time of one is up, and for none while any of them is still waited for.
+// time of one is up, and for none while any of them is still waited for. Clients count that time from a little earlier,
+// and the module's clock has its steps: two of them are left out.
 func (l *loop) call(sends []send) {
 	ctx, cancel := context.WithCancel(l.calls)
 	r := request{addr: sends[0].host.Dial}
@@ -712,7 +713,9 @@
 	for _, s := range sends {
 		p := parcel{ID: s.m.ID, Key: s.m.Key, Body: s.m.Body, fate: new(fate)}
 		r.parcels = append(r.parcels, p)
-		r.timeout = min(r.timeout, s.left)
+		if len(sends) > 1 {
+			r.timeout = max(min(r.timeout, s.left-2*l.cfg.policy.Tick), l.cfg.policy.Tick)
+		}
 		if s.within > 0 && (r.within == 0 || s.within < r.within) {
 			r.within = s.within
 		}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -792,8 +792,8 @@
 	return m.expires - max(2*d.s.Tick, x)
 }
 
-// short tells whether a message's time may be up before a call with it ends, which ends it for all messages of the call:
-// such share calls with their like.
+// short tells whether a message's time may be up before a call with it ends, which ends the call for all its
+// messages: such share calls with their like.
 func (d *Dispatcher) short(q *queue, m *message) bool {
 	return (m.expires - d.now).Seconds() < stuckAfter*q.class[m.Class]
 }
