--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -224,6 +224,7 @@
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		return err == nil && resp.Close
 	})
+	fresh, opened := p.keep(), time.Now() // it sends nothing, and must not hold up the end
 	_, _ = io.WriteString(next, posted("last")+posted("crossed"))
 	got, err := io.ReadAll(next.in)
 	if err != nil || strings.Count(string(got), "HTTP/1.1 202 ") != 1 || !strings.Contains(string(got), "Connection: close") {
@@ -235,6 +236,12 @@
 	if err := old.exit(t); err != nil {
 		t.Errorf("exit: %v", err)
 	}
+	if took := time.Since(opened); took >= readTime {
+		t.Errorf("it ended %v after a connection came that sends nothing: not before its read limit", took)
+	}
+	if got, err := io.ReadAll(fresh.in); len(got) > 0 {
+		t.Errorf("a fresh connection: %q (%v)", got, err)
+	}
 	if e := readEntries(t, p.dir); len(e) != 0 {
 		t.Errorf("left in the journal: %v", e)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -220,7 +220,8 @@
 	if err := srv.http.Shutdown(ctx); err != nil {
 		slog.Warn("connections left", "err", err)
 	}
-	for l.gate.clients() > 0 && time.Now().Before(by) {
+	// No request is taken up any more: what is left of the others ends with the process.
+	for l.gate.any(func(c *client) bool { return c.stage == lingering || c.stage == answerDue }) && time.Now().Before(by) {
 		time.Sleep(askIdle / 10)
 	}
 }
