--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -114,3 +114,36 @@
 		t.Error(err)
 	}
 }
+
+// While discovery is down idle clients may fill the descriptors: calls, notices, the journal, the operators' door and honest
+// clients still get theirs, and the list is followed at once when discovery is back.
+func TestDescriptorsWhileDiscoveryIsDown(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.sockets, p.limited, p.down, p.admin = 96, true, true, closedAddress(t)
+	p.start()
+	for range 3 * p.sockets {
+		c, err := net.Dial("tcp", p.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	for _, id := range []string{"a", "b", "c"} {
+		p.take("status", id, "20")
+		if got := p.called(); got != id {
+			t.Errorf("call for %s, want %s", got, id)
+		}
+	}
+	p.set(func() { p.answer = func(*http.Request) int { return 0 } })
+	p.take("order", "late", "0.3")
+	p.until("its notice is received", func() bool { return len(p.told()) == 1 })
+	if got := ask(t, p.admin, "health\n"); got != "OK\n" {
+		t.Errorf("health: %q", got)
+	}
+	p.set(func() { p.down = false })
+	p.until("the list is followed", func() bool {
+		list, ok := remembered(readJournal(t, p.dir).Listed())
+		return ok && list.Seq == 41
+	})
+}
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -14,6 +15,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,6 +29,9 @@
 // that owns the folder and is killed at a step of the handover.
 const childConfig, childState, childDies = "FROSTLINK_TEST_CONFIG", "FROSTLINK_TEST_STATE", "FROSTLINK_TEST_DIES"
 
+// childFiles has a child hold no more descriptors than the platform grants it.
+const childFiles = "FROSTLINK_TEST_FILES"
+
 func TestMain(m *testing.M) {
 	if step := os.Getenv(childDies); step != "" {
 		dieAt(step, os.Getenv(childState))
@@ -36,6 +41,9 @@
 		os.Exit(m.Run())
 	}
 	cfg, err := ReadConfig(path)
+	if n, limited := strconv.ParseUint(os.Getenv(childFiles), 10, 64); limited == nil {
+		err = errors.Join(err, syscall.Setrlimit(syscall.RLIMIT_NOFILE, &syscall.Rlimit{Cur: n, Max: n}))
+	}
 	if err == nil {
 		ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
 		defer stop()
@@ -76,6 +84,7 @@
 	bundle    int    // messages in a call at most
 	mode      string // of discovery, in the settings
 	unknown   bool   // the configuration lists no host
+	limited   bool   // a relay holds no more descriptors than sockets
 	down      bool   // watches fail
 
 	mu      sync.Mutex
@@ -239,6 +248,9 @@
 	p.t.Helper()
 	c := &child{Cmd: exec.Command(os.Args[0]), exited: make(chan error, 1), config: p.config()}
 	c.Env = append(os.Environ(), childConfig+"="+c.config, childState+"="+p.dir)
+	if p.limited {
+		c.Env = append(c.Env, fmt.Sprint(childFiles, "=", p.sockets))
+	}
 	if p.shared != nil {
 		c.ExtraFiles, c.Env = []*os.File{p.shared}, append(c.Env, "NODE_FD=3")
 	}
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -238,6 +238,52 @@
 	}
 }
 
+// A window for repeats of 1 s counts from the first sending, whatever ends the process: killed and back at once, the message
+// goes out again within it; after a planned end, which takes longer while the call hangs, it ends as its class says.
+func TestWindowOfASecond(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		signal syscall.Signal
+		wait   time.Duration
+		again  bool
+	}{{"killed", syscall.SIGKILL, 0, true}, {"killed, back late", syscall.SIGKILL, time.Second, false}, {"told to end", syscall.SIGTERM, 0, false}} {
+		t.Run(tt.name, func(t *testing.T) {
+			p := newPlatform(t)
+			p.memory = 1
+			p.addHost("h1", 7)
+			p.answer = func(*http.Request) int { return 0 }
+			c := p.start()
+			p.take("payment", "m", "25")
+			p.called()
+			sent := time.Now()
+			if err := c.Process.Signal(tt.signal); err != nil {
+				t.Fatal(err)
+			}
+			receive(t, c.exited)
+			time.Sleep(tt.wait)
+			var again time.Duration
+			p.set(func() {
+				p.answer = func(*http.Request) int {
+					again = time.Since(sent)
+					return http.StatusOK
+				}
+			})
+			p.start()
+			p.until("it is over", func() bool { return len(readEntries(t, p.dir)) == 0 })
+			calls, told := p.sent(), p.told()
+			if again > time.Second {
+				t.Errorf("sent again after %v", again)
+			}
+			if !tt.again && (len(calls) != 1 || len(told) != 1 || told[0].Status != deferred) {
+				t.Errorf("calls %v, notices %v", calls, told)
+			}
+			if tt.again && len(calls)+len(told) != 2 { // once more, or, on a machine too slow for that, its end
+				t.Errorf("calls %v, notices %v", calls, told)
+			}
+		})
+	}
+}
+
 // Attempts that never ran do not bind the next process, and a message keeps its time: one whose time ran
 // out between two processes still gets its end.
 func TestKilledWhileHolding(t *testing.T) {
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -146,3 +147,40 @@
 		expect(t, "keyed by zone", d.Handle(time.Hour, []Event{resumed("m", 1, Tried{Sent: time.Hour - time.Second})}), "")
 	}
 }
+
+// What a restart finds untried is tried: before what arrives afresh, and a told wait, be it that of a destination that
+// is shut and comes back cold, delays it without ending it while time is left, though nothing is known yet of latencies.
+func TestUntriedIsTriedFirst(t *testing.T) {
+	for _, wait := range []time.Duration{2 * time.Second, 3 * time.Second} {
+		s := plain()
+		s.Slots = 1
+		d := start(t, s, Endpoint{ID: "a"})
+		untried := func(id string) Event { return Arrived{ID: id, Left: 9 * time.Second, Resumed: true} }
+		expect(t, "the oldest first", d.Handle(ms, []Event{untried("old1"), untried("old2"), arrive("fresh", 0)}), "old1>a")
+		var events []Event
+		end := func(id string, n int, o Outcome, wait time.Duration) {
+			events = append(events, Ended{ID: id, Endpoint: "a", Attempt: n, Outcome: o, Wait: wait, Took: 90 * ms, Over: o == OK})
+		}
+		end("old1", 0, QueueFull, wait)
+		var order []string
+		for at := 100 * ms; at < 9*time.Second; at += 100 * ms {
+			actions := d.Handle(at, events)
+			events = nil
+			for _, a := range actions {
+				switch a := a.(type) {
+				case Send:
+					if at < 100*ms+wait {
+						t.Errorf("%s was sent into the wait", a.ID)
+					}
+					order = append(order, a.ID)
+					end(a.ID, map[string]int{"old1": 1}[a.ID], OK, 0)
+				case Refuse, Fail:
+					t.Errorf("a wait of %v: %+v", wait, a)
+				}
+			}
+		}
+		if want := []string{"old1", "old2", "fresh"}; !slices.Equal(order, want) {
+			t.Errorf("a wait of %v: sent %v, want %v", wait, order, want)
+		}
+	}
+}
