--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -42,14 +42,14 @@
 	}())
 }
 
-// mostVoid plays in a row may be void: another program had the processors.
-const mostVoid = 4
+// mostVoid plays in a row may be void: another program had the processors. A void play is no verdict of either kind.
+const mostVoid = 6
 
 // alone is for a play that is repeated: the ones beside it may have been what made the lab late.
 var alone sync.Mutex
 
-// atOnce bounds the plays side by side: they mostly wait, so more of them fit than tests run at once.
-var atOnce = make(chan bool, 8)
+// atOnce bounds the plays side by side: they mostly wait, but each that comes late is played again, alone.
+var atOnce = make(chan bool, 5)
 
 // playing is a play that has been begun.
 type playing struct {
