Name the commands relay and simulator-adapter after what they do

Need: frostlink and benchlink are names of the earlier house style, which is withdrawn; a newcomer can't tell from them what the programs are.

--- a/cmd/milletsail/lab.go
+++ b/cmd/milletsail/lab.go
@@ -23,7 +23,7 @@
 )
 
 // relayPackage is what the relay is built from, where no binary of it is there.
-const relayPackage = "milletsail/cmd/frostlink"
+const relayPackage = "milletsail/cmd/relay"
 
 func labCommand() *cobra.Command {
 	c := &cobra.Command{Use: "lab", Short: "Play scenarios: real relay processes against stand-ins of the platform"}
@@ -43,7 +43,7 @@
 }
 
 func (p *play) flags(c *cobra.Command) {
-	c.Flags().StringVar(&p.relay, "relay", "", "the relay's `binary` (default frostlink beside this program, else built from the source here)")
+	c.Flags().StringVar(&p.relay, "relay", "", "the relay's `binary` (default the file relay beside this program, else built from the source here)")
 	c.Flags().StringVar(&p.report, "report", "", "`folder` for figures.json, service.svg and index.html")
 	c.Flags().StringVar(&p.history, "history", "", "`file` for the history")
 	c.Flags().StringVar(&p.logs, "logs", "", "`folder` for the relays' logs")
@@ -136,7 +136,7 @@
 		return named, done, nil
 	}
 	if self, err := os.Executable(); err == nil {
-		beside := filepath.Join(filepath.Dir(self), "frostlink")
+		beside := filepath.Join(filepath.Dir(self), "relay")
 		if _, err := os.Stat(beside); err == nil {
 			return beside, done, nil
 		}
@@ -146,9 +146,9 @@
 		return "", done, err
 	}
 	done = func() { _ = os.RemoveAll(dir) }
-	path = filepath.Join(dir, "frostlink")
+	path = filepath.Join(dir, "relay")
 	if out, err := exec.CommandContext(ctx, "go", "build", "-o", path, relayPackage).CombinedOutput(); err != nil {
-		return "", done, fmt.Errorf("no frostlink beside this program, and it can't be built here: %w: %s", err, strings.TrimSpace(string(out)))
+		return "", done, fmt.Errorf("no file relay beside this program, and it can't be built here: %w: %s", err, strings.TrimSpace(string(out)))
 	}
 	return path, done, nil
 }
--- a/cmd/milletsail/main.go
+++ b/cmd/milletsail/main.go
@@ -1,5 +1,5 @@
 // Command milletsail is for operators and experimenters: it plays scenarios on the fleet lab, judges histories,
-// compares versions of the relay, and looks after relays' folders. The relay itself is frostlink.
+// compares versions of the relay, and looks after relays' folders. The relay itself is cmd/relay.
 package main
 
 import (
--- a/cmd/frostlink/main.go
+++ b/cmd/relay/main.go
@@ -1,4 +1,4 @@
-// Command frostlink is a relay on sockets: it takes messages from clients, holds them in a journal, and
+// Command relay is a relay on sockets: it takes messages from clients, holds them in a journal, and
 // delivers them to their destinations' hosts as package policy decides.
 package main
 
@@ -29,13 +29,13 @@
 	flag.Parse()
 	if *show {
 		if err := json.NewEncoder(os.Stdout).Encode(relay.Forms()); err != nil {
-			fmt.Fprintln(os.Stderr, "frostlink:", err)
+			fmt.Fprintln(os.Stderr, "relay:", err)
 			os.Exit(1)
 		}
 		return
 	}
 	if err := run(*config, *state); err != nil {
-		fmt.Fprintln(os.Stderr, "frostlink:", err)
+		fmt.Fprintln(os.Stderr, "relay:", err)
 		os.Exit(1)
 	}
 }
--- a/cmd/benchlink/main.go
+++ b/cmd/simulator-adapter/main.go
@@ -1,4 +1,4 @@
-// Command benchlink runs the decisions of package policy on the simulator's wire: batches on standard
+// Command simulator-adapter runs the decisions of package policy on the simulator's wire: batches on standard
 // input, replies on standard output.
 package main
 
@@ -11,7 +11,7 @@
 
 func main() {
 	if err := wire.Serve(os.Stdin, os.Stdout); err != nil {
-		fmt.Fprintln(os.Stderr, "benchlink:", err)
+		fmt.Fprintln(os.Stderr, "simulator-adapter:", err)
 		os.Exit(1)
 	}
 }
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -31,8 +31,8 @@
 			return 1
 		}
 		defer os.RemoveAll(dir)
-		relayBinary, faultyBinary, labBinary = filepath.Join(dir, "frostlink"), filepath.Join(dir, "faulty"), filepath.Join(dir, "milletsail")
-		for path, source := range map[string]string{relayBinary: "milletsail/cmd/frostlink", faultyBinary: "milletsail/internal/lab/faulty", labBinary: "milletsail/cmd/milletsail"} {
+		relayBinary, faultyBinary, labBinary = filepath.Join(dir, "relay"), filepath.Join(dir, "faulty"), filepath.Join(dir, "milletsail")
+		for path, source := range map[string]string{relayBinary: "milletsail/cmd/relay", faultyBinary: "milletsail/internal/lab/faulty", labBinary: "milletsail/cmd/milletsail"} {
 			if out, err := exec.Command("go", "build", "-o", path, source).CombinedOutput(); err != nil {
 				fmt.Fprintf(os.Stderr, "%s: %v: %s", source, err, out)
 				return 1
--- a/internal/lab/rolling_test.go
+++ b/internal/lab/rolling_test.go
@@ -16,7 +16,7 @@
 	path := filepath.Join(t.TempDir(), fault)
 	source := "milletsail/internal/lab/faulty"
 	if fault == "equal" {
-		source = "milletsail/cmd/frostlink"
+		source = "milletsail/cmd/relay"
 	}
 	if out, err := exec.Command("go", "build", "-ldflags", "-X main.planted="+fault, "-o", path, source).CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
