Give five packages their standard names: admin, compat, config, clock, atomicfile

Need: door, forms, strict, pause and durable are names of the earlier house style, which is withdrawn. The flag -forms, the agents' operation "forms" and the JSON keys keep their bytes. Two errors of compat now say "format" for "form".

--- a/cmd/milletsail/doors.go
+++ b/cmd/milletsail/doors.go
@@ -9,7 +9,7 @@
 
 	"github.com/spf13/cobra"
 
-	"milletsail/internal/door"
+	"milletsail/internal/admin"
 )
 
 // askDoors puts one line to relays at their operators' doors, and writes a table of what they say in JSON, or that as it
@@ -47,7 +47,7 @@
 
 // askDoor gives a relay's operators' door one line, and its reply. An error of the relay's is one.
 func askDoor(address, line string) (string, error) {
-	reply, err := door.Ask(address, line, doorTime)
+	reply, err := admin.Ask(address, line, doorTime)
 	if err != nil {
 		return "", err
 	}
--- a/cmd/milletsail/fleet.go
+++ b/cmd/milletsail/fleet.go
@@ -10,7 +10,7 @@
 
 	"github.com/spf13/cobra"
 
-	"milletsail/internal/door"
+	"milletsail/internal/admin"
 	"milletsail/internal/fleet/live"
 )
 
@@ -51,7 +51,7 @@
 
 // askView asks one relay.
 func askView(address string) (v live.View, err error) {
-	reply, err := door.Ask(address, "fleet", doorTime)
+	reply, err := admin.Ask(address, "fleet", doorTime)
 	if err != nil {
 		return v, err
 	}
--- a/cmd/relay/main.go
+++ b/cmd/relay/main.go
@@ -14,7 +14,7 @@
 	"runtime/debug"
 	"syscall"
 
-	"milletsail/internal/forms"
+	"milletsail/internal/compat"
 	"milletsail/internal/relay"
 )
 
@@ -23,18 +23,18 @@
 const heapShare = 0.4
 
 func main() {
-	config := flag.String("config", os.Getenv("NODE_CONFIG"), "configuration `file` (default $NODE_CONFIG)")
+	configPath := flag.String("config", os.Getenv("NODE_CONFIG"), "configuration `file` (default $NODE_CONFIG)")
 	state := flag.String("state", os.Getenv("NODE_STATE"), "`folder` that outlasts the process (default $NODE_STATE)")
-	show := flag.Bool(forms.Flag, false, "print which forms of journals and notes this version reads and writes, and end")
+	show := flag.Bool(compat.Flag, false, "print which formats of journals and of gossip between relays this version reads and writes, and exit")
 	flag.Parse()
 	if *show {
-		if err := json.NewEncoder(os.Stdout).Encode(relay.Forms()); err != nil {
+		if err := json.NewEncoder(os.Stdout).Encode(relay.FormatVersions()); err != nil {
 			fmt.Fprintln(os.Stderr, "relay:", err)
 			os.Exit(1)
 		}
 		return
 	}
-	if err := run(*config, *state); err != nil {
+	if err := run(*configPath, *state); err != nil {
 		fmt.Fprintln(os.Stderr, "relay:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/internal/compat/compat.go
@@ -0,0 +1,90 @@
+// Package compat decides whether two versions of the relay are compatible: which journal formats and gossip formats each
+// reads and writes, compared before one version replaces the other.
+//
+// A version that does not report its formats, or whose report can't be parsed, is an error and never counts as
+// compatible. Asking a program is bounded in time, whatever the program does.
+package compat
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os/exec"
+	"slices"
+	"time"
+)
+
+// Format is the format versions of one kind of data that is stored or sent to other relays.
+type Format struct {
+	Writes int   `json:"writes"`
+	Reads  []int `json:"reads"`
+}
+
+// FormatVersions is what a version of the relay reads and writes.
+type FormatVersions struct {
+	Journal Format `json:"journal"`
+	Gossip  Format `json:"notes"` // datagrams between relays; one that can't be decoded is ignored
+}
+
+// Flag is the name of the relay's flag that prints its FormatVersions, as JSON on one line, and exits.
+const Flag = "forms"
+
+// askTimeout bounds the run of a program that is asked for its formats, maxReply the bytes kept of its output.
+const (
+	askTimeout = 5 * time.Second
+	maxReply   = 4096
+)
+
+// Ask runs a relay's program and returns the formats that it reports. The program gets an empty environment, and is
+// killed if it does not exit in time.
+func Ask(ctx context.Context, program string) (versions FormatVersions, err error) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	command := exec.CommandContext(ctx, program, "-"+Flag)
+	command.Env = []string{}
+	command.WaitDelay = time.Second // a child process may keep the pipe open
+	var out limitedBuffer
+	command.Stdout = &out
+	if err := command.Run(); err != nil {
+		return versions, fmt.Errorf("-%s does not report the formats: %w", Flag, err)
+	}
+	if err := json.Unmarshal(out.Bytes(), &versions); err != nil {
+		return versions, fmt.Errorf("-%s: %w", Flag, err)
+	}
+	for _, format := range []Format{versions.Journal, versions.Gossip} {
+		if format.Writes < 1 || !slices.Contains(format.Reads, format.Writes) {
+			return versions, fmt.Errorf("-%s: invalid format versions %+v", Flag, format)
+		}
+	}
+	return versions, nil
+}
+
+// limitedBuffer keeps the first maxReply bytes written to it and discards the rest.
+type limitedBuffer struct{ bytes.Buffer }
+
+func (b *limitedBuffer) Write(p []byte) (int, error) {
+	b.Buffer.Write(p[:min(len(p), max(0, maxReply-b.Len()))])
+	return len(p), nil
+}
+
+// ErrNoRollback means that the old version can't read the journals that the new one writes.
+var ErrNoRollback = errors.New("there would be no way back")
+
+// CheckUpgrade returns nil if the version next can replace old and be rolled back, and otherwise the reason. Gossip
+// formats are no reason: relays work without gossip, and GossipCompatible reports them.
+func CheckUpgrade(old, next FormatVersions) error {
+	if !slices.Contains(next.Journal.Reads, old.Journal.Writes) {
+		return fmt.Errorf("the new version reads journals of the formats %v, and the old one writes %d", next.Journal.Reads, old.Journal.Writes)
+	}
+	if !slices.Contains(old.Journal.Reads, next.Journal.Writes) {
+		return fmt.Errorf("%w: the old version reads journals of the formats %v, and the new one writes %d", ErrNoRollback, old.Journal.Reads, next.Journal.Writes)
+	}
+	return nil
+}
+
+// GossipCompatible reports whether each of two versions can decode the other's gossip datagrams.
+func GossipCompatible(a, b FormatVersions) bool {
+	return slices.Contains(a.Gossip.Reads, b.Gossip.Writes) && slices.Contains(b.Gossip.Reads, a.Gossip.Writes)
+}
--- a/internal/forms/forms_test.go
+++ b/internal/compat/compat_test.go
@@ -1,4 +1,4 @@
-package forms
+package compat
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"time"
 )
 
-// A program that does not say its forms, says them wrongly, says too much, or does not end is an error, in time.
+// A program that does not report its formats, reports invalid ones, prints too much, or does not exit is an error, in time.
 func TestAsk(t *testing.T) {
 	for _, c := range []struct {
 		name, script string
@@ -19,7 +19,7 @@
 		{"nothing", "exit 0", false},
 		{"half", `printf '{"journal":{"writes":2'`, false},
 		{"reads not what it writes", `echo '{"journal":{"writes":2,"reads":[1]},"notes":{"writes":1,"reads":[1]}}'`, false},
-		{"no end of words", "while :; do echo aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa; done", false},
+		{"endless output", "while :; do echo aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa; done", false},
 		{"silent", "while :; do :; done", false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -29,7 +29,7 @@
 				t.Fatal(err)
 			}
 			ctx := t.Context()
-			if c.name == "silent" || c.name == "no end of words" {
+			if c.name == "silent" || c.name == "endless output" {
 				var cancel context.CancelFunc
 				ctx, cancel = context.WithTimeout(ctx, 300*time.Millisecond)
 				defer cancel()
--- a/internal/strict/strict.go
+++ b/internal/config/config.go
@@ -1,5 +1,6 @@
-// Package strict reads TOML that people write: an unknown key or a wrong value is an error with its place.
-package strict
+// Package config decodes TOML configuration files strictly: an unknown key or an invalid value is an error that names
+// the file and the line.
+package config
 
 import (
 	"bytes"
@@ -11,10 +12,10 @@
 	"github.com/pelletier/go-toml/v2"
 )
 
-// Duration is a time in a file, written with its unit, such as "1.5s" or "300ms".
+// Duration is a duration in a configuration file, written with its unit, such as "1.5s" or "300ms".
 type Duration time.Duration
 
-// UnmarshalText reads a duration; one without a unit, or below zero, is an error.
+// UnmarshalText parses a duration; one without a unit, or below zero, is an error.
 func (d *Duration) UnmarshalText(text []byte) error {
 	v, err := time.ParseDuration(string(text))
 	if err != nil || v < 0 {
@@ -24,16 +25,16 @@
 	return nil
 }
 
-// MarshalText writes it as it is read.
+// MarshalText writes the duration in the format that UnmarshalText parses.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(d.D().String()), nil }
 
-// D gives the duration in the standard library's type.
+// D returns the duration as a time.Duration.
 func (d Duration) D() time.Duration { return time.Duration(d) }
 
-// S gives the duration in seconds.
+// S returns the duration in seconds.
 func (d Duration) S() float64 { return time.Duration(d).Seconds() }
 
-// Decode reads a text into a value; name stands for the file in errors, which have the line.
+// Decode decodes text into the value that into points to. name is the file's name in errors, which also give the line.
 func Decode(name string, text []byte, into any) error {
 	err := toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields().Decode(into)
 	if err == nil {
--- a/internal/journal/fs.go
+++ b/internal/journal/fs.go
@@ -4,7 +4,7 @@
 	"io"
 	"os"
 
-	"milletsail/internal/durable"
+	"milletsail/internal/atomicfile"
 )
 
 // FS is what a journal needs of a file system. Tests put models of crashes and of full disks in its place; all else
@@ -68,7 +68,7 @@
 }
 
 func (disk) SyncDir(dir string) error {
-	return durable.SyncDir(dir)
+	return atomicfile.SyncDir(dir)
 }
 
 // bootID tells one start of the machine from another; empty where the system does not say.
--- a/internal/lab/campaign/campaign.go
+++ b/internal/lab/campaign/campaign.go
@@ -20,10 +20,10 @@
 	"github.com/pelletier/go-toml/v2"
 	"gonum.org/v1/gonum/stat"
 
+	"milletsail/internal/config"
 	"milletsail/internal/lab/compare"
 	"milletsail/internal/lab/report"
 	"milletsail/internal/lab/scenario"
-	"milletsail/internal/strict"
 )
 
 // Plan is a campaign.
@@ -134,7 +134,7 @@
 // Read reads a campaign strictly; name stands for the file in errors. base gives the text of a scenario by its name.
 func Read(name string, text []byte, base func(string) ([]byte, error)) (*Plan, error) {
 	p := &Plan{Seeds: 5, AtOnce: 1, scenarios: map[[2]string][]byte{}}
-	if err := strict.Decode(name, text, p); err != nil {
+	if err := config.Decode(name, text, p); err != nil {
 		return nil, err
 	}
 	if len(p.Variants) == 0 {
--- a/internal/lab/clients/clients.go
+++ b/internal/lab/clients/clients.go
@@ -15,10 +15,10 @@
 	"sync/atomic"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/history"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/scenario"
-	"milletsail/internal/pause"
 )
 
 const (
@@ -102,7 +102,7 @@
 	}
 	c.work.Wait()
 	for c.ctx.Err() == nil && c.waiting() {
-		pause.For(c.ctx, 20*time.Millisecond)
+		clock.Sleep(c.ctx, 20*time.Millisecond)
 	}
 }
 
@@ -123,7 +123,7 @@
 
 // at waits for a moment, and counts whether the lab was late for it.
 func (c *Clients) at(moment time.Time, counts bool) {
-	pause.For(c.ctx, time.Until(moment))
+	clock.Sleep(c.ctx, time.Until(moment))
 	by := time.Since(moment)
 	if !counts || c.ctx.Err() != nil {
 		return
@@ -186,7 +186,7 @@
 		return
 	}
 	c.work.Go(func() {
-		pause.For(c.ctx, after)
+		clock.Sleep(c.ctx, after)
 		if c.ctx.Err() == nil {
 			c.handIn(m, relay, mark)
 		}
--- a/internal/lab/clients/crowd.go
+++ b/internal/lab/clients/crowd.go
@@ -8,8 +8,8 @@
 	"strings"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/history"
-	"milletsail/internal/pause"
 )
 
 // peerWaits is how long a malformed peer waits for an error or a close: a second more than it is owed.
@@ -36,7 +36,7 @@
 	due := time.Now()
 	for n := 1; len(relays) > 0; n++ {
 		due = due.Add(time.Duration(rng.ExpFloat64() / rate * float64(time.Second)))
-		pause.For(ctx, time.Until(due))
+		clock.Sleep(ctx, time.Until(due))
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/lab/faulty/main.go
+++ b/internal/lab/faulty/main.go
@@ -24,7 +24,7 @@
 	"syscall"
 	"time"
 
-	"milletsail/internal/forms"
+	"milletsail/internal/compat"
 	"milletsail/internal/journal"
 	"milletsail/internal/lab/relays"
 	"milletsail/internal/relay"
@@ -55,8 +55,8 @@
 var planted string
 
 func main() {
-	if slices.Contains(os.Args[1:], "-"+forms.Flag) {
-		_ = json.NewEncoder(os.Stdout).Encode(relay.Forms())
+	if slices.Contains(os.Args[1:], "-"+compat.Flag) {
+		_ = json.NewEncoder(os.Stdout).Encode(relay.FormatVersions())
 		return
 	}
 	if err := run(); err != nil {
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -22,13 +22,13 @@
 	"syscall"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/checker"
 	"milletsail/internal/lab/clients"
 	"milletsail/internal/lab/history"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/relays"
 	"milletsail/internal/lab/scenario"
-	"milletsail/internal/pause"
 )
 
 // Options are what a play needs beside its scenario.
@@ -121,7 +121,7 @@
 	}
 	if o.Progress != nil {
 		work.Go(func() {
-			for pause.For(faults, time.Second) {
+			for clock.Sleep(faults, time.Second) {
 				o.Progress(time.Since(t.begun))
 			}
 		})
@@ -133,10 +133,10 @@
 		})
 	}
 	c.Run(plan)
-	pause.For(ctx, settle)
+	clock.Sleep(ctx, settle)
 	notes, noteBytes, received := p.NotesSent()
 	if s.Fleet.Shares {
-		pause.For(ctx, agreeIn)
+		clock.Sleep(ctx, agreeIn)
 		fleet.Look()
 	}
 	stopFaults()
@@ -223,7 +223,7 @@
 // play waits for the time of a fault, and brings it about and to its end.
 func (t *timeline) play(ctx context.Context, i int) {
 	f := &t.s.Faults[i]
-	if !pause.For(ctx, time.Until(t.begun.Add(f.At.D()))) {
+	if !clock.Sleep(ctx, time.Until(t.begun.Add(f.At.D()))) {
 		return
 	}
 	now := t.h.Now()
@@ -237,7 +237,7 @@
 func (t *timeline) strike(ctx context.Context, i int, f *scenario.Fault) error {
 	lasting := func(begin, end func()) error {
 		begin()
-		pause.For(ctx, f.For.D())
+		clock.Sleep(ctx, f.For.D())
 		end()
 		return nil
 	}
@@ -365,7 +365,7 @@
 			defer mu.Unlock()
 			all = errors.Join(all, err)
 		})
-		if !pause.For(ctx, f.Step.D()) {
+		if !clock.Sleep(ctx, f.Step.D()) {
 			break
 		}
 	}
@@ -394,7 +394,7 @@
 				_ = t.p.List(h.Old, "DELETED")
 			}
 		})
-		if !pause.For(ctx, f.Step.D()) {
+		if !clock.Sleep(ctx, f.Step.D()) {
 			return nil
 		}
 	}
@@ -422,7 +422,7 @@
 	}
 	t.p.Cut(1, to, from)
 	t.p.CutNotes(1, between)
-	pause.For(ctx, f.For.D())
+	clock.Sleep(ctx, f.For.D())
 	t.p.Cut(-1, to, from)
 	t.p.CutNotes(-1, between)
 	return nil
--- a/internal/lab/platform/hosts.go
+++ b/internal/lab/platform/hosts.go
@@ -15,9 +15,9 @@
 	"sync/atomic"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/history"
 	"milletsail/internal/lab/scenario"
-	"milletsail/internal/pause"
 )
 
 const (
@@ -453,7 +453,7 @@
 		return answer{}
 	}
 	service := h.service(c) / warmth * max(1, t.Slow)
-	pause.For(h.p.ctx, time.Duration(service*float64(time.Second)))
+	clock.Sleep(h.p.ctx, time.Duration(service*float64(time.Second)))
 	<-h.workers
 	return answer{status: http.StatusOK, states: h.p.ran(c), ran: true}
 }
--- a/internal/lab/platform/links.go
+++ b/internal/lab/platform/links.go
@@ -10,8 +10,8 @@
 	"syscall"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/history"
-	"milletsail/internal/pause"
 )
 
 // link is the way between one relay and one endpoint. A cut direction says nothing: what was sent stays on its way,
@@ -50,7 +50,7 @@
 		l.mu.Unlock()
 		if cuts == 0 {
 			if delay > 0 {
-				pause.For(ctx, delay)
+				clock.Sleep(ctx, delay)
 			}
 			return
 		}
@@ -215,7 +215,7 @@
 			o.link.pass(o.p.ctx, true)
 			o.link.pass(o.p.ctx, false)
 			for o.muted(l) && o.p.ctx.Err() == nil {
-				pause.For(o.p.ctx, time.Millisecond)
+				clock.Sleep(o.p.ctx, time.Millisecond)
 			}
 			if o.p.ctx.Err() != nil {
 				return
--- a/internal/lab/relays/disk.go
+++ b/internal/lab/relays/disk.go
@@ -12,8 +12,8 @@
 
 	"golang.org/x/sys/unix"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/history"
-	"milletsail/internal/pause"
 )
 
 // Turn turns bits in the journal of a relay that is down, at places drawn from the seed.
@@ -53,7 +53,7 @@
 	if err := limit(0); err != nil {
 		return fmt.Errorf("relay %d: %w", r.No, err)
 	}
-	pause.For(ctx, d)
+	clock.Sleep(ctx, d)
 	r.note("room")
 	if err := limit(unix.RLIM_INFINITY); err != nil && !errors.Is(err, unix.ESRCH) {
 		return fmt.Errorf("relay %d: %w", r.No, err)
--- a/internal/lab/relays/relays.go
+++ b/internal/lab/relays/relays.go
@@ -26,11 +26,11 @@
 	"syscall"
 	"time"
 
-	"milletsail/internal/door"
+	"milletsail/internal/admin"
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/history"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/scenario"
-	"milletsail/internal/pause"
 	"milletsail/internal/procfs"
 )
 
@@ -287,16 +287,16 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-// yes asks the door of a process whether it takes clients.
-func yes(admin string) bool {
-	reply, err := ask(admin, "health")
+// yes asks the admin endpoint of a process whether it accepts clients.
+func yes(address string) bool {
+	reply, err := ask(address, "health")
 	return err == nil && strings.HasPrefix(reply, "OK")
 }
 
-// ask puts one line to the operators' door at an address, and gives the reply.
-func ask(admin, line string) (string, error) { return door.Ask(admin, line, time.Second) }
+// ask sends one command line to the admin endpoint at address, and returns the reply.
+func ask(address, line string) (string, error) { return admin.Ask(address, line, time.Second) }
 
-// Admin is the door of the process that serves.
+// Admin is the address of the admin endpoint of the process that serves.
 func (r *Relay) Admin() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -345,7 +345,7 @@
 
 // back starts a relay again after a wait.
 func (r *Relay) back(ctx context.Context, after time.Duration) error {
-	if !pause.For(ctx, after) {
+	if !clock.Sleep(ctx, after) {
 		return ctx.Err()
 	}
 	r.mu.Lock()
@@ -399,7 +399,7 @@
 	}
 	r.note("frozen")
 	_ = p.cmd.Process.Signal(syscall.SIGSTOP)
-	pause.For(ctx, d)
+	clock.Sleep(ctx, d)
 	r.note("thawed")
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
 }
@@ -447,7 +447,7 @@
 
 // watchUsage notes what each relay uses, from time to time.
 func (f *Fleet) watchUsage() {
-	for n := 0; pause.For(f.ctx, usageEvery); n++ {
+	for n := 0; clock.Sleep(f.ctx, usageEvery); n++ {
 		for _, r := range f.Relays {
 			if p := r.current(); p != nil {
 				if e, err := r.usage(p); err == nil {
--- a/internal/lab/relays/versions.go
+++ b/internal/lab/relays/versions.go
@@ -7,8 +7,8 @@
 	"syscall"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/history"
-	"milletsail/internal/pause"
 )
 
 // Versioned runs one relay's processes for the agent of a rollout: see rollout.Runner. While it does, a process that ends
@@ -26,7 +26,7 @@
 func (r *Relay) Version(ctx context.Context) *Versioned {
 	v := &Versioned{r: r}
 	r.fleet.work.Go(func() {
-		for pause.For(ctx, 50*time.Millisecond) {
+		for clock.Sleep(ctx, 50*time.Millisecond) {
 			v.revive(ctx)
 		}
 	})
@@ -55,7 +55,7 @@
 	}
 	v.crashes++
 	r.mu.Unlock()
-	if pause.For(ctx, backAfter) {
+	if clock.Sleep(ctx, backAfter) {
 		_ = r.start(ctx) // the next look sees whether it lives
 	}
 }
@@ -79,7 +79,7 @@
 	p, err := r.launch()
 	// A program that was just written is busy while a process that was started meanwhile still has its descriptor, up to
 	// its own exec (the fork race of golang.org/issue/22315).
-	for n := 0; errors.Is(err, syscall.ETXTBSY) && n < busyTries && pause.For(ctx, askAgain); n++ {
+	for n := 0; errors.Is(err, syscall.ETXTBSY) && n < busyTries && clock.Sleep(ctx, askAgain); n++ {
 		p, err = r.launch()
 	}
 	if err == nil {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -13,11 +13,11 @@
 	"os"
 	"time"
 
-	"milletsail/internal/strict"
+	"milletsail/internal/config"
 )
 
 // Duration is a time in a scenario, written with its unit.
-type Duration = strict.Duration
+type Duration = config.Duration
 
 // Scenario is one play of the lab. Fields with a default in Default keep it where the file is silent.
 type Scenario struct {
@@ -152,7 +152,7 @@
 // Parse reads a scenario from a text; name stands for it in errors.
 func Parse(name string, text []byte) (*Scenario, error) {
 	s := Default()
-	if err := strict.Decode(name, text, &s); err != nil {
+	if err := config.Decode(name, text, &s); err != nil {
 		return nil, err
 	}
 	lines := linesOf(text)
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -16,8 +16,8 @@
 	"sync"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
-	"milletsail/internal/pause"
 	"milletsail/internal/settings"
 	"milletsail/policy"
 )
@@ -187,7 +187,7 @@
 		here, base := w.begin(ctx)
 		var lines int
 		var err error
-		if pause.For(here, least+w.draw(span)) {
+		if clock.Sleep(here, least+w.draw(span)) {
 			lines, err = w.watch(here, base)
 		}
 		if ctx.Err() != nil {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -14,8 +14,8 @@
 	"sync"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
-	"milletsail/internal/pause"
 	"milletsail/policy"
 )
 
@@ -221,7 +221,7 @@
 			o, err := ownBy(ctx, dir, time.Now().Add(deposeTime))
 			return o, nil, nil, err
 		}
-		if !pause.For(ctx, askAgainOwn) {
+		if !clock.Sleep(ctx, askAgainOwn) {
 			return nil, nil, nil, ctx.Err()
 		}
 	}
@@ -236,7 +236,7 @@
 		if time.Now().After(by) {
 			return nil, errors.New("another process owns the folder")
 		}
-		if !pause.For(ctx, askAgainOwn) {
+		if !clock.Sleep(ctx, askAgainOwn) {
 			return nil, ctx.Err()
 		}
 	}
--- a/internal/relay/notices.go
+++ b/internal/relay/notices.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
-	"milletsail/internal/pause"
 )
 
 // The ends of a message that was taken on and not delivered.
@@ -93,7 +93,7 @@
 				n.mu.Lock()
 				n.owed = append(batch, n.owed...)
 				n.mu.Unlock()
-				if !pause.For(ctx, postAgain) {
+				if !clock.Sleep(ctx, postAgain) {
 					return
 				}
 			}
@@ -130,7 +130,7 @@
 			return
 		}
 		slog.Warn("notice not received", "id", notice.ID, "err", err)
-		if !pause.For(ctx, wait) {
+		if !clock.Sleep(ctx, wait) {
 			return
 		}
 	}
--- a/internal/relay/peers.go
+++ b/internal/relay/peers.go
@@ -8,7 +8,7 @@
 	"sync/atomic"
 	"time"
 
-	"milletsail/internal/pause"
+	"milletsail/internal/clock"
 )
 
 const (
@@ -64,7 +64,7 @@
 		if err == nil {
 			p.serve(ctx, conn.(*net.UDPConn))
 		}
-		if !pause.For(ctx, listenAgain) {
+		if !clock.Sleep(ctx, listenAgain) {
 			return
 		}
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -10,10 +10,10 @@
 	"sync"
 	"time"
 
+	"milletsail/internal/clock"
+	"milletsail/internal/compat"
 	"milletsail/internal/fleet"
-	"milletsail/internal/forms"
 	"milletsail/internal/journal"
-	"milletsail/internal/pause"
 	"milletsail/internal/settings"
 	"milletsail/policy"
 )
@@ -154,10 +154,10 @@
 	}
 }
 
-// Forms is what this version reads and writes.
-func Forms() forms.Forms {
-	return forms.Forms{Journal: forms.Form{Writes: journal.Format, Reads: journal.Reads},
-		Notes: forms.Form{Writes: fleet.Version, Reads: []int{fleet.Version}}}
+// FormatVersions returns the formats that this version reads and writes.
+func FormatVersions() compat.FormatVersions {
+	return compat.FormatVersions{Journal: compat.Format{Writes: journal.Format, Reads: journal.Reads},
+		Gossip: compat.Format{Writes: fleet.Version, Reads: []int{fleet.Version}}}
 }
 
 // version is what this program was built from, in short.
@@ -182,12 +182,12 @@
 	end, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer context.AfterFunc(ctx, func() {
-		if pause.For(end, callsOn) {
+		if clock.Sleep(end, callsOn) {
 			cancel()
 		}
 	})()
 	for l.gate.clients() > 0 || !l.idle() {
-		if !pause.For(end, askIdle) {
+		if !clock.Sleep(end, askIdle) {
 			break
 		}
 	}
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -16,8 +16,8 @@
 	"sync"
 	"time"
 
-	"milletsail/internal/durable"
-	"milletsail/internal/forms"
+	"milletsail/internal/atomicfile"
+	"milletsail/internal/compat"
 )
 
 // Runner runs the processes of one relay for its agent. Change brings a version's program into service, from whatever
@@ -31,10 +31,10 @@
 
 // Server is the agent of one relay: it keeps versions' programs by their checksums, and obeys the latest controller.
 type Server struct {
-	relay  int
-	dir    string
-	runner Runner
-	forms  func(context.Context, string) (forms.Forms, error) // forms.Ask, but in tests
+	relay   int
+	dir     string
+	runner  Runner
+	formats func(context.Context, string) (compat.FormatVersions, error) // compat.Ask, except in tests
 
 	mu       sync.Mutex
 	state    agentState
@@ -77,9 +77,9 @@
 	Last    string   `json:"last,omitempty"` // what went wrong in the last change
 	Figures *Figures `json:"figures,omitempty"`
 	// Of "forms": of the version that runs, and of the one that was asked for; Unsaid is why one could not be had.
-	Now    *forms.Forms `json:"now,omitempty"`
-	Next   *forms.Forms `json:"next,omitempty"`
-	Unsaid string       `json:"unsaid,omitempty"`
+	Now    *compat.FormatVersions `json:"now,omitempty"`
+	Next   *compat.FormatVersions `json:"next,omitempty"`
+	Unsaid string                 `json:"unsaid,omitempty"`
 }
 
 // NewServer gives the agent of a relay whose folder for programs and state is dir. version is the program that runs,
@@ -88,7 +88,7 @@
 	if err := os.MkdirAll(filepath.Join(dir, versionsName), 0o700); err != nil {
 		return nil, err
 	}
-	s := &Server{relay: relay, dir: dir, runner: runner, forms: forms.Ask}
+	s := &Server{relay: relay, dir: dir, runner: runner, formats: compat.Ask}
 	text, err := os.ReadFile(filepath.Join(dir, agentStateName))
 	if err == nil {
 		err = json.Unmarshal(text, &s.state)
@@ -190,9 +190,9 @@
 	case "forms":
 		for _, of := range []struct {
 			sum string
-			to  **forms.Forms
+			to  **compat.FormatVersions
 		}{{s.state.Version, &r.Now}, {q.Sum, &r.Next}} {
-			f, err := s.forms(s.ctx, s.program(of.sum))
+			f, err := s.formats(s.ctx, s.program(of.sum))
 			if err != nil {
 				r.Unsaid = fmt.Sprintf("version %.12s: %v", of.sum, err)
 				return nil
@@ -280,7 +280,7 @@
 	if err != nil {
 		return err
 	}
-	return durable.Replace(filepath.Join(s.dir, agentStateName), text)
+	return atomicfile.Replace(filepath.Join(s.dir, agentStateName), text)
 }
 
 // call puts one request to an agent.
--- a/internal/rollout/controller.go
+++ b/internal/rollout/controller.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"milletsail/internal/forms"
+	"milletsail/internal/compat"
 )
 
 // settling is how long a relay that was changed is not compared: it works off what the old process left.
@@ -81,14 +81,14 @@
 		switch {
 		case err != nil:
 		case r.Now == nil || r.Next == nil:
-			if err = fmt.Errorf("%w, as far as is known: %s", forms.ErrNoWayBack, r.Unsaid); plan.OneWay {
+			if err = fmt.Errorf("%w, as far as is known: %s", compat.ErrNoRollback, r.Unsaid); plan.OneWay {
 				err = nil
 			}
 		default:
-			if err = forms.Follows(*r.Now, *r.Next); plan.OneWay && errors.Is(err, forms.ErrNoWayBack) {
+			if err = compat.CheckUpgrade(*r.Now, *r.Next); plan.OneWay && errors.Is(err, compat.ErrNoRollback) {
 				err = nil
 			}
-			if err == nil && forms.Mute(*r.Now, *r.Next) {
+			if err == nil && !compat.GossipCompatible(*r.Now, *r.Next) {
 				slog.Warn("rollout: relays of the two versions do not read each other's notes", "relay", a.Relay)
 			}
 		}
--- a/internal/rollout/plan.go
+++ b/internal/rollout/plan.go
@@ -17,11 +17,11 @@
 	"os"
 	"time"
 
-	"milletsail/internal/strict"
+	"milletsail/internal/config"
 )
 
 // Duration is a time in a plan, written with its unit.
-type Duration = strict.Duration
+type Duration = config.Duration
 
 // Plan is what a rollout is to do.
 type Plan struct {
@@ -87,7 +87,7 @@
 // ParsePlan is ReadPlan for a text; name stands for it in errors.
 func ParsePlan(name string, text []byte) (*Plan, error) {
 	p := defaults()
-	if err := strict.Decode(name, text, &p); err != nil {
+	if err := config.Decode(name, text, &p); err != nil {
 		return nil, err
 	}
 	if err := p.check(); err != nil {
--- a/internal/rollout/process.go
+++ b/internal/rollout/process.go
@@ -12,9 +12,9 @@
 	"syscall"
 	"time"
 
-	"milletsail/internal/door"
+	"milletsail/internal/admin"
+	"milletsail/internal/config"
 	"milletsail/internal/procfs"
-	"milletsail/internal/strict"
 )
 
 // AgentConfig is what the agent of one relay is started with.
@@ -36,7 +36,7 @@
 		return nil, err
 	}
 	var c AgentConfig
-	if err := strict.Decode(path, text, &c); err != nil {
+	if err := config.Decode(path, text, &c); err != nil {
 		return nil, err
 	}
 	for name, bad := range map[string]bool{"address": c.Address == "", "folder": c.Folder == "", "program": c.Program == "", "listen": c.Listen == "",
@@ -286,5 +286,5 @@
 	return f, err
 }
 
-// ask puts one line to a relay's operators' door.
-func ask(address, line string) (string, error) { return door.Ask(address, line, time.Second) }
+// ask sends one command line to a relay's admin endpoint.
+func ask(address, line string) (string, error) { return admin.Ask(address, line, time.Second) }
--- a/internal/rollout/rollout_test.go
+++ b/internal/rollout/rollout_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"milletsail/internal/forms"
+	"milletsail/internal/compat"
 )
 
 // fake runs no process: it notes which program is in service, and serves figures by it.
@@ -62,19 +62,19 @@
 	fakes    []*fake
 	servers  []*Server
 	plan     *Plan
-	forms    map[string]forms.Forms // what programs say, by what they hold; the rest says the same
+	formats  map[string]compat.FormatVersions // what programs report, by their content; the others report the same
 }
 
-// both is what all versions say that nothing else is set for.
-var both = forms.Forms{Journal: forms.Form{Writes: 2, Reads: []int{1, 2}}, Notes: forms.Form{Writes: 1, Reads: []int{1}}}
+// both is what a version reports if formats has no entry for it.
+var both = compat.FormatVersions{Journal: compat.Format{Writes: 2, Reads: []int{1, 2}}, Gossip: compat.Format{Writes: 1, Reads: []int{1}}}
 
-// say stands for a program's own words about its forms.
-func (p *park) say(_ context.Context, program string) (forms.Forms, error) {
+// askFormats replaces compat.Ask.
+func (p *park) askFormats(_ context.Context, program string) (compat.FormatVersions, error) {
 	text, err := os.ReadFile(program)
 	if err != nil {
-		return forms.Forms{}, err
+		return compat.FormatVersions{}, err
 	}
-	if f, ok := p.forms[string(text)]; ok {
+	if f, ok := p.formats[string(text)]; ok {
 		if f.Journal.Writes == 0 {
 			return f, errors.New("it does not say")
 		}
@@ -101,7 +101,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s.forms = p.say
+		s.formats = p.askFormats
 		address, err := s.Listen("127.0.0.1:0")
 		if err != nil {
 			t.Fatal(err)
@@ -162,25 +162,25 @@
 	}
 }
 
-// A version that can't read the old one's journals, one whose journals the old one can't read, and one that does not say
-// which it reads are refused before anything moves; the last two are not where the plan goes one way.
-func TestFormsAreComparedFirst(t *testing.T) {
-	newer := forms.Forms{Journal: forms.Form{Writes: 3, Reads: []int{2, 3}}, Notes: both.Notes}
-	deaf := forms.Forms{Journal: forms.Form{Writes: 3, Reads: []int{3}}, Notes: both.Notes}
-	mute := forms.Forms{Journal: both.Journal, Notes: forms.Form{Writes: 2, Reads: []int{2}}}
+// A version that can't read the old one's journals, one whose journals the old one can't read, and one that does not report
+// its formats are refused before any relay is changed; the last two are accepted if the plan is one-way.
+func TestFormatsAreComparedFirst(t *testing.T) {
+	newer := compat.FormatVersions{Journal: compat.Format{Writes: 3, Reads: []int{2, 3}}, Gossip: both.Gossip}
+	deaf := compat.FormatVersions{Journal: compat.Format{Writes: 3, Reads: []int{3}}, Gossip: both.Gossip}
+	mute := compat.FormatVersions{Journal: both.Journal, Gossip: compat.Format{Writes: 2, Reads: []int{2}}}
 	for _, c := range []struct {
 		name        string
-		says        forms.Forms
+		says        compat.FormatVersions
 		oneWay, may bool
 	}{
 		{"newer journals", newer, false, false}, {"newer journals, one way", newer, true, true},
 		{"does not read the old ones", deaf, false, false}, {"does not read the old ones, one way", deaf, true, false},
-		{"does not say", forms.Forms{}, false, false}, {"does not say, one way", forms.Forms{}, true, true},
+		{"does not say", compat.FormatVersions{}, false, false}, {"does not say, one way", compat.FormatVersions{}, true, true},
 		{"other notes", mute, false, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			p := newPark(t, 3)
-			p.forms = map[string]forms.Forms{"program new": c.says}
+			p.formats = map[string]compat.FormatVersions{"program new": c.says}
 			p.plan.OneWay = c.oneWay
 			ctl, err := Start(context.Background(), filepath.Join(p.dir, "state"), p.plan)
 			if c.may != (err == nil) {
--- a/internal/rollout/store.go
+++ b/internal/rollout/store.go
@@ -15,7 +15,7 @@
 	"strings"
 	"time"
 
-	"milletsail/internal/durable"
+	"milletsail/internal/atomicfile"
 )
 
 // Store is a rollout's records on disk, and the right to add to them. Each controller that takes over writes a file of
@@ -84,7 +84,7 @@
 		}
 		return nil, err
 	}
-	if err := errors.Join(durable.SyncDir(dir), s.Alive()); err != nil {
+	if err := errors.Join(atomicfile.SyncDir(dir), s.Alive()); err != nil {
 		return nil, errors.Join(err, s.file.Close())
 	}
 	return s, nil
@@ -227,7 +227,7 @@
 	if err != nil {
 		return err
 	}
-	return durable.Replace(filepath.Join(dir, ordersName), text)
+	return atomicfile.Replace(filepath.Join(dir, ordersName), text)
 }
 
 // takeOrder takes the order that was left, if there is one.
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -17,7 +17,7 @@
 	"strings"
 	"time"
 
-	"milletsail/internal/durable"
+	"milletsail/internal/atomicfile"
 )
 
 const (
@@ -101,7 +101,7 @@
 	if err != nil {
 		return err
 	}
-	if err := durable.Replace(b.path, append(text, '\n')); err != nil {
+	if err := atomicfile.Replace(b.path, append(text, '\n')); err != nil {
 		return err
 	}
 	b.orders = orders
