Say admin endpoint in the milletsail command, the rollout and the docs

Need: door is a withdrawn word; the package that asks relays is called admin now. Change: cmd/milletsail/doors.go becomes admin.go; names, help texts, comments and docs say admin endpoint and ADDRESS. Commands, flags and what goes over the sockets stay.

--- a/cmd/milletsail/doors.go
+++ b/cmd/milletsail/admin.go
@@ -6,22 +6,26 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/spf13/cobra"
 
 	"milletsail/internal/admin"
 )
 
-// askDoors puts one line to relays at their operators' doors, and writes a table of what they say in JSON, or that as it
-// came. A relay that refuses or does not answer is named, and gives exit status 1.
-func askDoors[T any](c *cobra.Command, doors []string, line, head string, raw bool, rows func(io.Writer, T)) error {
+// adminTimeout bounds connecting to an admin endpoint, and the exchange after it.
+const adminTimeout = 2 * time.Second
+
+// askRelays sends one command line to the admin endpoints at addresses, and writes a table of their JSON replies, or the
+// replies unchanged if raw. A relay that refuses or does not answer is named, and gives exit status 1.
+func askRelays[T any](c *cobra.Command, addresses []string, line, head string, raw bool, rows func(io.Writer, T)) error {
 	w := tabwriter.NewWriter(c.OutOrStdout(), 0, 4, 2, ' ', 0)
 	if !raw {
 		fmt.Fprintln(w, head)
 	}
 	silent := 0
-	for _, address := range doors {
-		reply, err := askDoor(address, line)
+	for _, address := range addresses {
+		reply, err := askRelay(address, line)
 		var said T
 		if err == nil {
 			err = json.Unmarshal([]byte(reply), &said)
@@ -45,9 +49,9 @@
 	return nil
 }
 
-// askDoor gives a relay's operators' door one line, and its reply. An error of the relay's is one.
-func askDoor(address, line string) (string, error) {
-	reply, err := admin.Ask(address, line, doorTime)
+// askRelay sends one command line to the admin endpoint at address, and returns its reply. A refusal by the relay is an error.
+func askRelay(address, line string) (string, error) {
+	reply, err := admin.Ask(address, line, adminTimeout)
 	if err != nil {
 		return "", err
 	}
--- a/cmd/milletsail/fleet.go
+++ b/cmd/milletsail/fleet.go
@@ -14,23 +14,20 @@
 	"milletsail/internal/fleet/live"
 )
 
-// doorTime bounds the asking of one relay.
-const doorTime = 2 * time.Second
-
 func fleetCommand() *cobra.Command {
 	c := &cobra.Command{Use: "fleet", Short: "See what relays know of one another"}
 	var raw bool
-	show := &cobra.Command{Use: "show DOOR...", Short: "Ask relays at their operators' doors what each believes, from whom, and how old that is",
-		Long: "Ask relays at their operators' doors (the address `admin`) what each believes, from whom, and how old that is.\n" +
+	show := &cobra.Command{Use: "show ADDRESS...", Short: "Ask relays at their admin endpoints what each believes, from whom, and how old that is",
+		Long: "Ask relays at their admin endpoints (the address `admin`) what each believes, from whom, and how old that is.\n" +
 			"They tell it where sharing is on (`fleet` in the configuration, or $NODE_FLEET=on). Exit status 1 where one does not answer.",
 		Args: cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, doors []string) error {
+		RunE: func(c *cobra.Command, addresses []string) error {
 			var silent int
 			var views []live.View
-			for _, door := range doors {
-				v, err := askView(door)
+			for _, address := range addresses {
+				v, err := askView(address)
 				if err != nil {
-					fmt.Fprintf(c.ErrOrStderr(), "%s: %v\n", door, err)
+					fmt.Fprintf(c.ErrOrStderr(), "%s: %v\n", address, err)
 					silent++
 					continue
 				}
@@ -51,7 +48,7 @@
 
 // askView asks one relay.
 func askView(address string) (v live.View, err error) {
-	reply, err := admin.Ask(address, "fleet", doorTime)
+	reply, err := admin.Ask(address, "fleet", adminTimeout)
 	if err != nil {
 		return v, err
 	}
--- a/cmd/milletsail/servers.go
+++ b/cmd/milletsail/servers.go
@@ -12,13 +12,13 @@
 // serversCommand shows the rollout of servers, which each relay carries out by itself.
 func serversCommand() *cobra.Command {
 	var raw bool
-	c := &cobra.Command{Use: "servers DOOR...", Short: "Say how endpoints that are new on the list prove themselves",
-		Long: "Say how endpoints that are new on the list prove themselves, by each relay's operators' door (the address `admin`). Relays\n" +
+	c := &cobra.Command{Use: "servers ADDRESS...", Short: "Say how endpoints that are new on the list prove themselves",
+		Long: "Say how endpoints that are new on the list prove themselves, by each relay's admin endpoint (the address `admin`). Relays\n" +
 			"have them do so where that is on (`newcomers` in the configuration, or $NODE_NEWCOMERS=on). Exit status 1 where one does not answer.",
 		Args: cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, doors []string) error {
+		RunE: func(c *cobra.Command, addresses []string) error {
 			head := "relay\tendpoint\tof\tstage\tshare\tfor s\theld s\tholds\tdoubt\t"
-			return askDoors(c, doors, "servers", head, raw, func(w io.Writer, s relay.ServersStatus) {
+			return askRelays(c, addresses, "servers", head, raw, func(w io.Writer, s relay.ServersStatus) {
 				for _, n := range s.Servers {
 					note := ""
 					if !n.Proving {
--- a/cmd/milletsail/zone.go
+++ b/cmd/milletsail/zone.go
@@ -12,21 +12,21 @@
 
 func zoneCommand() *cobra.Command {
 	c := &cobra.Command{Use: "zone", Short: "Have relays leave a zone, return to it, or say how zones fare",
-		Long: "Have relays leave a zone, return to it, or say how zones fare, each at its operators' door (the address `admin`).\n" +
+		Long: "Have relays leave a zone, return to it, or say how zones fare, each at its admin endpoint (the address `admin`).\n" +
 			"They do so where zones are on (`zones` in the configuration, or $NODE_ZONES=on). Exit status 1 where one refuses or does not answer."}
 	var last time.Duration
-	evacuate := &cobra.Command{Use: "evacuate ZONE DOOR...", Short: "Leave a zone for a time", Args: cobra.MinimumNArgs(2),
+	evacuate := &cobra.Command{Use: "evacuate ZONE ADDRESS...", Short: "Leave a zone for a time", Args: cobra.MinimumNArgs(2),
 		RunE: func(c *cobra.Command, args []string) error {
 			return order(c, fmt.Sprintf("zone evacuate %s %s", args[0], last), args[1:])
 		}}
 	evacuate.Flags().DurationVar(&last, "for", 10*time.Minute, "how long: after it the zone returns by itself")
-	restore := &cobra.Command{Use: "restore ZONE DOOR...", Short: "Return to a zone, on the ramp of what was out", Args: cobra.MinimumNArgs(2),
+	restore := &cobra.Command{Use: "restore ZONE ADDRESS...", Short: "Return to a zone, on the ramp of what was out", Args: cobra.MinimumNArgs(2),
 		RunE: func(c *cobra.Command, args []string) error { return order(c, "zone restore "+args[0], args[1:]) }}
 	var raw bool
-	status := &cobra.Command{Use: "status DOOR...", Short: "Say how zones fare", Args: cobra.MinimumNArgs(1),
-		RunE: func(c *cobra.Command, doors []string) error {
+	status := &cobra.Command{Use: "status ADDRESS...", Short: "Say how zones fare", Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, addresses []string) error {
 			head := "relay\tin\tzone\tstate\tfor s\torder s\tendpoints\tevacuations\treturns\t"
-			return askDoors(c, doors, "zone status", head, raw, func(w io.Writer, s relay.ZoneStatus) {
+			return askRelays(c, addresses, "zone status", head, raw, func(w io.Writer, s relay.ZoneStatus) {
 				for _, z := range s.Zones {
 					note := ""
 					if s.CutOff && z.Zone != s.Zone {
@@ -43,15 +43,15 @@
 }
 
 // order gives an order to relays, one after the other, and says what each answers.
-func order(c *cobra.Command, line string, doors []string) error {
+func order(c *cobra.Command, line string, addresses []string) error {
 	refused := 0
-	for _, door := range doors {
-		reply, err := askDoor(door, line)
+	for _, address := range addresses {
+		reply, err := askRelay(address, line)
 		if err != nil {
 			reply = err.Error()
 			refused++
 		}
-		fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", door, reply)
+		fmt.Fprintf(c.OutOrStdout(), "%s: %s\n", address, reply)
 	}
 	if refused > 0 {
 		return exit(broken)
--- a/internal/fleet/live/live.go
+++ b/internal/fleet/live/live.go
@@ -290,7 +290,7 @@
 	return v
 }
 
-// Text is the view as the operators' door gives it: one line of JSON.
+// Text is the view as the admin endpoint returns it: one line of JSON.
 func (s *Service) Text() string {
 	text, err := json.Marshal(s.View())
 	if err != nil {
--- a/internal/lab/platform/platform.go
+++ b/internal/lab/platform/platform.go
@@ -229,7 +229,7 @@
 // Clients is where a relay takes clients.
 func (n *Subnet) Clients(relay int) string { return n.ip(0, relay) + ":8443" }
 
-// Admin is a relay's door for operators; each process of an upgrade has its own.
+// Admin is the address of a relay's admin endpoint; each process of an upgrade has its own.
 func (n *Subnet) Admin(relay, process int) string {
 	return fmt.Sprintf("%s:%d", n.ip(0, relay), 12000+process%1000)
 }
--- a/internal/lab/relays/relays.go
+++ b/internal/lab/relays/relays.go
@@ -481,13 +481,13 @@
 	work.Wait()
 }
 
-// told has a process say something at its door, in JSON. It may be starting, or ending, and then says nothing.
+// told has a process report something at its admin endpoint, in JSON. It may be starting, or ending, and then says nothing.
 func told(p *process, line string, into any) bool {
 	reply, err := ask(p.admin, line)
 	return err == nil && json.Unmarshal([]byte(reply), into) == nil
 }
 
-// lookAtZones asks a process how zones fare with it. The form is the one that the operators' door gives.
+// lookAtZones asks a process how zones fare with it. The form is the one that the admin endpoint gives.
 func (r *Relay) lookAtZones(p *process) {
 	var s struct {
 		CutOff bool `json:"cut_off"`
@@ -527,7 +527,7 @@
 	r.fleet.h.Add(e)
 }
 
-// Order gives a relay an operator's line at its door. A refusal is an error.
+// Order gives a relay an operator's command line at its admin endpoint. A refusal is an error.
 func (r *Relay) Order(line string) error {
 	reply, err := ask(r.Admin(), line)
 	if err == nil && strings.TrimSpace(reply) != "OK" {
@@ -536,7 +536,7 @@
 	return err
 }
 
-// look asks a process what it believes of the fleet. The form is the one that the operators' door gives.
+// look asks a process what it believes of the fleet. The form is the one that the admin endpoint gives.
 func (r *Relay) look(p *process, what string) {
 	var v struct {
 		Live    []int  `json:"live"`
--- a/internal/lab/relays/versions.go
+++ b/internal/lab/relays/versions.go
@@ -114,7 +114,7 @@
 	return errors.Join(err, r.start(ctx))
 }
 
-// ZoneStatus is what the operators' door says to "zone status".
+// ZoneStatus is what the admin endpoint replies to "zone status".
 func (v *Versioned) ZoneStatus() string {
 	p := v.r.current()
 	if p == nil {
@@ -127,7 +127,7 @@
 	return text
 }
 
-// Counters is what the operators' door says to "counters", with the memory of the process and how often one of this
+// Counters is what the admin endpoint replies to "counters", with the memory of the process and how often one of this
 // version has ended by itself.
 func (v *Versioned) Counters() (text string, memoryMB float64, crashes int, err error) {
 	r := v.r
--- a/internal/lab/rolling.go
+++ b/internal/lab/rolling.go
@@ -14,7 +14,7 @@
 // runner runs a relay of the lab for its agent.
 type runner struct{ *relays.Versioned }
 
-// Figures gives what the operators' door and the system's accounts say.
+// Figures gives what the admin endpoint and the system's accounts say.
 func (r runner) Figures() (rollout.Figures, error) {
 	text, memory, crashes, err := r.Counters()
 	if err != nil {
--- a/internal/rollout/agent.go
+++ b/internal/rollout/agent.go
@@ -316,7 +316,7 @@
 	return r, errors.New(r.Error)
 }
 
-// ParseCounters reads what an operators' door says to "counters".
+// ParseCounters reads a relay's admin endpoint's reply to "counters".
 func ParseCounters(text string) (f Figures, err error) {
 	f.Ends = map[string][3]int64{}
 	results := map[string]int{"completed": 0, "rejected": 1, "failed": 2}
@@ -342,8 +342,8 @@
 	return f, nil
 }
 
-// ParseZones reads what an operators' door says to "zone status": the zones that the relay has left. A door that does not
-// know the call tells of none.
+// ParseZones reads a relay's admin endpoint's reply to "zone status": the zones that the relay has left. A relay that does not
+// know the command has none.
 func ParseZones(text string) (left []string) {
 	var s struct {
 		Zones []struct{ Zone, State string }
--- a/internal/rollout/process.go
+++ b/internal/rollout/process.go
@@ -24,7 +24,7 @@
 	Folder  string   `toml:"folder"`  // for programs and the agent's state
 	Program string   `toml:"program"` // that the relay runs where the agent starts for the first time
 	Listen  string   `toml:"listen"`  // of the relay's clients: the agent holds the socket over changes of the program
-	Admin   []string `toml:"admin"`   // two addresses for the operators' door: a process and the one after it have one each
+	Admin   []string `toml:"admin"`   // two addresses for the admin endpoint: a process and the one after it have one each
 	Env     []string `toml:"env"`     // of the relay's processes, NODE_CONFIG and NODE_STATE among it
 	Log     string   `toml:"log"`
 }
@@ -79,11 +79,11 @@
 
 // running is one process.
 type running struct {
-	cmd     *exec.Cmd
-	program string
-	door    int // of c.Admin
-	meant   bool
-	exited  chan struct{}
+	cmd        *exec.Cmd
+	program    string
+	adminIndex int // in AgentConfig.Admin
+	meant      bool
+	exited     chan struct{}
 }
 
 // NewProcesses opens the relay's socket and starts program.
@@ -109,16 +109,16 @@
 }
 
 // launch starts a process of a program.
-func (p *Processes) launch(program string, door int) (*running, error) {
+func (p *Processes) launch(program string, adminIndex int) (*running, error) {
 	log, err := os.OpenFile(p.c.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return nil, err
 	}
 	defer log.Close()
-	r := &running{cmd: exec.Command(program), program: program, door: door, exited: make(chan struct{})}
+	r := &running{cmd: exec.Command(program), program: program, adminIndex: adminIndex, exited: make(chan struct{})}
 	r.cmd.Stdout, r.cmd.Stderr, r.cmd.ExtraFiles = log, log, []*os.File{p.socket}
 	r.cmd.Env = append([]string{"PATH=" + os.Getenv("PATH")}, p.c.Env...)
-	r.cmd.Env = append(r.cmd.Env, "NODE_FD=3", "NODE_LISTEN="+p.c.Listen, "NODE_ADMIN="+p.c.Admin[door])
+	r.cmd.Env = append(r.cmd.Env, "NODE_FD=3", "NODE_LISTEN="+p.c.Listen, "NODE_ADMIN="+p.c.Admin[adminIndex])
 	r.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := r.cmd.Start(); err != nil {
 		return nil, err
@@ -135,7 +135,7 @@
 	timer := time.NewTimer(readyWithin)
 	defer timer.Stop()
 	for {
-		if text, err := ask(p.c.Admin[r.door], "health"); err == nil && strings.HasPrefix(text, "OK") {
+		if text, err := ask(p.c.Admin[r.adminIndex], "health"); err == nil && strings.HasPrefix(text, "OK") {
 			return nil
 		}
 		select {
@@ -173,12 +173,12 @@
 	old := p.now
 	old.meant = true // it may leave when it has handed over
 	p.mu.Unlock()
-	r, err := p.launch(program, 1-old.door)
+	r, err := p.launch(program, 1-old.adminIndex)
 	// A program that was just written is busy while a process that was started meanwhile still has its descriptor, up to
 	// its own exec (the fork race of golang.org/issue/22315).
 	for n := 0; errors.Is(err, syscall.ETXTBSY) && n < busyTries; n++ {
 		time.Sleep(askEvery)
-		r, err = p.launch(program, 1-old.door)
+		r, err = p.launch(program, 1-old.adminIndex)
 	}
 	if err == nil {
 		err = p.await(ctx, r)
@@ -193,14 +193,14 @@
 	if r != nil {
 		p.end(r)
 	}
-	if text, asked := ask(p.c.Admin[old.door], "health"); asked == nil && strings.HasPrefix(text, "OK") {
+	if text, asked := ask(p.c.Admin[old.adminIndex], "health"); asked == nil && strings.HasPrefix(text, "OK") {
 		p.mu.Lock()
 		old.meant = false
 		p.mu.Unlock()
 		return err
 	}
 	p.end(old) // it had handed over
-	again, back := p.launch(old.program, old.door)
+	again, back := p.launch(old.program, old.adminIndex)
 	if back == nil {
 		p.mu.Lock()
 		p.now = again
@@ -240,7 +240,7 @@
 			case <-time.After(wait):
 			}
 			wait = min(2*wait, reviveMost)
-			if again, err := p.launch(r.program, r.door); err == nil {
+			if again, err := p.launch(r.program, r.adminIndex); err == nil {
 				p.mu.Lock()
 				p.now = again
 				p.mu.Unlock()
@@ -273,13 +273,13 @@
 	p.mu.Lock()
 	r, crashes := p.now, p.crashes
 	p.mu.Unlock()
-	text, err := ask(p.c.Admin[r.door], "counters")
+	text, err := ask(p.c.Admin[r.adminIndex], "counters")
 	if err != nil {
 		return Figures{}, err
 	}
 	f, err := ParseCounters(text)
 	f.Crashes = crashes
-	if zones, err := ask(p.c.Admin[r.door], "zone status"); err == nil {
+	if zones, err := ask(p.c.Admin[r.adminIndex], "zone status"); err == nil {
 		f.Left = ParseZones(zones)
 	}
 	f.MemoryMB, _ = procfs.ResidentMB(r.cmd.Process.Pid) // it may have ended just now
