Give the loop's inbox a type: an event applies itself

The inbox was a channel of any with a type switch; what the loop can be sent was told by a comment alone. Same behaviour. live.Said travels in fleetSaid, since its package knows no loop.

--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -1,12 +1,20 @@
 package relay
 
 import (
+	"maps"
+	"slices"
 	"time"
 
+	"milletsail/internal/fleet/live"
 	"milletsail/internal/journal"
+	"milletsail/policy"
 )
 
-// The events that goroutines send the loop.
+// event is what a goroutine sends the loop. Only the loop calls apply, while this process owns the folder; after a
+// handover pass takes events instead.
+type event interface{ apply(l *loop) }
+
+// The events.
 type (
 	// arrival is a message that a client hands in.
 	arrival struct {
@@ -30,6 +38,8 @@
 	told struct{ Members }
 	// heard is a note of another relay.
 	heard struct{ note []byte }
+	// fleetSaid is what the other relays have found out together.
+	fleetSaid struct{ live.Said }
 	// watchEnded says that the watch on discovery ended or could not be had.
 	watchEnded struct{}
 	// received says that the platform has notices.
@@ -43,3 +53,60 @@
 	// question asks whether anything is still to be done.
 	question struct{ idle chan bool }
 )
+
+func (e *arrival) apply(l *loop) { l.arrive(e) }
+
+func (e departure) apply(l *loop) { l.departed(e.arrival) }
+
+func (e ended) apply(l *loop) {
+	for _, a := range e {
+		// A message may have had its end before the call that it was part of.
+		if m := l.messages[a.id]; m != nil && m.cancel != nil && a.attempt == len(m.Attempts)-1 {
+			l.answered(a)
+		}
+	}
+}
+
+func (e told) apply(l *loop) {
+	l.told(e.Members)
+	if e.Whole {
+		for host := range l.journal.Health() {
+			if _, ok := l.hosts[host]; !ok {
+				l.journal.Forget(host)
+			}
+		}
+	}
+	l.journal.List(Members{Seq: e.Seq, Whole: true, Hosts: slices.Collect(maps.Values(l.hosts))}.kept())
+}
+
+func (e heard) apply(l *loop) { l.events = append(l.events, policy.Heard{Note: e.note}) }
+
+func (e fleetSaid) apply(l *loop) { l.events = append(l.events, said(e.Said)...) }
+
+func (e doorCall) apply(*loop) { e.reply <- e.answer() }
+
+func (watchEnded) apply(l *loop) { l.events = append(l.events, policy.ListFailed{}) }
+
+func (e received) apply(l *loop) {
+	for _, id := range e.ids {
+		if m := l.messages[id]; m != nil {
+			l.end(m)
+		}
+	}
+}
+
+func (e takeover) apply(l *loop) {
+	if l.successor != nil {
+		l.successor.close()
+	}
+	l.successor = e.link
+}
+
+func (stopSending) apply(l *loop) { l.events = append(l.events, policy.Stopping{}) }
+
+func (e question) apply(l *loop) { e.idle <- len(l.messages) == 0 }
+
+// apply of a line or an end of the link is for pass alone: neither comes before a handover.
+func (line) apply(*loop) {}
+
+func (heirGone) apply(*loop) {}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -364,7 +364,7 @@
 }
 
 // pass does with an event what is left to do after a handover.
-func (l *loop) pass(e any) {
+func (l *loop) pass(e event) {
 	switch e := e.(type) {
 	case *arrival:
 		l.arrivals++
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"milletsail/internal/fleet/live"
@@ -32,7 +30,7 @@
 	cfg      *Config
 	d        *policy.Dispatcher
 	journal  *journal.Journal
-	inbox    chan any
+	inbox    chan event
 	pool     *pool
 	watch    *watcher
 	notices  *notifier
@@ -75,7 +73,7 @@
 func (l *loop) wall(t time.Duration) time.Time { return time.Unix(0, int64(t)) }
 
 // put hands the loop an event.
-func (l *loop) put(e any) { l.inbox <- e }
+func (l *loop) put(e event) { l.inbox <- e }
 
 // run serves until ctx ends.
 func (l *loop) run(ctx context.Context) {
@@ -139,55 +137,8 @@
 	return max(0, l.wakeAt-l.now())
 }
 
-// accept turns one event into the module's terms.
-func (l *loop) accept(e any) {
-	switch e := e.(type) {
-	case *arrival:
-		l.arrive(e)
-	case departure:
-		l.departed(e.arrival)
-	case ended:
-		for _, a := range e {
-			// A message may have had its end before the call that it was part of.
-			if m := l.messages[a.id]; m != nil && m.cancel != nil && a.attempt == len(m.Attempts)-1 {
-				l.answered(a)
-			}
-		}
-	case told:
-		l.told(e.Members)
-		if e.Whole {
-			for host := range l.journal.Health() {
-				if _, ok := l.hosts[host]; !ok {
-					l.journal.Forget(host)
-				}
-			}
-		}
-		l.journal.List(Members{Seq: e.Seq, Whole: true, Hosts: slices.Collect(maps.Values(l.hosts))}.kept())
-	case heard:
-		l.events = append(l.events, policy.Heard{Note: e.note})
-	case doorCall:
-		e.reply <- e.answer()
-	case live.Said:
-		l.events = append(l.events, said(e)...)
-	case watchEnded:
-		l.events = append(l.events, policy.ListFailed{})
-	case received:
-		for _, id := range e.ids {
-			if m := l.messages[id]; m != nil {
-				l.end(m)
-			}
-		}
-	case takeover:
-		if l.successor != nil {
-			l.successor.close()
-		}
-		l.successor = e.link
-	case stopSending:
-		l.events = append(l.events, policy.Stopping{})
-	case question:
-		e.idle <- len(l.messages) == 0
-	}
-}
+// accept takes in one event.
+func (l *loop) accept(e event) { e.apply(l) }
 
 // class gives the number of a class, or -1.
 func (l *loop) class(name string) int {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,7 +74,7 @@
 	deciding, retired := context.WithCancel(live)
 	defer retired()
 	s := cfg.Settings
-	l := &loop{cfg: cfg, d: d, journal: kept, figures: figures, inbox: make(chan any, inboxSize), start: time.Now(), calls: live,
+	l := &loop{cfg: cfg, d: d, journal: kept, figures: figures, inbox: make(chan event, inboxSize), start: time.Now(), calls: live,
 		messages: map[string]*message{}, hosts: map[string]Member{}, dests: map[int]bool{},
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle,
 			max(1, int(hostShare*float64(cfg.Limits.Sockets))), &figures.written),
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -591,7 +591,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3), start: time.Now(), inbox: make(chan any, 1),
+	l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3), start: time.Now(), inbox: make(chan event, 1),
 		messages: map[string]*message{}, dests: map[int]bool{7: true}}
 	l.cfg.policy.Classes = []policy.Class{{Name: "status"}}
 	copyOf := func(id string) *arrival {
--- a/internal/relay/sharing.go
+++ b/internal/relay/sharing.go
@@ -20,7 +20,7 @@
 				l.peers.tellOne(to, note)
 			}
 		},
-		Said: func(said live.Said) { l.offer(said) },
+		Said: func(said live.Said) { l.offer(fleetSaid{said}) },
 		Heard: func(f fleet.Fact, age time.Duration) {
 			if o, ok := observation(f, age); ok {
 				l.offer(heard{o.Note()})
@@ -29,7 +29,7 @@
 }
 
 // offer hands the loop an event that may be lost, where it has more to do than it can.
-func (l *loop) offer(e any) {
+func (l *loop) offer(e event) {
 	select {
 	case l.inbox <- e:
 	default:
