--- /dev/null
+++ b/policy/call.go
@@ -0,0 +1,79 @@
+package policy
+
+import (
+	"math"
+	"time"
+)
+
+// This file holds calls that are out.
+
+// callOff ends the wait for a call.
+func (d *Dispatcher) callOff(c *call) {
+	c.canceled = true
+	for _, m := range c.msgs {
+		if i := len(m.attempts) - 1; m.attempts[i].call == c && m.attempts[i].open {
+			d.act(Cancel{ID: m.ID, Attempt: i})
+		}
+	}
+}
+
+// call is one call out: one message, or a bundle.
+type call struct {
+	ep       *endpoint
+	no       int
+	sent     time.Duration
+	open     int // messages without an outcome
+	size     int // of its messages
+	msgs     []*message
+	canceled bool // to take its slot back
+}
+
+// attempt adds one message to a call.
+func (d *Dispatcher) attempt(m *message, c *call) {
+	m.release()
+	within := time.Duration(0)
+	if by := d.forgotten(m); by < never {
+		within = by - d.now
+	}
+	m.attempts = append(m.attempts, attempt{call: c, sent: d.now, open: true})
+	m.open++
+	c.open++
+	c.size += m.Size
+	c.msgs = append(c.msgs, m)
+	d.act(Send{ID: m.ID, Endpoint: c.ep.ID, Timeout: d.timeout(m, c), Call: c.no, Within: within})
+}
+
+// send starts a call with a message and, where the kind allows it, others of the queue.
+func (d *Dispatcher) send(q *queue, ep *endpoint, first *message) {
+	d.turn++
+	q.served = d.turn
+	c := &call{ep: ep, no: d.turn, sent: d.now}
+	d.out++
+	d.wake(q)
+	q.out, ep.out = append(q.out, c), append(ep.out, c)
+	ep.lastUsed = d.now
+	if q.pace > 0 {
+		q.tokens = math.Max(0, d.tokens(q)-1)
+	}
+	if d.s.Zones {
+		d.spilled(q, ep)
+	}
+	if d.s.Newcomers {
+		d.credit(q, ep)
+	}
+	if ep.sick || ep.ramping {
+		ep.tokens = math.Max(0, d.epTokens(ep)-1)
+	}
+	if ep.sick || d.fenced(q) {
+		q.triedAt = d.now
+	}
+	d.attempt(first, c)
+	for i := 0; i < len(q.held) && c.open < q.bundle && !ep.sick; {
+		m := q.held[i]
+		if d.sendable(m) && d.short(q, m) == d.short(q, first) && d.repeatable(m, ep) && (d.s.CallSize == 0 || c.size+m.Size <= d.s.CallSize) {
+			d.attempt(m, c)
+			continue
+		}
+		i++
+	}
+}
--- /dev/null
+++ b/policy/fleetstate.go
@@ -0,0 +1,23 @@
+package policy
+
+import "time"
+
+// This file holds what is exchanged with the fleet; fleet.go decides on it.
+
+// word is what the fleet says, with the times by this relay's clock.
+type word struct {
+	origins, rank      int
+	first, last, until time.Duration
+}
+
+// share tells the others this relay's pace for one destination after the other.
+func (d *Dispatcher) share() {
+	if !d.s.Shares || d.now < d.shareAt || len(d.queues) == 0 {
+		return
+	}
+	d.shareAt = d.now + max(shareLeast, time.Duration(d.s.Instances)*shareEach)
+	d.shareNext++
+	if q := d.queues[d.shareNext%len(d.queues)]; !q.apart && q.weight > 0 {
+		d.act(Share{Destination: q.dest.no, Pace: q.pace / d.even(q), Traffic: q.arrivals.rate(d.now)})
+	}
+}
--- /dev/null
+++ b/policy/handover.go
@@ -0,0 +1,114 @@
+package policy
+
+import (
+	"cmp"
+	"slices"
+)
+
+// This file holds what goes from one process of a relay to the next.
+
+// resume puts a message that an earlier process admitted back into its queue, with the attempts made for it; one
+// with an attempt still out comes back to its queue by that attempt's end.
+func (d *Dispatcher) resume(m *message) {
+	for _, t := range m.Tried {
+		ep := d.endpoints[t.Endpoint]
+		if ep == nil {
+			// Its zone is not known any more: no other is known to share its memory.
+			ep = &endpoint{Endpoint: Endpoint{ID: t.Endpoint, Destination: m.Destination, Zone: -1, Gone: true},
+				q: d.dest(m.Destination).queues[0], strikes: make([]float64, len(d.s.Classes))}
+		}
+		c := &call{ep: ep, sent: t.Sent}
+		if t.Out {
+			c = d.rejoin(ep, t)
+			c.open++
+			c.size += m.Size
+			c.msgs = append(c.msgs, m)
+			m.open++
+		}
+		m.attempts = append(m.attempts, attempt{call: c, sent: t.Sent, unrun: t.Unrun, open: t.Out})
+		if !t.Unrun {
+			m.rest = max(m.rest, d.now+d.s.OrderPause)
+		}
+	}
+	switch {
+	case m.Over:
+		d.finish(m)
+	case m.open == 0:
+		d.hold(d.route(m), m)
+	}
+}
+
+// rejoin gives the call of an attempt that an earlier process still has out: it holds a slot here as well.
+func (d *Dispatcher) rejoin(ep *endpoint, t Tried) *call {
+	for _, c := range ep.q.out {
+		if c.no == t.Call {
+			return c
+		}
+	}
+	c := &call{ep: ep, no: t.Call, sent: t.Sent}
+	d.turn = max(d.turn, t.Call)
+	d.out++
+	d.wake(ep.q)
+	older := func(a, b *call) int { return cmp.Compare(a.sent, b.sent) }
+	ep.q.out, ep.out = append(ep.q.out, c), append(ep.out, c)
+	slices.SortStableFunc(ep.q.out, older)
+	slices.SortStableFunc(ep.out, older)
+	return c
+}
+
+// Learned is what this dispatcher has learned, for the process that takes over from it.
+func (d *Dispatcher) Learned() (all []Learned) {
+	for _, q := range d.queues {
+		l := Learned{Wait: q.waitUntil, Hold: q.holdUntil, Outcomes: q.n, Mean: q.mean, Class: slices.Clone(q.class), Width: q.width,
+			Pace: q.pace, Tokens: q.tokens, TokensAt: q.tokensAt, Fulls: q.fulls, FirstFull: q.firstFull, LastOK: q.lastOK,
+			Arrivals: Counted{q.arrivals.n, q.arrivals.at, q.arrivals.since}, Misses: Counted{q.misses.n, q.misses.at, q.misses.since}}
+		for _, ep := range q.eps {
+			l.Endpoints = append(l.Endpoints, LearnedEndpoint{ID: ep.ID, Sick: ep.sick, Ramping: ep.ramping, SickAt: ep.sickAt,
+				Recovered: ep.recovered, LastOK: ep.lastOK, Failures: ep.failures, ConnCap: ep.connCap, Tokens: ep.tokens, TokensAt: ep.tokensAt})
+		}
+		if len(l.Endpoints) > 0 {
+			all = append(all, l)
+		}
+	}
+	return all
+}
+
+// inherit takes in what the process before has learned of a queue, but for endpoints that are no longer listed.
+func (d *Dispatcher) inherit(l Learned) {
+	var q *queue
+	for _, e := range l.Endpoints {
+		ep := d.endpoints[e.ID]
+		if ep == nil {
+			continue
+		}
+		q = ep.q
+		ep.sick, ep.ramping, ep.sickAt, ep.recovered, ep.lastOK = e.Sick, e.Ramping, e.SickAt, e.Recovered, e.LastOK
+		ep.failures, ep.connCap, ep.bucket = e.Failures, e.ConnCap, bucket{e.Tokens, e.TokensAt}
+		q.ill = q.ill || e.Sick
+	}
+	if q == nil {
+		return
+	}
+	q.waitUntil, q.holdUntil, q.width, q.fulls, q.firstFull, q.lastOK = l.Wait, l.Hold, l.Width, l.Fulls, l.FirstFull, l.LastOK
+	q.pace, q.bucket = l.Pace, bucket{l.Tokens, l.TokensAt}
+	q.arrivals, q.misses = aged{l.Arrivals.N, l.Arrivals.At, l.Arrivals.Since}, aged{l.Misses.N, l.Misses.At, l.Misses.Since}
+	if len(l.Class) == len(q.class) {
+		q.latencies = latencies{n: l.Outcomes, mean: l.Mean, class: slices.Clone(l.Class)}
+		if pool := d.pool(q.kind); pool.n < l.Outcomes { // what others of the kind borrow
+			*pool = latencies{n: l.Outcomes, mean: l.Mean, class: slices.Clone(l.Class)}
+		}
+	}
+}
+
+// recall takes over an endpoint's outage or ramp from an earlier process, so that a restart in the middle of
+// either does not send to a cold destination as to a warm one.
+func (d *Dispatcher) recall(e Recalled) {
+	ep := d.endpoints[e.Endpoint]
+	switch {
+	case ep == nil:
+	case e.Sick:
+		d.sicken(ep)
+	case d.now-e.At < d.s.RampTime:
+		ep.ramping, ep.recovered = true, e.At
+	}
+}
--- /dev/null
+++ b/policy/list.go
@@ -0,0 +1,81 @@
+package policy
+
+import (
+	"math"
+	"slices"
+)
+
+// This file holds changes of the list of endpoints.
+
+// listed takes in a change of the list.
+func (d *Dispatcher) listed(e Listed) {
+	named := map[string]bool{}
+	for _, entry := range e.Endpoints {
+		named[entry.ID] = true
+		d.entry(entry)
+	}
+	if e.Whole {
+		for _, q := range slices.Clone(d.queues) {
+			for _, ep := range append([]*endpoint(nil), q.eps...) {
+				if !named[ep.ID] {
+					d.drop(ep)
+				}
+			}
+		}
+	}
+	for _, q := range slices.Clone(d.active) {
+		if len(q.held) > 0 && !q.usable() {
+			d.reroute(q)
+		}
+	}
+}
+
+// entry takes in one entry of the list.
+func (d *Dispatcher) entry(e Endpoint) {
+	ep := d.endpoints[e.ID]
+	if e.Gone {
+		if ep != nil {
+			d.drop(ep)
+		}
+		return
+	}
+	if ep == nil {
+		ep = &endpoint{strikes: make([]float64, len(d.s.Classes))}
+		d.endpoints[e.ID] = ep
+		dest := d.dest(e.Destination)
+		kind := Kind{Bundle: 1}
+		if e.Kind >= 0 && e.Kind < len(d.s.Kinds) {
+			kind = d.s.Kinds[e.Kind]
+		}
+		ep.q = dest.queues[0]
+		if kind.Separate && (len(ep.q.eps) > 0 || len(dest.queues) > 1) {
+			ep.q = d.addQueue(dest, 1, true)
+		}
+		ep.q.bundle, ep.q.apart, ep.q.kind = max(1, kind.Bundle), kind.Separate, e.Kind
+		ep.q.eps = append(ep.q.eps, ep)
+		if ep.q.ill { // at a destination that is out it is as cold as the others
+			defer d.sicken(ep)
+		}
+	}
+	d.arrives(ep, e)
+	ep.Endpoint = e
+	d.weigh(ep.q, e.Weight)
+}
+
+// drop forgets an endpoint that left the list; calls out there still end.
+func (d *Dispatcher) drop(ep *endpoint) {
+	ep.Gone = true
+	delete(d.endpoints, ep.ID)
+	ep.q.eps = remove(ep.q.eps, ep)
+	d.forget(ep.q)
+}
+
+// weigh takes in the rate that a queue's destination is listed with.
+func (d *Dispatcher) weigh(q *queue, weight float64) {
+	if d.s.Weights == WeightsOff || !(weight > 0) || math.IsInf(weight, 0) || weight == q.weight {
+		return
+	}
+	q.weight = weight
+	q.pace, q.cutAt = d.even(q), d.now
+	q.tokens, q.tokensAt = math.Max(1, q.pace*burstSpan.Seconds()), d.now
+}
--- /dev/null
+++ b/policy/queue.go
@@ -0,0 +1,141 @@
+package policy
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// This file holds destinations and their queues.
+
+// destination is where messages go: one queue, or one for each route.
+type destination struct {
+	no     int
+	queues []*queue // routes, or the one shared queue; queues[0] also serves while nothing is listed
+}
+
+// queue is one first-come queue of the paper.
+type queue struct {
+	dest   *destination
+	eps    []*endpoint
+	held   []*message
+	out    []*call
+	width  float64 // mean number of calls out at a success
+	served int     // the turn in which it was last served
+	latencies
+	kind      int
+	waitUntil time.Duration
+	holdUntil time.Duration // our own pause after a refusal without a wait
+	toldUntil time.Duration // other relays know of a refusal up to then
+	refusedAt time.Duration // when the last call was sent that a pause is for
+	cutAt     time.Duration // of the pace
+	climbedAt time.Duration
+	pause     time.Duration   // the last after a refusal that told no wait
+	fulls     int             // refusals in a row
+	firstFull time.Duration   // of the refusals in a row
+	lastOK    time.Duration   // 0 for never
+	weight    float64         // calls a second that all relays may make; 0 for unknown
+	pace      float64         // calls a second of this relay; 0 for unknown
+	bucket                    // of the pace
+	word      word            // of the fleet, on the destination
+	triedAt   time.Duration   // when what is out or fenced last got a call
+	row       []float64       // part of the own zone's messages that each zone serves; nil for all at home
+	press     float64         // part of the calls for which the own zone has no room, as learned
+	owed      map[int]float64 // calls that are to go to another zone
+	paced     Paced           // by other relays; used until pacedTo
+	pacedTo   time.Duration
+	failing   []failing // at older endpoints, by class
+	arrivals  aged
+	misses    aged // of the virtual copy under the basic rule
+	copyWork  float64
+	copyAt    time.Duration
+	bundle    int
+	apart     bool
+	active    bool // among Dispatcher.active
+	ill       bool // the last that was heard of an endpoint's health was bad
+}
+
+// hold puts a message into a queue, by its order of arrival.
+func (d *Dispatcher) hold(q *queue, m *message) {
+	i := sort.Search(len(q.held), func(i int) bool { return q.held[i].seq > m.seq })
+	q.held = append(q.held, nil)
+	copy(q.held[i+1:], q.held[i:])
+	q.held[i] = m
+	m.q = q
+	d.wake(q)
+}
+
+// wake notes that a queue has something to do.
+func (d *Dispatcher) wake(q *queue) {
+	if !q.active {
+		q.active = true
+		d.active = append(d.active, q)
+	}
+}
+
+// rest drops the queues that have nothing to do from the active ones, and forgets routes that left.
+func (d *Dispatcher) rest() {
+	d.active = slices.DeleteFunc(d.active, func(q *queue) bool {
+		q.active = len(q.held) > 0 || len(q.out) > 0
+		if !q.active {
+			d.forget(q)
+		}
+		return !q.active
+	})
+}
+
+// forget drops a queue without endpoints and work, unless it is the one that stands for its destination.
+func (d *Dispatcher) forget(q *queue) {
+	if len(q.eps) > 0 || q.active || q.dest.queues[0] == q && len(q.dest.queues) == 1 {
+		return
+	}
+	q.dest.queues, d.queues = remove(q.dest.queues, q), remove(d.queues, q)
+}
+
+// reroute lets the held messages of a queue choose their route again.
+func (d *Dispatcher) reroute(q *queue) {
+	for _, m := range append([]*message(nil), q.held...) {
+		m.release()
+		d.hold(d.route(m), m)
+	}
+}
+
+// dest gives a destination, with one queue at least.
+func (d *Dispatcher) dest(no int) *destination {
+	if d.dests[no] == nil {
+		dest := &destination{no: no}
+		d.dests[no] = dest
+		d.addQueue(dest, 1, false)
+	}
+	return d.dests[no]
+}
+
+// addQueue adds a queue to a destination.
+func (d *Dispatcher) addQueue(dest *destination, bundle int, apart bool) *queue {
+	q := &queue{dest: dest, failing: make([]failing, len(d.s.Classes)), latencies: latencies{class: make([]float64, len(d.s.Classes))}, bundle: max(1, bundle), apart: apart,
+		bucket: bucket{tokensAt: d.now}, arrivals: aged{since: d.now}, misses: aged{since: d.now}}
+	dest.queues = append(dest.queues, q)
+	d.queues = append(d.queues, q)
+	return q
+}
+
+// usable tells whether a queue has an endpoint that takes new work.
+func (q *queue) usable() bool {
+	for _, ep := range q.eps {
+		if !ep.Draining && !ep.Gone {
+			return true
+		}
+	}
+	return false
+}
+
+// down tells whether all endpoints of a queue are out.
+func (q *queue) down() bool {
+	return len(q.eps) > 0 && !slices.ContainsFunc(q.eps, func(ep *endpoint) bool { return !ep.sick })
+}
+
+// calls is how many calls n messages of a queue travel in.
+func (q *queue) calls(n int) float64 { return float64(n) / float64(q.bundle) }
+
+// even is this relay's even share of a queue's limit, in calls a second.
+func (d *Dispatcher) even(q *queue) float64 { return q.weight / d.there() }
