--- a/cmd/milletsail/fleet.go
+++ b/cmd/milletsail/fleet.go
@@ -6,7 +6,6 @@
 	"io"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/spf13/cobra"
 
