--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -50,7 +50,6 @@
 	policy.Endpoint
 	closed bool
 	scope  string // what waits and outages bind: the destination, or the route
-	seen   time.Duration
 }
 
 func newChecker(s policy.Settings) *checker {
