--- a/internal/journal/format.go
+++ b/internal/journal/format.go
@@ -29,9 +29,10 @@
 	// formatV1 is the form before, which v1.go reads.
 	formatV1 = 1
 	// marker begins each record.
-	marker     uint32 = 0xa55e_c0de
-	recordHead        = 24
-	headerHead        = 16
+	marker uint32 = 0xa55e_c0de
+	// recordHead and headerHead are the bytes before a record's payload and before a segment header's variable part.
+	recordHead = 24
+	headerHead = 16
 	// maxRecord bounds a payload: a body of 64 KiB and names, or a long list of hosts.
 	maxRecord = 16 << 20
 	// maxHeader bounds the rest of a header.
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -140,7 +140,7 @@
 var defaultDestination = Destination{Count: 1, Endpoints: 1, Share: 1, Limit: "none", Window: Duration(time.Second),
 	Service: Duration(40 * time.Millisecond), ServiceCV: 0.4, Workers: 16, Queue: 16, Bulk: 1, ItemCost: 0.1}
 
-// Load reads a scenario from a file. The error of a file that can't be played names the file and the line.
+// LoadFile reads a scenario from a file. The error of a file that can't be played names the file and the line.
 func LoadFile(path string) (*Scenario, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
