--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -45,7 +44,7 @@
 // New returns a dispatcher that knows nothing yet. Settings that make no sense give an error.
 func New(s Settings, seed int64) (*Dispatcher, error) {
 	if err := s.check(); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, err
 	}
 	d := &Dispatcher{s: s, endpoints: map[string]*endpoint{}, dests: map[int]*destination{},
 		messages: map[string]*message{}, keys: map[string][]*message{},
