Keep the timer from crashing on a destination without endpoints that others find refusing

Cause: where three relays have found a destination refusing, and its last endpoint leaves the list while a message waits for it, arm asked for the turn of the first endpoint and indexed an empty list: the relay's loop panicked.

Change: without an endpoint there is no turn to wait for.

--- a/policy/timer.go
+++ b/policy/timer.go
@@ -30,7 +30,7 @@
 		if q.pace > 0 && d.tokens(q) < 1 && !d.tries(q) {
 			at = max(at, d.now+wait(1-q.tokens, q.pace))
 		}
-		if d.fenced(q) {
+		if d.fenced(q) && len(q.eps) > 0 {
 			at = max(at, d.tryAt(q.eps[0]))
 		}
 		if at > d.now {
