Move what takes in events and closes attempts out of the file of decisions

The routing of events to what decides on them, and the bookkeeping of an attempt's end, decide nothing: they stand with the dispatcher and the calls now. No decision is changed or moved.

--- a/policy/call.go
+++ b/policy/call.go
@@ -77,3 +77,23 @@
 		i++
 	}
 }
+
+// closeAttempt notes that an attempt has ended, and gives its message and its call: nil where it is unknown or has ended before. A
+// call gives its slot back with the last of its messages.
+func (d *Dispatcher) closeAttempt(e Ended) (*message, *call) {
+	m := d.messages[e.ID]
+	if m == nil || e.Attempt < 0 || e.Attempt >= len(m.attempts) || !m.attempts[e.Attempt].open {
+		return nil, nil
+	}
+	a := &m.attempts[e.Attempt]
+	a.open = false
+	a.unrun = e.Outcome == QueueFull || e.Outcome == ConnectError || e.Outcome == Ignored
+	m.open--
+	c := a.call
+	c.open--
+	if c.open == 0 {
+		d.out--
+		c.ep.out, c.ep.q.out = remove(c.ep.out, c), remove(c.ep.q.out, c)
+	}
+	return m, c
+}
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -80,3 +80,36 @@
 	}
 	return list
 }
+
+// apply takes in one event, and gives the message that is up for admission by it, if any.
+func (d *Dispatcher) apply(e Event) *message {
+	switch e := e.(type) {
+	case Arrived:
+		return d.take(e)
+	case Ended:
+		d.ended(e)
+	case Withdrawn:
+		d.withdraw(e.ID)
+	case Listed:
+		d.listed(e)
+	case ListFailed:
+		if d.s.Subscribe {
+			d.resub = d.now + subscribeAgain
+		}
+	case Recalled:
+		d.recall(e)
+	case Learned:
+		d.inherit(e)
+	case Heard:
+		d.heard(e.Note)
+	case Accused:
+		d.accused(e)
+	case Paced:
+		d.pacedBy(e)
+	case Stored:
+		d.unrecorded = !e.Writable
+	case Stopping:
+		d.stopping = true
+	}
+	return nil
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -74,35 +74,8 @@
 	}
 	var fresh []*message
 	for _, e := range events {
-		switch e := e.(type) {
-		case Arrived:
-			if m := d.take(e); m != nil {
-				fresh = append(fresh, m)
-			}
-		case Ended:
-			d.ended(e)
-		case Withdrawn:
-			d.withdraw(e.ID)
-		case Listed:
-			d.listed(e)
-		case ListFailed:
-			if d.s.Subscribe {
-				d.resub = d.now + subscribeAgain
-			}
-		case Recalled:
-			d.recall(e)
-		case Learned:
-			d.inherit(e)
-		case Heard:
-			d.heard(e.Note)
-		case Accused:
-			d.accused(e)
-		case Paced:
-			d.pacedBy(e)
-		case Stored:
-			d.unrecorded = !e.Writable
-		case Stopping:
-			d.stopping = true
+		if m := d.apply(e); m != nil {
+			fresh = append(fresh, m)
 		}
 	}
 	if d.now >= d.resub {
@@ -514,24 +487,17 @@
 
 // ended takes in the outcome of an attempt.
 func (d *Dispatcher) ended(e Ended) {
-	m := d.messages[e.ID]
-	if m == nil || e.Attempt < 0 || e.Attempt >= len(m.attempts) || !m.attempts[e.Attempt].open {
+	m, c := d.closeAttempt(e)
+	if c == nil {
 		return
 	}
-	a := &m.attempts[e.Attempt]
-	a.open = false
-	m.open--
-	a.unrun = e.Outcome == QueueFull || e.Outcome == ConnectError || e.Outcome == Ignored
-	c := a.call
 	if e.Wait > 0 { // it binds whatever became of the message, and calls that are not written yet
 		c.ep.q.waitUntil = max(c.ep.q.waitUntil, d.now+min(e.Wait, never-d.now))
 		for _, ep := range c.ep.q.eps {
 			d.act(Withhold{Endpoint: ep.ID})
 		}
 	}
-	if c.open--; c.open == 0 {
-		d.out--
-		c.ep.out, c.ep.q.out = remove(c.ep.out, c), remove(c.ep.q.out, c)
+	if c.open == 0 {
 		d.learn(c, m, e)
 		if len(c.ep.out) == 0 && d.crowded(c.ep) {
 			d.act(CloseIdle{Endpoint: c.ep.ID})
