Count the endpoints that are avoided or on trial instead of going over all with each batch

Cause: Avoided, which the relay asks for after each batch, went over all endpoints, and the move of trials over all queues even where nothing is on trial. At 490,000 destinations that is work for what a batch does not touch.

Change: endpoints that are out or draining are counted as they change, and only those of queues with calls out are looked at for silence, which time alone brings; trials are counted. The decisions are the same.

--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -39,6 +39,8 @@
 	actions    []Action
 	chance     *rand.Rand
 	pools      map[int]*latencies // by kind of destination
+	onTrial    int                // endpoints with a trial
+	bad        int                // endpoints that countsAsBad
 }
 
 // New returns a dispatcher that knows nothing yet. Settings that make no sense give an error.
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -36,15 +36,35 @@
 }
 
 // Avoided is how many listed endpoints get nothing now but trials: out, silent, or on their way out.
-func (d *Dispatcher) Avoided() (n int) {
-	for _, ep := range d.endpoints {
-		if ep.sick || ep.Draining || d.silent(ep) {
-			n++
+func (d *Dispatcher) Avoided() int {
+	n := d.bad
+	for _, q := range d.active { // only what has a call out can be silent
+		for _, ep := range q.eps {
+			if !ep.sick && !ep.Draining && d.silent(ep) {
+				n++
+			}
 		}
 	}
 	return n
 }
 
+// countsAsBad tells whether Avoided counts an endpoint whatever the time is.
+func (d *Dispatcher) countsAsBad(ep *endpoint) bool {
+	return !ep.Gone && (ep.sick || ep.Draining)
+}
+
+// update makes a change to an endpoint that may bear on what Avoided counts.
+func (d *Dispatcher) update(ep *endpoint, change func()) {
+	d.bad -= int(truth(d.countsAsBad(ep)))
+	change()
+	d.bad += int(truth(d.countsAsBad(ep)))
+}
+
+// setSick marks an endpoint as out or not.
+func (d *Dispatcher) setSick(ep *endpoint, sick bool) {
+	d.update(ep, func() { ep.sick = sick })
+}
+
 // coldFor is how long an endpoint has been back.
 func (d *Dispatcher) coldFor(ep *endpoint) time.Duration {
 	if ep.sick {
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -82,7 +82,8 @@
 			continue
 		}
 		q = ep.q
-		ep.sick, ep.ramping, ep.sickAt, ep.recovered, ep.lastOK = e.Sick, e.Ramping, e.SickAt, e.Recovered, e.LastOK
+		d.setSick(ep, e.Sick)
+		ep.ramping, ep.sickAt, ep.recovered, ep.lastOK = e.Ramping, e.SickAt, e.Recovered, e.LastOK
 		ep.failures, ep.connCap, ep.bucket = e.Failures, e.ConnCap, bucket{e.Tokens, e.TokensAt}
 		q.ill = q.ill || e.Sick
 	}
--- a/policy/list.go
+++ b/policy/list.go
@@ -58,13 +58,16 @@
 		}
 	}
 	d.arrives(ep, e)
-	ep.Endpoint = e
+	d.update(ep, func() { ep.Endpoint = e })
 	d.weigh(ep.q, e.Weight)
 }
 
 // drop forgets an endpoint that left the list; calls out there still end.
 func (d *Dispatcher) drop(ep *endpoint) {
-	ep.Gone = true
+	d.update(ep, func() { ep.Gone = true })
+	if ep.trial != nil {
+		d.onTrial--
+	}
 	delete(d.endpoints, ep.ID)
 	ep.q.eps = remove(ep.q.eps, ep)
 	d.forget(ep.q)
--- a/policy/newcomers.go
+++ b/policy/newcomers.go
@@ -35,6 +35,9 @@
 // arrives takes in an endpoint that was not listed before, or has started anew since.
 func (d *Dispatcher) arrives(ep *endpoint, e Endpoint) {
 	if d.s.Newcomers && e.Born > ep.Born && d.now-e.Born < newFor && !e.Draining {
+		if ep.trial == nil {
+			d.onTrial++
+		}
 		ep.trial = &trial{since: d.now, credit: d.chance.Float64(), score: make([]float64, len(d.s.Classes))}
 	}
 }
@@ -82,6 +85,7 @@
 			d.stage(ep, t.stage+1, d.now)
 		default:
 			ep.trial = nil
+			d.onTrial--
 			d.act(Proved{Endpoint: ep.ID})
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -603,7 +603,8 @@
 
 // returns starts the ramp of an endpoint that was sick, with what of a call may go at once.
 func (d *Dispatcher) returns(ep *endpoint, tokens float64, hearsay bool) {
-	ep.sick, ep.ramping, ep.recovered, ep.failures, ep.q.ill = false, true, d.now, 0, false
+	d.setSick(ep, false)
+	ep.ramping, ep.recovered, ep.failures, ep.q.ill = true, d.now, 0, false
 	ep.tokens, ep.tokensAt = tokens, d.now
 	clear(ep.strikes) // the outage's: else none that failed there would ever try it again
 	d.act(Remember{Endpoint: ep.ID, At: d.now, Hearsay: hearsay})
@@ -636,7 +637,8 @@
 	if ep.sick {
 		return
 	}
-	ep.sick, ep.ramping, ep.sickAt, ep.q.ill = true, false, d.now, true
+	d.setSick(ep, true)
+	ep.ramping, ep.sickAt, ep.q.ill = false, d.now, true
 	ep.tokens, ep.tokensAt = d.phase(ep), max(d.now, ep.q.waitUntil)
 	d.act(Remember{Endpoint: ep.ID, Sick: true, At: d.now, Hearsay: hearsay || d.cutOff})
 	if ep.q.apart {
--- a/policy/trial.go
+++ b/policy/trial.go
@@ -46,7 +46,7 @@
 
 // trials lists the endpoints on trial, in the order of the queues.
 func (d *Dispatcher) trials() (all []*endpoint) {
-	if !d.s.Newcomers {
+	if d.onTrial == 0 {
 		return nil
 	}
 	for _, q := range d.queues {
