Keep the state of a destination on demand where a Directory is given

Need: the module keeps 1,160 B for each of 490,000 listed destinations of one endpoint (measured, with three classes and without traffic), 568 MB, also of those that a relay never has a message for, where a relay may have 256 MB.

With Settings.Directory, state comes with the first message for a destination or the first fact that binds it, filled through the code that takes in the list, and counts as listed since the first Listed, so that rates and paces are what they would be. It goes after two idle minutes, if nothing that is known binds (evictable, in policy.go): an idle destination is looked at when it comes to the front of a list by time, 32 in a batch at most. With zones, which compare all endpoints, all state is kept as before.

Each was seen to fail on injected mistakes: state that counts from its loading, each clause of evictable left out, unbounded or no eviction, a queue's index not kept, look-ups in each batch for all.

--- a/policy/api.go
+++ b/policy/api.go
@@ -114,6 +114,23 @@
 	OverloadFor    time.Duration // for this long, a cold destination falls over
 	ConnIdle       time.Duration // idle connections close by themselves after this; 0 for never
 	OrderPause     time.Duration // rest of a key after an attempt that may still run
+	Directory      Directory     // nil: state is kept for all endpoints of Listed
+}
+
+// Directory looks listed endpoints up. The caller owns it, and changes it only between calls of Handle: before the
+// Listed that reports the change.
+//
+// With a Directory, a Dispatcher keeps state only for the destinations in use. State comes with the first message for
+// a destination, or the first fact that binds it: Recalled or Learned, a refusal that another relay reports, Accused,
+// Paced, or an endpoint that is on trial beside an older one. Entries of Listed that concern no state are ignored;
+// removals have to be listed as Gone, Whole is not needed. State goes when its destination has been idle for two
+// minutes and nothing that is known of it binds. Share then names such destinations alone.
+//
+// With Settings.Zones, which compares the endpoints of all destinations, the Directory is not used: state comes with
+// Listed and stays, as without one.
+type Directory interface {
+	Endpoints(destination int) []Endpoint    // listed now, in a stable order
+	Destination(endpoint string) (int, bool) // of a listed endpoint
 }
 
 // Endpoint is one entry of the list of endpoints.
@@ -211,7 +228,7 @@
 	}
 	// Withdrawn says that nobody wants a message any more; no answer is owed.
 	Withdrawn struct{ ID string }
-	// Listed changes the list of endpoints, or replaces it when Whole.
+	// Listed changes the list of endpoints, or replaces it when Whole. See Directory for what is ignored.
 	Listed struct {
 		Whole     bool
 		Endpoints []Endpoint
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"container/list"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -41,6 +42,8 @@
 	pools      map[int]*latencies // by kind of destination
 	onTrial    int                // endpoints with a trial
 	bad        int                // endpoints that countsAsBad
+	listedAt   time.Duration      // of the first Listed; never before it
+	idle       list.List          // of *destination: on demand only, by idleSince; those that have become busy may still be in it
 }
 
 // New returns a dispatcher that knows nothing yet. Settings that make no sense give an error.
@@ -50,7 +53,7 @@
 	}
 	d := &Dispatcher{s: s, endpoints: map[string]*endpoint{}, dests: map[int]*destination{},
 		messages: map[string]*message{}, keys: map[string][]*message{},
-		pools: map[int]*latencies{}, chance: rand.New(rand.NewPCG(uint64(seed), 0)), resub: never}
+		pools: map[int]*latencies{}, chance: rand.New(rand.NewPCG(uint64(seed), 0)), resub: never, listedAt: never}
 	if s.Subscribe {
 		d.resub = 0 // at once
 	}
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -35,7 +35,8 @@
 	return ep.connCap > 0 || ep.crowdedAt > 0 && d.now-ep.crowdedAt < d.s.ConnIdle
 }
 
-// Avoided is how many listed endpoints get nothing now but trials: out, silent, or on their way out.
+// Avoided is how many listed endpoints get nothing now but trials: out, silent, or on their way out. With a Directory in use,
+// those on their way out are left out: the caller knows of all of them.
 func (d *Dispatcher) Avoided() int {
 	n := d.bad
 	for _, q := range d.active { // only what has a call out can be silent
@@ -50,6 +51,9 @@
 
 // countsAsBad tells whether Avoided counts an endpoint whatever the time is.
 func (d *Dispatcher) countsAsBad(ep *endpoint) bool {
+	if d.onDemand() {
+		return !ep.Gone && ep.sick && !ep.Draining
+	}
 	return !ep.Gone && (ep.sick || ep.Draining)
 }
 
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -27,18 +27,18 @@
 // before it.
 func (d *Dispatcher) accused(e Accused) {
 	w := word{e.Origins, e.Rank, d.now - e.First, d.now - e.Last, d.now + e.Until}
-	if ep := d.endpoints[e.Endpoint]; ep != nil {
+	binds := w.binds(d.now)
+	if ep := d.lookUp(e.Endpoint, binds); ep != nil {
 		// For zones and turns alone: among many relays single errors soon make three witnesses.
 		if ep.word = w; e.Fresh >= witnesses {
 			ep.failedAt = max(ep.failedAt, w.last)
 		}
 		return
 	}
-	dest := d.dests[e.Destination]
-	if e.Endpoint != "" || dest == nil || dest.queues[0].apart {
+	q := d.sharedQueue(e.Destination, binds && e.Endpoint == "")
+	if e.Endpoint != "" || q == nil {
 		return
 	}
-	q := dest.queues[0]
 	q.word = w
 	if w.origins < witnesses || d.now-w.first <= shutAfter || q.lastOK >= w.first {
 		return
@@ -56,10 +56,10 @@
 func (d *Dispatcher) tryAt(ep *endpoint) time.Duration {
 	w := ep.word
 	q := ep.q.word
-	if w.origins == 0 || d.now >= w.until || q.origins > 0 && d.now < q.until && q.last > w.last {
+	if !w.binds(d.now) || q.origins > 0 && d.now < q.until && q.last > w.last {
 		w = q
 	}
-	if w.origins == 0 || d.now >= w.until {
+	if !w.binds(d.now) {
 		return 0
 	}
 	each := tryEach
@@ -97,11 +97,10 @@
 // pacedBy takes in what other relays send a destination. One that has just started, and so has learned no
 // pace of its own, begins with the fleet's.
 func (d *Dispatcher) pacedBy(e Paced) {
-	dest := d.dests[e.Destination]
-	if dest == nil || dest.queues[0].apart {
+	q := d.sharedQueue(e.Destination, true)
+	if q == nil {
 		return
 	}
-	q := dest.queues[0]
 	d.relays, q.paced, q.pacedTo = e.Relays, e, d.now+e.Until
 	if d.s.Zones {
 		d.apportion(q, e.ByZone)
--- a/policy/fleetstate.go
+++ b/policy/fleetstate.go
@@ -10,6 +10,9 @@
 	first, last, until time.Duration
 }
 
+// binds tells whether the fleet says anything, and it is not too old to be used.
+func (w word) binds(now time.Duration) bool { return w.origins > 0 && now < w.until }
+
 // share tells the others this relay's pace for one destination after the other.
 func (d *Dispatcher) share() {
 	if !d.s.Shares || d.now < d.shareAt || len(d.queues) == 0 {
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -11,7 +11,7 @@
 // with an attempt still out comes back to its queue by that attempt's end.
 func (d *Dispatcher) resume(m *message) {
 	for _, t := range m.Tried {
-		ep := d.endpoints[t.Endpoint]
+		ep := d.lookUp(t.Endpoint, true)
 		if ep == nil {
 			// Its zone is not known any more: no other is known to share its memory.
 			ep = &endpoint{Endpoint: Endpoint{ID: t.Endpoint, Destination: m.Destination, Zone: -1, Gone: true},
@@ -77,7 +77,7 @@
 func (d *Dispatcher) inherit(l Learned) {
 	var q *queue
 	for _, e := range l.Endpoints {
-		ep := d.endpoints[e.ID]
+		ep := d.lookUp(e.ID, true)
 		if ep == nil {
 			continue
 		}
@@ -104,12 +104,13 @@
 // recall takes over an endpoint's outage or ramp from an earlier process, so that a restart in the middle of
 // either does not send to a cold destination as to a warm one.
 func (d *Dispatcher) recall(e Recalled) {
-	ep := d.endpoints[e.Endpoint]
+	ramping := d.now-e.At < d.s.RampTime
+	ep := d.lookUp(e.Endpoint, e.Sick || ramping)
 	switch {
 	case ep == nil:
 	case e.Sick:
 		d.sicken(ep)
-	case d.now-e.At < d.s.RampTime:
+	case ramping:
 		ep.ramping, ep.recovered = true, e.At
 	}
 }
--- a/policy/list.go
+++ b/policy/list.go
@@ -3,18 +3,24 @@
 import (
 	"math"
 	"slices"
+	"time"
 )
 
 // This file holds changes of the list of endpoints.
 
 // listed takes in a change of the list.
 func (d *Dispatcher) listed(e Listed) {
-	named := map[string]bool{}
+	d.listedAt = min(d.listedAt, d.now)
 	for _, entry := range e.Endpoints {
-		named[entry.ID] = true
-		d.entry(entry)
+		if d.concerns(entry) {
+			d.entry(entry, d.now)
+		}
 	}
 	if e.Whole {
+		named := map[string]bool{}
+		for _, entry := range e.Endpoints {
+			named[entry.ID] = true
+		}
 		for _, q := range slices.Clone(d.queues) {
 			for _, ep := range append([]*endpoint(nil), q.eps...) {
 				if !named[ep.ID] {
@@ -30,8 +36,8 @@
 	}
 }
 
-// entry takes in one entry of the list.
-func (d *Dispatcher) entry(e Endpoint) {
+// entry takes in one entry of the list, as told at a moment.
+func (d *Dispatcher) entry(e Endpoint, at time.Duration) {
 	ep := d.endpoints[e.ID]
 	if e.Gone {
 		if ep != nil {
@@ -39,27 +45,36 @@
 		}
 		return
 	}
+	cold := false
 	if ep == nil {
-		ep = &endpoint{strikes: make([]float64, len(d.s.Classes))}
-		d.endpoints[e.ID] = ep
 		dest := d.dest(e.Destination)
-		kind := Kind{Bundle: 1}
-		if e.Kind >= 0 && e.Kind < len(d.s.Kinds) {
-			kind = d.s.Kinds[e.Kind]
-		}
-		ep.q = dest.queues[0]
-		if kind.Separate && (len(ep.q.eps) > 0 || len(dest.queues) > 1) {
-			ep.q = d.addQueue(dest, 1, true)
-		}
-		ep.q.bundle, ep.q.apart, ep.q.kind = max(1, kind.Bundle), kind.Separate, e.Kind
-		ep.q.eps = append(ep.q.eps, ep)
-		if ep.q.ill { // at a destination that is out it is as cold as the others
-			defer d.sicken(ep)
+		if ep = d.endpoints[e.ID]; ep == nil { // loading the destination may have brought it
+			ep = d.addEndpoint(dest, e, at)
+			cold = ep.q.ill
 		}
 	}
 	d.arrives(ep, e)
 	d.update(ep, func() { ep.Endpoint = e })
-	d.weigh(ep.q, e.Weight)
+	d.weigh(ep.q, e.Weight, at)
+	if cold { // at a destination that is out it is as cold as the others
+		d.sicken(ep)
+	}
+}
+
+// addEndpoint adds an endpoint that is listed since a moment to its destination.
+func (d *Dispatcher) addEndpoint(dest *destination, e Endpoint, since time.Duration) *endpoint {
+	ep := &endpoint{strikes: make([]float64, len(d.s.Classes)), q: dest.queues[0]}
+	d.endpoints[e.ID] = ep
+	kind := Kind{Bundle: 1}
+	if e.Kind >= 0 && e.Kind < len(d.s.Kinds) {
+		kind = d.s.Kinds[e.Kind]
+	}
+	if kind.Separate && (len(ep.q.eps) > 0 || len(dest.queues) > 1) {
+		ep.q = d.addQueue(dest, 1, true, since)
+	}
+	ep.q.bundle, ep.q.apart, ep.q.kind = max(1, kind.Bundle), kind.Separate, e.Kind
+	ep.q.eps = append(ep.q.eps, ep)
+	return ep
 }
 
 // drop forgets an endpoint that left the list; calls out there still end.
@@ -73,12 +88,12 @@
 	d.forget(ep.q)
 }
 
-// weigh takes in the rate that a queue's destination is listed with.
-func (d *Dispatcher) weigh(q *queue, weight float64) {
+// weigh takes in the rate that a queue's destination is listed with since a moment.
+func (d *Dispatcher) weigh(q *queue, weight float64, since time.Duration) {
 	if d.s.Weights == WeightsOff || !(weight > 0) || math.IsInf(weight, 0) || weight == q.weight {
 		return
 	}
 	q.weight = weight
-	q.pace, q.cutAt = d.even(q), d.now
-	q.tokens, q.tokensAt = math.Max(1, q.pace*burstSpan.Seconds()), d.now
+	q.pace, q.cutAt = d.even(q), since
+	q.tokens, q.tokensAt = math.Max(1, q.pace*burstSpan.Seconds()), since
 }
--- a/policy/newcomers.go
+++ b/policy/newcomers.go
@@ -34,7 +34,7 @@
 
 // arrives takes in an endpoint that was not listed before, or has started anew since.
 func (d *Dispatcher) arrives(ep *endpoint, e Endpoint) {
-	if d.s.Newcomers && e.Born > ep.Born && d.now-e.Born < newFor && !e.Draining {
+	if d.isNew(e) && e.Born > ep.Born && !e.Draining {
 		if ep.trial == nil {
 			d.onTrial++
 		}
@@ -42,6 +42,11 @@
 	}
 }
 
+// isNew tells whether a listed endpoint may be on trial by its age.
+func (d *Dispatcher) isNew(e Endpoint) bool {
+	return d.s.Newcomers && e.Born > 0 && d.now-e.Born < newFor
+}
+
 // proves tells whether an endpoint is on trial: only beside an older one that serves its destination.
 func (d *Dispatcher) proves(ep *endpoint) bool {
 	return ep.trial != nil && slices.ContainsFunc(ep.q.eps, func(o *endpoint) bool {
--- /dev/null
+++ b/policy/ondemand_test.go
@@ -0,0 +1,505 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// directory is a Directory in memory that counts how often it is asked.
+type directory struct {
+	lists   map[int][]Endpoint
+	of      map[string]int
+	lookUps int
+}
+
+func newDirectory(eps ...Endpoint) *directory {
+	l := &directory{lists: map[int][]Endpoint{}, of: map[string]int{}}
+	l.change(Listed{Endpoints: eps})
+	return l
+}
+
+func (l *directory) Endpoints(destination int) []Endpoint {
+	l.lookUps++
+	return l.lists[destination]
+}
+
+func (l *directory) Destination(endpoint string) (int, bool) {
+	l.lookUps++
+	no, ok := l.of[endpoint]
+	return no, ok
+}
+
+// change takes in changes of the list.
+func (l *directory) change(changes Listed) {
+	for _, e := range changes.Endpoints {
+		i := slices.IndexFunc(l.lists[e.Destination], func(o Endpoint) bool { return o.ID == e.ID })
+		switch {
+		case e.Gone && i >= 0:
+			l.lists[e.Destination] = slices.Delete(l.lists[e.Destination], i, i+1)
+			delete(l.of, e.ID)
+		case e.Gone:
+		case i >= 0:
+			l.lists[e.Destination][i] = e
+		default:
+			l.lists[e.Destination] = append(l.lists[e.Destination], e)
+			l.of[e.ID] = e.Destination
+		}
+	}
+}
+
+// onDemandSettings are plain settings in which all that a queue may learn is of use.
+func onDemandSettings() Settings {
+	s := plain()
+	s.Weights, s.Peers, s.Instances, s.ConnIdle = WeightsNominal, true, 4, time.Second
+	return s
+}
+
+// startOnDemand gives a dispatcher with a directory that was told of the list at 0.
+func startOnDemand(t testing.TB, s Settings, eps ...Endpoint) (*Dispatcher, *directory) {
+	t.Helper()
+	list := newDirectory(eps...)
+	s.Directory = list
+	d, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	d.Handle(0, []Event{Listed{Endpoints: eps}})
+	return d, list
+}
+
+// pair runs a dispatcher with all state and one with state on demand on the same events.
+type pair struct {
+	t           *rapid.T
+	s           Settings
+	list        *directory
+	eager, lazy *Dispatcher
+	now         time.Duration
+	next        int
+	attempts    []Ended // that are out
+	tries       map[string]int
+}
+
+// Destinations 0 to 3 have endpoints in one queue, 4 and 5 are routes apart, 6 is listed by nobody.
+const sharedDestinations, listedDestinations, usedDestinations = 4, 6, 7
+
+func newPair(t *rapid.T) *pair {
+	p := &pair{t: t, s: onDemandSettings(), list: newDirectory(), tries: map[string]int{}}
+	p.s.Instances = rapid.SampledFrom([]int{1, 4, 400}).Draw(t, "relays")
+	p.s.Slots = rapid.IntRange(2, 6).Draw(t, "slots")
+	p.s.Weights = rapid.SampledFrom([]Weights{WeightsOff, WeightsNominal}).Draw(t, "weights")
+	seed := rapid.Int64().Draw(t, "seed")
+	onDemand := p.s
+	onDemand.Directory = p.list
+	var err error
+	if p.eager, err = New(p.s, seed); err != nil {
+		t.Fatal(err)
+	}
+	if p.lazy, err = New(onDemand, seed); err != nil {
+		t.Fatal(err)
+	}
+	var all Listed
+	for no := range listedDestinations {
+		for i := range 1 + no%3 {
+			all.Endpoints = append(all.Endpoints, p.endpoint(no, i))
+		}
+	}
+	p.handle([]Event{all})
+	return p
+}
+
+func (p *pair) endpoint(no, i int) Endpoint {
+	kind := no % 2
+	if no >= sharedDestinations {
+		kind = 2
+	}
+	return Endpoint{ID: fmt.Sprint("e", no, "-", i), Destination: no, Kind: kind, Weight: float64(1 + 5*no), Zone: i}
+}
+
+// handle gives both the same batch, and compares what they do.
+func (p *pair) handle(events []Event) {
+	for _, e := range events {
+		if l, ok := e.(Listed); ok {
+			p.list.change(l)
+		}
+	}
+	want, got := p.eager.Handle(p.now, events), p.lazy.Handle(p.now, events)
+	if !reflect.DeepEqual(got, want) {
+		p.t.Fatalf("at %v, after %+v:\n on demand %+v\n otherwise %+v", p.now, events, got, want)
+	}
+	for _, a := range got {
+		if s, ok := a.(Send); ok {
+			p.attempts = append(p.attempts, Ended{ID: s.ID, Endpoint: s.Endpoint, Attempt: p.tries[s.ID]})
+			p.tries[s.ID]++
+		}
+	}
+	draining := 0
+	for _, eps := range p.list.lists {
+		for _, e := range eps {
+			draining += int(truth(e.Draining))
+		}
+	}
+	avoided := 0
+	for _, ep := range p.eager.endpoints {
+		avoided += int(truth(ep.sick || ep.Draining || p.eager.silent(ep)))
+	}
+	if got, otherwise := p.lazy.Avoided()+draining, p.eager.Avoided(); got != avoided || otherwise != avoided {
+		p.t.Fatalf("at %v: %d avoided on demand, %d otherwise, want %d", p.now, got, otherwise, avoided)
+	}
+}
+
+// anyEndpoint draws a listed endpoint.
+func (p *pair) anyEndpoint() Endpoint {
+	no := rapid.IntRange(0, listedDestinations-1).Draw(p.t, "destination")
+	return rapid.SampledFrom(p.list.lists[no]).Draw(p.t, "endpoint")
+}
+
+// change draws a change of the list: an endpoint drains or not, or one comes or goes.
+func (p *pair) change() Event {
+	no := rapid.IntRange(0, sharedDestinations-1).Draw(p.t, "destination")
+	e := p.endpoint(no, rapid.IntRange(0, 3).Draw(p.t, "endpoint"))
+	_, listed := p.list.of[e.ID]
+	switch {
+	case listed && len(p.list.lists[no]) > 1 && rapid.Bool().Draw(p.t, "gone"):
+		e.Gone = true
+	case listed:
+		e.Draining = rapid.Bool().Draw(p.t, "draining")
+	}
+	return Listed{Endpoints: []Endpoint{e}}
+}
+
+// outcome draws the end of an attempt that is out.
+func (p *pair) outcome() Event {
+	i := rapid.IntRange(0, len(p.attempts)-1).Draw(p.t, "attempt")
+	e := p.attempts[i]
+	p.attempts = slices.Delete(p.attempts, i, i+1)
+	e.Outcome = rapid.SampledFrom([]Outcome{OK, OK, OK, Failed, QueueFull, TimedOut, ConnectError, Reset}).Draw(p.t, "outcome")
+	if e.Outcome == QueueFull {
+		e.Wait = time.Duration(rapid.SampledFrom([]int{0, 0, 700, 4000}).Draw(p.t, "wait")) * ms
+	}
+	return e
+}
+
+// fromOthers draws what the fleet, or an earlier process, tells.
+func (p *pair) fromOthers() Event {
+	no := rapid.IntRange(0, usedDestinations-1).Draw(p.t, "destination")
+	age := time.Duration(rapid.IntRange(0, 5000).Draw(p.t, "age")) * ms
+	switch rapid.IntRange(0, 7).Draw(p.t, "fact") {
+	case 0:
+		return Heard{Note: limitNote{dest: no, age: age}.note()}
+	case 1:
+		return Heard{Note: limitNote{dest: no, open: true, age: age}.note()}
+	case 2:
+		return Heard{Note: endpointNote(backMark, p.anyEndpoint().ID)}
+	case 3:
+		return Accused{Destination: no, Origins: rapid.IntRange(0, 5).Draw(p.t, "origins"),
+			First: age, Last: age / 2, Until: 5 * time.Second, Rank: rapid.IntRange(0, 2).Draw(p.t, "rank")}
+	case 4:
+		return Accused{Endpoint: p.anyEndpoint().ID, Origins: rapid.IntRange(0, 5).Draw(p.t, "origins"),
+			First: age, Last: age / 2, Until: 5 * time.Second}
+	case 5:
+		return Paced{Destination: no, Relays: p.s.Instances, Tellers: 5, Pace: rapid.Float64Range(0, 2).Draw(p.t, "pace"),
+			Traffic: 3, Until: 10 * time.Second}
+	case 6:
+		return Recalled{Endpoint: p.anyEndpoint().ID, Sick: rapid.Bool().Draw(p.t, "sick"), At: p.now - age}
+	}
+	e := p.anyEndpoint()
+	return Learned{Endpoints: []LearnedEndpoint{{ID: e.ID, Failures: 0.5, LastOK: p.now}}, Outcomes: 9, Mean: 0.2,
+		Class: []float64{0.2, 0.2, 0.2}, Width: 2, Pace: e.Weight / float64(p.s.Instances), Tokens: 1, TokensAt: p.now}
+}
+
+// arrival draws a message: new, or accepted by an earlier process that has tried an endpoint.
+func (p *pair) arrival() Event {
+	p.next++
+	a := Arrived{ID: fmt.Sprint("m", p.next), Class: rapid.IntRange(0, 2).Draw(p.t, "class"),
+		Destination: rapid.IntRange(0, usedDestinations-1).Draw(p.t, "destination"), Left: 10 * time.Second,
+		Key: rapid.SampledFrom([]string{"", "k", "l"}).Draw(p.t, "key")}
+	eps := p.list.lists[a.Destination]
+	if len(eps) > 0 && rapid.IntRange(0, 9).Draw(p.t, "resumed") == 0 {
+		a.Resumed = true
+		a.Tried = []Tried{{Endpoint: eps[0].ID, Sent: p.now - 300*ms, Unrun: rapid.Bool().Draw(p.t, "not run")}}
+		p.tries[a.ID]++
+	}
+	return a
+}
+
+// Loading the state of a destination when it is first of use changes no decision and no random draw.
+func TestOnDemandDecidesAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newPair(t)
+		for range rapid.IntRange(1, 80).Draw(t, "batches") {
+			p.now += time.Duration(rapid.SampledFrom([]int{5, 5, 30, 200, 1400}).Draw(t, "after")) * ms
+			var events []Event
+			for range rapid.IntRange(0, 3).Draw(t, "events") {
+				switch kind := rapid.IntRange(0, 9).Draw(t, "kind"); {
+				case kind < 4 && len(p.attempts) > 0:
+					events = append(events, p.outcome())
+				case kind < 8:
+					events = append(events, p.arrival())
+				case kind == 8:
+					events = append(events, p.change())
+					p.list.change(events[len(events)-1].(Listed))
+				default:
+					events = append(events, p.fromOthers())
+				}
+			}
+			p.handle(events)
+		}
+	})
+}
+
+// many lists n destinations of one endpoint each.
+func many(n int) []Endpoint {
+	all := make([]Endpoint, n)
+	for no := range all {
+		all[no] = Endpoint{ID: fmt.Sprint("e", no), Destination: no, Weight: 100}
+	}
+	return all
+}
+
+// serve has messages for destinations sent and delivered.
+func serve(t testing.TB, d *Dispatcher, now time.Duration, destinations ...int) {
+	t.Helper()
+	for _, no := range destinations {
+		id := fmt.Sprint("m", no, "-", now)
+		sent := said(d.Handle(now, []Event{Arrived{ID: id, Destination: no, Left: 10 * time.Second}}))
+		if want := fmt.Sprint(id, ">e", no); sent != want {
+			t.Fatalf("at %v: %q, want %q", now, sent, want)
+		}
+		d.Handle(now, []Event{Ended{ID: id, Endpoint: fmt.Sprint("e", no), Outcome: OK, Over: true, Took: 20 * ms}})
+	}
+}
+
+func (d *Dispatcher) stateCounts() [4]int {
+	return [4]int{len(d.dests), len(d.queues), len(d.endpoints), d.idle.Len()}
+}
+
+func TestStateIsBoundedByTraffic(t *testing.T) {
+	d, _ := startOnDemand(t, onDemandSettings(), many(100_000)...)
+	if got := d.stateCounts(); got != [4]int{} {
+		t.Fatalf("%v in state after the list alone", got)
+	}
+	used := make([]int, 100)
+	for i := range used {
+		used[i] = 997 * i
+	}
+	serve(t, d, time.Second, used...)
+	if got := d.stateCounts(); got != [4]int{100, 100, 100, 100} {
+		t.Fatalf("%v in state after messages for 100", got)
+	}
+	serve(t, d, time.Minute, used[:10]...)
+	d.Handle(time.Second+idleAfter-1, nil)
+	if got := d.stateCounts(); got != [4]int{100, 100, 100, 100} {
+		t.Fatalf("%v in state before the time", got)
+	}
+	for i := 1; i <= 3; i++ {
+		d.Handle(time.Second+idleAfter, []Event{Woken{}})
+		left := max(10, 100-i*evictMost)
+		if got := d.stateCounts(); got != [4]int{left, left, left, left} {
+			t.Fatalf("%v in state after %d batches of eviction, want %d", got, i, left)
+		}
+	}
+	for i, q := range d.queues {
+		if q.index != i || d.dests[q.dest.no] != q.dest || d.endpoints[q.eps[0].ID] != q.eps[0] {
+			t.Errorf("queue %d, of destination %d, is not where it should be", i, q.dest.no)
+		}
+	}
+	d.Handle(time.Minute+idleAfter, nil)
+	if got := d.stateCounts(); got != [4]int{} {
+		t.Errorf("%v in state at the end", got)
+	}
+	serve(t, d, time.Hour, used...)
+}
+
+// What binds keeps state for as long as it binds.
+func TestBindingStateStays(t *testing.T) {
+	const long = 10 * time.Minute
+	failed := func(o Outcome, wait time.Duration) func(*Dispatcher) {
+		return func(d *Dispatcher) {
+			d.Handle(0, []Event{Arrived{ID: "m", Destination: 7, Left: time.Second}})
+			d.Handle(10*ms, []Event{Ended{ID: "m", Endpoint: "e7", Outcome: o, Wait: wait, Over: true}})
+		}
+	}
+	event := func(e Event) func(*Dispatcher) { return func(d *Dispatcher) { d.Handle(0, []Event{e}) } }
+	learned := func(l Learned, e LearnedEndpoint) func(*Dispatcher) {
+		e.ID = "e7"
+		l.Endpoints, l.Tokens = []LearnedEndpoint{e}, 100
+		return event(l)
+	}
+	tests := map[string]struct {
+		cause func(*Dispatcher)
+		until time.Duration // never: time alone does not end it
+	}{
+		"wait":              {learned(Learned{Wait: long}, LearnedEndpoint{}), long},
+		"pause":             {learned(Learned{Hold: long}, LearnedEndpoint{}), long},
+		"wait of an answer": {failed(QueueFull, 3*time.Minute), never},
+		"refusal":           {failed(QueueFull, 0), never},
+		"failure":           {failed(Failed, 0), never},
+		"outage":            {event(Recalled{Endpoint: "e7", Sick: true}), never},
+		"slow start":        {event(Recalled{Endpoint: "e7", At: 0}), long},
+		"few connections": {func(d *Dispatcher) {
+			serve(t, d, 0, 7)
+			d.endpoints["e7"].connCap = 1
+		}, long},
+		"finding on the destination": {event(Accused{Destination: 7, Origins: 1, Until: long}), long},
+		"finding on the endpoint":    {event(Accused{Endpoint: "e7", Origins: 1, Until: long}), long},
+		"rate of the fleet":          {event(Paced{Destination: 7, Tellers: 3, Pace: 1, Until: long}), long},
+		"used allowance": {func(d *Dispatcher) {
+			serve(t, d, 0, 7)
+			q := d.dests[7].queues[0]
+			q.pace, q.tokens = 1/long.Seconds(), 0
+		}, long},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			s := onDemandSettings()
+			s.RampTime, s.ConnIdle = long, long
+			d, _ := startOnDemand(t, s, many(10)...)
+			tt.cause(d)
+			kept := d.dests[7]
+			for now := time.Minute; now < min(tt.until, 2*long); now += time.Minute {
+				d.Handle(now, nil)
+				if kept == nil || d.dests[7] != kept || d.endpoints["e7"] == nil {
+					t.Fatalf("at %v its state is gone", now)
+				}
+			}
+			if tt.until == never {
+				return
+			}
+			d.Handle(long+idleAfter, nil)
+			if got := d.stateCounts(); got != [4]int{} {
+				t.Errorf("%v in state when nothing binds any more", got)
+			}
+		})
+	}
+}
+
+// Only facts that bind load state.
+func TestWhatLoadsState(t *testing.T) {
+	received := func(note []byte) Event { return Heard{Note: note} }
+	tests := map[string]struct {
+		event Event
+		loads bool
+	}{
+		"message":               {Arrived{ID: "m", Destination: 7, Left: time.Second}, true},
+		"listed again":          {Listed{Endpoints: []Endpoint{{ID: "e7", Destination: 7, Weight: 100, Draining: true}}}, false},
+		"gone":                  {Listed{Endpoints: []Endpoint{{ID: "e7", Destination: 7, Gone: true}}}, false},
+		"outage recalled":       {Recalled{Endpoint: "e7", Sick: true}, true},
+		"return recalled":       {Recalled{Endpoint: "e7", At: 55 * time.Second}, true},
+		"old return recalled":   {Recalled{Endpoint: "e7", At: 0}, false},
+		"learned":               {Learned{Endpoints: []LearnedEndpoint{{ID: "e7"}}}, true},
+		"refusal elsewhere":     {received(limitNote{dest: 7}.note()), true},
+		"success elsewhere":     {received(limitNote{dest: 7, open: true}.note()), false},
+		"return elsewhere":      {received(endpointNote(backMark, "e7")), false},
+		"no connection":         {received(endpointNote(noRoomMark, "e7")), false},
+		"bad note":              {received([]byte("c")), false},
+		"finding":               {Accused{Destination: 7, Origins: 1, Until: time.Second}, true},
+		"finding on endpoint":   {Accused{Endpoint: "e7", Origins: 1, Until: time.Second}, true},
+		"finding withdrawn":     {Accused{Destination: 7}, false},
+		"finding on no one":     {Accused{Endpoint: "none", Origins: 1, Until: time.Second}, false},
+		"rate":                  {Paced{Destination: 7, Until: time.Second}, true},
+		"rate of an unlisted":   {Paced{Destination: 99, Until: time.Second}, false},
+		"refusal of an unknown": {received(limitNote{dest: 99}.note()), false},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			d, list := startOnDemand(t, onDemandSettings(), many(10)...)
+			if l, ok := tt.event.(Listed); ok {
+				list.change(l)
+			}
+			d.Handle(time.Minute, []Event{tt.event})
+			want := [4]int{}
+			if tt.loads {
+				want = [4]int{1, 1, 1, 1}
+			}
+			if got := d.stateCounts(); got != want {
+				t.Errorf("%v in state, want %v", got, want)
+			}
+		})
+	}
+}
+
+// An endpoint that is new beside an older one is on trial from its listing; one that is alone needs no state.
+func TestNewEndpointOnDemand(t *testing.T) {
+	s := onDemandSettings()
+	s.Newcomers = true
+	d, list := startOnDemand(t, s, many(10)...)
+	joining := Listed{Endpoints: []Endpoint{{ID: "new", Destination: 7, Weight: 100, Born: time.Hour},
+		{ID: "alone", Destination: 20, Weight: 100, Born: time.Hour}}}
+	list.change(joining)
+	d.Handle(time.Hour, []Event{joining})
+	if all := d.Newcomers(); len(all) != 1 || all[0].Endpoint != "new" || !all[0].Proving {
+		t.Fatalf("on trial: %+v", all)
+	}
+	if got := d.stateCounts(); got != [4]int{1, 1, 2, 1} {
+		t.Errorf("%v in state", got)
+	}
+	d.endpoints["new"].trial.score[0] = math.Log(worseTimes) // it keeps the trial from going on
+	d.Handle(time.Hour+3*idleAfter, nil)
+	if len(d.Newcomers()) != 1 {
+		t.Error("a trial that is not over has been forgotten")
+	}
+	d.endpoints["new"].trial.score[0] = 0
+	for i := range 10 {
+		d.Handle(time.Hour+time.Duration(4+2*i)*idleAfter, nil)
+	}
+	if got := d.stateCounts(); got != [4]int{} || d.onTrial != 0 {
+		t.Errorf("%v in state and %d on trial at the end", got, d.onTrial)
+	}
+}
+
+// With zones, all state is kept.
+func TestZonesNeedAllState(t *testing.T) {
+	s := onDemandSettings()
+	s.Zones = true
+	d, list := startOnDemand(t, s, many(10)...)
+	d.Handle(time.Hour, nil)
+	if got := d.stateCounts(); got != [4]int{10, 10, 10, 0} || list.lookUps != 0 {
+		t.Errorf("%v in state, %d look-ups", got, list.lookUps)
+	}
+}
+
+// A batch does no work for destinations that it does not concern, be they listed alone or in state.
+func TestWorkOfABatch(t *testing.T) {
+	work := func(listed, inState int) (lookUps int, allocations float64) {
+		d, list := startOnDemand(t, onDemandSettings(), many(listed)...)
+		for no := range inState {
+			serve(t, d, 0, no)
+		}
+		list.lookUps = 0
+		now := time.Second
+		serve(t, d, now, listed-1)
+		lookUps = list.lookUps
+		return lookUps, testing.AllocsPerRun(100, func() {
+			now += 100 * ms
+			serve(t, d, now, listed-1)
+		})
+	}
+	few, fewAllocations := work(1_000, 10)
+	lots, lotsAllocations := work(20_000, 10_000)
+	if few != 1 || lots != 1 || lotsAllocations > fewAllocations {
+		t.Errorf("%d look-ups and %v allocations with few, %d and %v with many", few, fewAllocations, lots, lotsAllocations)
+	}
+}
+
+// The counters and the pace of a queue that is loaded late are those of one that was there from the start.
+func TestLoadedLateCountsFromTheStart(t *testing.T) {
+	eager := start(t, onDemandSettings(), many(1)...)
+	lazy, _ := startOnDemand(t, onDemandSettings(), many(1)...)
+	for _, d := range []*Dispatcher{eager, lazy} {
+		d.Handle(time.Minute, []Event{Arrived{ID: "m", Left: time.Second}})
+	}
+	want, got := eager.dests[0].queues[0], lazy.dests[0].queues[0]
+	if got.arrivals != want.arrivals || got.pace != want.pace || got.bucket != want.bucket || got.cutAt != want.cutAt {
+		t.Errorf("arrivals %+v, pace %v, bucket %+v, cut at %v, want %+v, %v, %+v, %v", got.arrivals, got.pace, got.bucket, got.cutAt,
+			want.arrivals, want.pace, want.bucket, want.cutAt)
+	}
+	if rate := got.arrivals.rate(time.Minute); rate > 0.11 {
+		t.Errorf("%v arrivals a second, from one in a minute", rate)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -64,6 +64,9 @@
 	tellers = 8
 	// subscribeAgain is the wait before a failed subscription is asked for again.
 	subscribeAgain = 500 * time.Millisecond
+	// idleAfter without work, state kept on demand may go: counters with counterAge have faded, paces have
+	// climbed back, and latencies need not be what they were. At most evictMost go in a batch.
+	idleAfter, evictMost = 2 * time.Minute, 32
 )
 
 // Handle takes in the events of one batch and returns what is to be done, in order.
@@ -94,6 +97,7 @@
 	d.reap()
 	d.share()
 	d.rest()
+	d.evictIdle()
 	d.arm()
 	return d.actions
 }
@@ -677,11 +681,14 @@
 	}
 	d.witness(note)
 	l, ok := readLimit(note)
-	if dest := d.dests[l.dest]; !ok || dest == nil || dest.queues[0].apart {
+	if !ok {
 		return
-	} else if q := dest.queues[0]; l.open {
+	}
+	switch q := d.sharedQueue(l.dest, !l.open); {
+	case q == nil:
+	case l.open:
 		d.reopened(q, l)
-	} else {
+	default:
 		q.toldUntil = max(q.toldUntil, d.closed(q, l))
 	}
 }
@@ -799,3 +806,25 @@
 	}
 	return n >= failuresToSick || d.now < q.waitUntil || d.chance.Float64() < onceShare
 }
+
+// --- State on demand ---
+
+// evictable tells whether nothing that is known of an idle queue binds: no wait, pause or finding of the
+// fleet in force, no refusals or failures in a row, no outage or return from one, no connection limit, no
+// trial, and no part of its pace that is used up. What is forgotten then are estimates.
+func (d *Dispatcher) evictable(q *queue) bool {
+	allowance, depth := q.bucket, math.Max(1, q.pace*burstSpan.Seconds())
+	used := q.pace > 0 && allowance.fill(d.now, q.pace, depth) < depth
+	paused := d.now < max(q.waitUntil, q.holdUntil, q.toldUntil, q.pacedTo)
+	if used || paused || q.word.binds(d.now) || q.fulls > 0 || q.ill {
+		return false
+	}
+	return !slices.ContainsFunc(q.eps, d.endpointBinds)
+}
+
+// endpointBinds tells whether something that is known of an endpoint without a call out binds.
+func (d *Dispatcher) endpointBinds(ep *endpoint) bool {
+	cold := ep.sick || ep.ramping && d.coldFor(ep) < d.s.RampTime
+	capped := d.crowded(ep) && d.now-max(ep.lastUsed, ep.crowdedAt) < d.s.ConnIdle
+	return cold || capped || ep.failures > 0 || ep.trial != nil || ep.word.binds(d.now)
+}
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"container/list"
 	"slices"
 	"sort"
 	"time"
@@ -12,6 +13,9 @@
 type destination struct {
 	no     int
 	queues []*queue // routes, or the one shared queue; queues[0] also serves while nothing is listed
+	// idleElement is the destination's place in Dispatcher.idle, or nil; idleSince is when it was put there.
+	idleElement *list.Element
+	idleSince   time.Duration
 }
 
 // queue is one first-come queue of the paper.
@@ -52,6 +56,7 @@
 	bundle    int
 	apart     bool
 	active    bool // among Dispatcher.active
+	index     int  // in Dispatcher.queues
 	ill       bool // the last that was heard of an endpoint's health was bad
 }
 
@@ -79,6 +84,7 @@
 		q.active = len(q.held) > 0 || len(q.out) > 0
 		if !q.active {
 			d.forget(q)
+			d.markIdle(q.dest)
 		}
 		return !q.active
 	})
@@ -89,7 +95,25 @@
 	if len(q.eps) > 0 || q.active || q.dest.queues[0] == q && len(q.dest.queues) == 1 {
 		return
 	}
-	q.dest.queues, d.queues = remove(q.dest.queues, q), remove(d.queues, q)
+	q.dest.queues = remove(q.dest.queues, q)
+	d.removeQueue(q)
+}
+
+// removeQueue takes a queue out of the list of all queues, which keeps its order; on demand, where many come and go and
+// the order says nothing, the last one takes its place.
+func (d *Dispatcher) removeQueue(q *queue) {
+	if d.onDemand() {
+		last := len(d.queues) - 1
+		d.queues[q.index] = d.queues[last]
+		d.queues[q.index].index = q.index
+		d.queues[last] = nil
+		d.queues = d.queues[:last]
+		return
+	}
+	d.queues = slices.Delete(d.queues, q.index, q.index+1)
+	for _, later := range d.queues[q.index:] {
+		later.index--
+	}
 }
 
 // reroute lets the held messages of a queue choose their route again.
@@ -102,18 +126,32 @@
 
 // dest gives a destination, with one queue at least.
 func (d *Dispatcher) dest(no int) *destination {
-	if d.dests[no] == nil {
-		dest := &destination{no: no}
-		d.dests[no] = dest
-		d.addQueue(dest, 1, false)
+	if dest := d.dests[no]; dest != nil {
+		return dest
+	}
+	dest := &destination{no: no}
+	d.dests[no] = dest
+	if d.onDemand() {
+		d.load(dest)
+	} else {
+		d.addQueue(dest, 1, false, d.now)
 	}
-	return d.dests[no]
+	return dest
 }
 
-// addQueue adds a queue to a destination.
-func (d *Dispatcher) addQueue(dest *destination, bundle int, apart bool) *queue {
-	q := &queue{dest: dest, failing: make([]failing, len(d.s.Classes)), latencies: latencies{class: make([]float64, len(d.s.Classes))}, bundle: max(1, bundle), apart: apart,
-		bucket: bucket{tokensAt: d.now}, arrivals: aged{since: d.now}, misses: aged{since: d.now}}
+// addQueue adds a queue to a destination that counts since a moment.
+func (d *Dispatcher) addQueue(dest *destination, bundle int, apart bool, since time.Duration) *queue {
+	q := &queue{
+		dest:      dest,
+		bundle:    max(1, bundle),
+		apart:     apart,
+		failing:   make([]failing, len(d.s.Classes)),
+		latencies: latencies{class: make([]float64, len(d.s.Classes))},
+		bucket:    bucket{tokensAt: since},
+		arrivals:  aged{since: since},
+		misses:    aged{since: since},
+		index:     len(d.queues),
+	}
 	dest.queues = append(dest.queues, q)
 	d.queues = append(d.queues, q)
 	return q
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -294,6 +294,7 @@
 	eps   []policy.Endpoint
 	mood  []policy.Outcome // what the attempts of a destination mostly get just now
 	fates map[string]policy.Outcome
+	quiet bool // nothing arrives
 }
 
 func (w *world) list() policy.Listed {
@@ -361,6 +362,9 @@
 		events = append(events, policy.ListFailed{})
 	}
 	for range w.r.Intn(4) {
+		if w.quiet {
+			break
+		}
 		w.next++
 		class := w.r.Intn(len(w.s.Classes))
 		e := policy.Arrived{ID: fmt.Sprint("m", w.next), Class: class, Destination: w.r.Intn(5),
@@ -412,6 +416,9 @@
 			}
 			if e.Outcome == policy.QueueFull && w.r.Intn(2) == 0 {
 				e.Wait = time.Duration(w.r.Intn(2000)) * time.Millisecond
+				if w.s.Directory != nil && w.r.Intn(4) == 0 {
+					e.Wait = longWait
+				}
 			}
 			e.Over = e.Over || e.Outcome == policy.OK
 			events = append(events, e)
@@ -429,13 +436,17 @@
 // play runs a dispatcher on seeded events under the checker and returns its actions.
 func play(seed int64, steps int) ([]policy.Action, error) {
 	r := rand.New(rand.NewSource(seed))
-	s := variant(r)
+	return playIn(&world{r: r, s: variant(r)}, seed, steps)
+}
+
+// playIn does so with a world that has its settings.
+func playIn(w *world, seed int64, steps int) ([]policy.Action, error) {
+	r, s := w.r, w.s
+	w.c, w.now, w.mood, w.fates = newChecker(s), time.Hour, make([]policy.Outcome, 5), map[string]policy.Outcome{}
 	d, err := policy.New(s, seed)
 	if err != nil {
 		return nil, err
 	}
-	w := &world{r: r, s: s, c: newChecker(s), now: time.Hour, mood: make([]policy.Outcome, 5),
-		fates: map[string]policy.Outcome{}}
 	var all []policy.Action
 	for range steps {
 		if r.Intn(600) == 0 { // killed and begun anew
@@ -445,6 +456,9 @@
 			w.c, w.wakes = newChecker(s), nil
 			w.eps = nil
 		}
+		if s.Directory != nil {
+			w.pause()
+		}
 		events := w.batch()
 		w.c.events(w.now, events)
 		actions := d.Handle(w.now, events)
