Add package endpoints: a compact table, a streaming reader and a store of the list

Need: at 490,000 destinations the list is held several times over, each change writes all of it, and a watch refuses lists over 16 MiB. Nothing uses it yet.

--- /dev/null
+++ b/internal/endpoints/arena.go
@@ -0,0 +1,111 @@
+package endpoints
+
+import "encoding/binary"
+
+const (
+	// arenaUnit is the unit in which texts are allocated, in bytes. A free block holds the reference of the next one.
+	arenaUnit = 4
+	// chunkUnits is the number of units of one chunk of an arena: 64 KiB.
+	chunkUnits     = 1 << chunkUnitsBits
+	chunkUnitsBits = 14
+	// noText ends a list of free blocks.
+	noText textRef = 1<<32 - 1
+)
+
+// textRef is the place of a text in an arena: a chunk and a unit in it.
+type textRef uint32
+
+// arena holds pairs of short texts in large chunks without pointers, and reuses the blocks of freed ones. A pair is
+// stored as the two lengths (uvarint) followed by the two texts.
+type arena struct {
+	chunks [][]byte
+	used   int             // units used of the last regular chunk
+	last   int             // index of that chunk, -1 for none
+	free   map[int]textRef // heads of the lists of free blocks, by size in units
+	spare  []int           // indices of chunks that are gone
+}
+
+func newArena() arena { return arena{last: -1, free: map[int]textRef{}} }
+
+// pairUnits is the size of a stored pair in units.
+func pairUnits(first, second string) int {
+	var scratch [2 * binary.MaxVarintLen64]byte
+	head := binary.AppendUvarint(scratch[:0], uint64(len(first)))
+	head = binary.AppendUvarint(head, uint64(len(second)))
+	return (len(head) + len(first) + len(second) + arenaUnit - 1) / arenaUnit
+}
+
+// put stores a pair of texts.
+func (a *arena) put(first, second string) textRef {
+	units := pairUnits(first, second)
+	ref := a.allocate(units)
+	block := a.block(ref)[:0]
+	block = binary.AppendUvarint(block, uint64(len(first)))
+	block = binary.AppendUvarint(block, uint64(len(second)))
+	block = append(block, first...)
+	_ = append(block, second...)
+	return ref
+}
+
+// get gives the two texts of a pair. The slices are valid until the pair is freed.
+func (a *arena) get(ref textRef) (first, second []byte) {
+	block := a.block(ref)
+	firstLen, n := binary.Uvarint(block)
+	block = block[n:]
+	secondLen, n := binary.Uvarint(block)
+	block = block[n:]
+	return block[:firstLen], block[firstLen : firstLen+secondLen]
+}
+
+// release frees a pair.
+func (a *arena) release(ref textRef) {
+	first, second := a.get(ref)
+	units := pairUnits(string(first), string(second))
+	if units > chunkUnits {
+		index := int(ref >> chunkUnitsBits)
+		a.chunks[index] = nil
+		a.spare = append(a.spare, index)
+		return
+	}
+	next, ok := a.free[units]
+	if !ok {
+		next = noText
+	}
+	binary.LittleEndian.PutUint32(a.block(ref), uint32(next))
+	a.free[units] = ref
+}
+
+// block gives the bytes of a chunk from a place on.
+func (a *arena) block(ref textRef) []byte {
+	return a.chunks[ref>>chunkUnitsBits][int(ref&(chunkUnits-1))*arenaUnit:]
+}
+
+func (a *arena) allocate(units int) textRef {
+	if units > chunkUnits {
+		return textRef(a.addChunk(units)) << chunkUnitsBits
+	}
+	if ref, ok := a.free[units]; ok && ref != noText {
+		a.free[units] = textRef(binary.LittleEndian.Uint32(a.block(ref)))
+		return ref
+	}
+	if a.last < 0 || a.used+units > chunkUnits {
+		a.last = a.addChunk(chunkUnits)
+		a.used = 0
+	}
+	ref := textRef(a.last)<<chunkUnitsBits | textRef(a.used)
+	a.used += units
+	return ref
+}
+
+// addChunk adds a chunk and gives its index.
+func (a *arena) addChunk(units int) int {
+	chunk := make([]byte, units*arenaUnit)
+	if n := len(a.spare); n > 0 {
+		index := a.spare[n-1]
+		a.spare = a.spare[:n-1]
+		a.chunks[index] = chunk
+		return index
+	}
+	a.chunks = append(a.chunks, chunk)
+	return len(a.chunks) - 1
+}
--- /dev/null
+++ b/internal/endpoints/bench_test.go
@@ -0,0 +1,77 @@
+package endpoints
+
+import (
+	"fmt"
+	"testing"
+)
+
+// storedTable is a store on disk with a list, compacted.
+func storedTable(b *testing.B, dir string, entries int) (*Store, *Table) {
+	s, table, _, _, err := Open(dir, testBudget)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := range entries {
+		e := exampleEntry(i)
+		table.Put(e)
+		s.Append([]Entry{e}, nil)
+	}
+	if err := s.Commit(1); err != nil {
+		b.Fatal(err)
+	}
+	s.begin()
+	for s.compaction != nil {
+		s.Step(table)
+	}
+	return s, table
+}
+
+// One change of one host: the table, the append, the commit and the step.
+func BenchmarkChange(b *testing.B) {
+	for _, entries := range []int{1_000, 490_000} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			s, table := storedTable(b, b.TempDir(), entries)
+			defer s.Close()
+			b.ResetTimer()
+			for i := range b.N {
+				e := exampleEntry(i * 479 % entries)
+				e.BornMS = int64(i)
+				table.Put(e)
+				s.Append([]Entry{e}, nil)
+				if err := s.Commit(int64(i + 2)); err != nil {
+					b.Fatal(err)
+				}
+				s.Step(table)
+			}
+		})
+	}
+}
+
+// One step of a compaction of a long list.
+func BenchmarkStep(b *testing.B) {
+	s, table := storedTable(b, b.TempDir(), 490_000)
+	defer s.Close()
+	b.ResetTimer()
+	for range b.N {
+		if s.compaction == nil {
+			s.begin()
+		}
+		s.Step(table)
+	}
+}
+
+func BenchmarkOpen(b *testing.B) {
+	const entries = 490_000
+	dir := b.TempDir()
+	s, _ := storedTable(b, dir, entries)
+	b.ReportMetric(float64(s.Bytes())/entries, "disk-B/entry")
+	if err := s.Close(); err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		_, table, _, _, err := Open(dir, testBudget)
+		if err != nil || table.Len() != entries {
+			b.Fatal(table.Len(), err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/endpoints/index.go
@@ -0,0 +1,91 @@
+package endpoints
+
+const (
+	// shardBits is the logarithm of the number of shards of an index. Each grows alone, so that no insertion moves more
+	// than a few thousand slots.
+	shardBits = 8
+	// leastShard is the number of places of a shard that is in use; it doubles.
+	leastShard = 8
+	// none is the slot of nothing.
+	none = 1<<32 - 1
+)
+
+// index finds slots by a 64-bit hash: a hash table with open addressing and linear probing that holds nothing but slot
+// numbers. Whoever uses it keeps the keys: hashOf gives the hash of the key at a slot.
+type index struct {
+	shards [1 << shardBits]shard
+	hashOf func(slot uint32) uint64
+}
+
+// shard is the part of an index for the hashes with the same top bits.
+type shard struct {
+	places []uint32 // slot + 1, 0 for free
+	count  int
+}
+
+func newIndex(hashOf func(slot uint32) uint64) *index { return &index{hashOf: hashOf} }
+
+func (x *index) shard(hash uint64) *shard { return &x.shards[hash>>(64-shardBits)] }
+
+// find gives the first slot with a hash for which same holds, or none.
+func (x *index) find(hash uint64, same func(slot uint32) bool) uint32 {
+	s := x.shard(hash)
+	if len(s.places) == 0 {
+		return none
+	}
+	mask := uint64(len(s.places) - 1)
+	for at := hash & mask; s.places[at] != 0; at = (at + 1) & mask {
+		if slot := s.places[at] - 1; same(slot) {
+			return slot
+		}
+	}
+	return none
+}
+
+// add adds a slot that is not there yet.
+func (x *index) add(hash uint64, slot uint32) {
+	s := x.shard(hash)
+	if (s.count+1)*4 > len(s.places)*3 {
+		x.grow(s)
+	}
+	s.insert(hash, slot)
+	s.count++
+}
+
+func (x *index) grow(s *shard) {
+	old := s.places
+	s.places = make([]uint32, max(leastShard, 2*len(old)))
+	for _, place := range old {
+		if place != 0 {
+			s.insert(x.hashOf(place-1), place-1)
+		}
+	}
+}
+
+func (s *shard) insert(hash uint64, slot uint32) {
+	mask := uint64(len(s.places) - 1)
+	at := hash & mask
+	for s.places[at] != 0 {
+		at = (at + 1) & mask
+	}
+	s.places[at] = slot + 1
+}
+
+// remove takes a slot out that is there, and closes the gap that it leaves in the run of places.
+func (x *index) remove(hash uint64, slot uint32) {
+	s := x.shard(hash)
+	mask := uint64(len(s.places) - 1)
+	gap := hash & mask
+	for s.places[gap] != slot+1 {
+		gap = (gap + 1) & mask
+	}
+	for at := (gap + 1) & mask; s.places[at] != 0; at = (at + 1) & mask {
+		home := x.hashOf(s.places[at]-1) & mask
+		if (at-home)&mask >= (at-gap)&mask {
+			s.places[gap] = s.places[at]
+			gap = at
+		}
+	}
+	s.places[gap] = 0
+	s.count--
+}
--- /dev/null
+++ b/internal/endpoints/model_test.go
@@ -0,0 +1,180 @@
+package endpoints
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"io/fs"
+	"path/filepath"
+	"syscall"
+
+	"milletsail/internal/journal"
+)
+
+// modelBlock is what a power loss keeps or loses as a whole, in bytes.
+const modelBlock = 512
+
+// modelFile is a file of a modelFS.
+type modelFile struct {
+	fsys   *modelFS
+	data   []byte
+	synced []byte
+}
+
+// modelFS is a file system in memory. It counts its calls that change something, and can stop, as the disk of a
+// process that is killed does, or fail.
+type modelFS struct {
+	files   map[string]*modelFile
+	synced  map[string]*modelFile // as of the last SyncDir
+	calls   int
+	written int64
+	writes  int
+	failAt  int   // from this call on; 0 for never
+	failFor int   // calls
+	failure error // of these; nil for a write that is short
+	onCall  func()
+}
+
+func newModelFS() *modelFS {
+	return &modelFS{files: map[string]*modelFile{}, synced: map[string]*modelFile{}}
+}
+
+// fails counts a call, and tells whether it fails.
+func (m *modelFS) fails() bool {
+	m.calls++
+	if m.onCall != nil {
+		m.onCall()
+	}
+	return m.failAt > 0 && m.calls >= m.failAt && m.calls < m.failAt+m.failFor
+}
+
+func (m *modelFS) reason() error { return errors.Join(m.failure, syscall.EIO) }
+
+func (m *modelFS) Create(path string) (journal.File, error) {
+	if m.fails() {
+		return nil, m.reason()
+	}
+	f := &modelFile{fsys: m}
+	m.files[path] = f
+	return f, nil
+}
+
+func (f *modelFile) Write(b []byte) (int, error) {
+	if f.fsys.fails() {
+		n := len(b) / 2
+		f.data = append(f.data, b[:n]...)
+		return n, f.fsys.failure
+	}
+	f.data = append(f.data, b...)
+	f.fsys.written += int64(len(b))
+	f.fsys.writes++
+	return len(b), nil
+}
+
+func (f *modelFile) Sync() error {
+	if f.fsys.fails() {
+		return f.fsys.reason()
+	}
+	f.synced = bytes.Clone(f.data)
+	return nil
+}
+
+func (f *modelFile) Close() error { return nil }
+
+func (m *modelFS) Open(path string) (io.ReadCloser, int64, error) {
+	f, ok := m.files[path]
+	if !ok {
+		return nil, 0, fs.ErrNotExist
+	}
+	return io.NopCloser(bytes.NewReader(f.data)), int64(len(f.data)), nil
+}
+
+func (m *modelFS) Rename(from, to string) error {
+	if m.fails() {
+		return m.reason()
+	}
+	m.files[to] = m.files[from]
+	delete(m.files, from)
+	return nil
+}
+
+func (m *modelFS) Remove(path string) error {
+	if m.files[path] == nil {
+		return fs.ErrNotExist
+	}
+	if m.fails() {
+		return m.reason()
+	}
+	delete(m.files, path)
+	return nil
+}
+
+func (m *modelFS) List(string) (names []string, err error) {
+	for path := range m.files {
+		names = append(names, filepath.Base(path))
+	}
+	return names, nil
+}
+
+func (m *modelFS) SyncDir(string) error {
+	if m.fails() {
+		return m.reason()
+	}
+	m.synced = map[string]*modelFile{}
+	for path, f := range m.files {
+		m.synced[path] = f
+	}
+	return nil
+}
+
+// killed gives what a process that is killed now leaves, with a last write of which some bytes came through.
+func (m *modelFS) killed() *modelFS {
+	left := newModelFS()
+	for path, f := range m.files {
+		left.files[path] = &modelFile{fsys: left, data: bytes.Clone(f.data)}
+	}
+	return left
+}
+
+// powerLoss gives what a power loss may leave: pick draws which files are back as of the last SyncDir, and which blocks
+// that were not synced are there, are zero, or are cut off.
+func (m *modelFS) powerLoss(pick func(n int) int) *modelFS {
+	left := newModelFS()
+	names := map[string]bool{}
+	for path := range m.files {
+		names[path] = true
+	}
+	for path := range m.synced {
+		names[path] = true
+	}
+	for path := range names {
+		f, now := m.files[path]
+		before, then := m.synced[path]
+		if then && (!now || pick(2) == 0) {
+			f = before
+			now = pick(2) == 0 || now
+		}
+		if !now || !then && pick(2) == 0 {
+			continue
+		}
+		left.files[path] = &modelFile{fsys: left, data: f.afterPowerLoss(pick)}
+	}
+	return left
+}
+
+func (f *modelFile) afterPowerLoss(pick func(n int) int) []byte {
+	data := bytes.Clone(f.data)
+	for at := len(f.synced); at < len(data); {
+		end := min(len(data), (at/modelBlock+1)*modelBlock)
+		switch pick(4) {
+		case 0:
+			clear(data[at:end])
+		case 1:
+			if pick(4) == 0 {
+				return data[:at]
+			}
+		}
+		at = end
+	}
+	return data
+}
--- /dev/null
+++ b/internal/endpoints/reader_test.go
@@ -0,0 +1,365 @@
+package endpoints
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"reflect"
+	"runtime"
+	"strings"
+	"testing"
+	"testing/iotest"
+
+	"pgregory.net/rapid"
+)
+
+// object is one object of an answer, as encoding/json reads it.
+type object struct {
+	Seq   int64   `json:"seq"`
+	Whole bool    `json:"whole"`
+	Hosts []Entry `json:"hosts"`
+}
+
+// reporter is what testing.T and rapid.T have in common.
+type reporter interface {
+	Errorf(format string, args ...any)
+}
+
+// readAll reads the objects of an answer, and gives those that ended.
+func readAll(t reporter, r *Reader) (objects []object, err error) {
+	var current *object
+	for {
+		batch, err := r.Next()
+		if err != nil {
+			return objects, err
+		}
+		if batch.First != (current == nil) {
+			t.Errorf("First is %v with the object open: %v", batch.First, current != nil)
+		}
+		if len(batch.Entries) > BatchSize {
+			t.Errorf("batch of %d entries", len(batch.Entries))
+		}
+		if current == nil {
+			current = &object{}
+		}
+		current.Hosts = append(current.Hosts, batch.Entries...)
+		if batch.WholeKnown {
+			current.Whole = batch.Whole
+		}
+		if batch.End {
+			if !batch.WholeKnown {
+				t.Errorf("End without WholeKnown")
+			}
+			current.Seq = batch.Seq
+			objects = append(objects, *current)
+			current = nil
+		}
+	}
+}
+
+func exampleEntries(n int) (entries []Entry) {
+	for i := range n {
+		entries = append(entries, exampleEntry(i))
+	}
+	return entries
+}
+
+func encode(t testing.TB, v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func TestReaderForms(t *testing.T) {
+	a, b := exampleEntry(1), exampleEntry(2)
+	entryA, entryB := string(encode(t, a)), string(encode(t, b))
+	want := []object{{Seq: 7, Whole: true, Hosts: []Entry{a, b}}}
+	for name, text := range map[string]string{
+		"usual order":    `{"seq":7,"whole":true,"hosts":[` + entryA + `,` + entryB + `]}`,
+		"hosts first":    `{"hosts":[` + entryA + `,` + entryB + `],"whole":true,"seq":7}`,
+		"hosts between":  `{"whole":true,"hosts":[` + entryA + `,` + entryB + `],"seq":7}`,
+		"unknown fields": `{"x":{"y":[1,{"z":null}]},"seq":7,"hosts":[` + entryA + `,` + strings.Replace(entryB, "{", `{"more":[1,{}],`, 1) + `],"whole":true,"z":"}"}`,
+		"upper case":     `{"Seq":7,"WHOLE":true,"Hosts":[` + entryA + `,` + entryB + `]}`,
+		"blank lines":    "\n\n \r\n\t" + `{"seq":7,"whole":true,"hosts":[` + entryA + `,` + entryB + "]}\n\n\n",
+		"an empty entry": `{"seq":7,"whole":true,"hosts":[null,` + entryA + `,{},` + entryB + `]}`,
+		"indented": func() string {
+			var out bytes.Buffer
+			_ = json.Indent(&out, encode(t, want[0]), "", "      ")
+			return out.String()
+		}(),
+	} {
+		t.Run(name, func(t *testing.T) {
+			for _, in := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text)), iotest.DataErrReader(strings.NewReader(text))} {
+				got, err := readAll(t, NewReader(in))
+				if err != io.EOF || !reflect.DeepEqual(got, want) {
+					t.Errorf("got %+v, %v", got, err)
+				}
+			}
+		})
+	}
+}
+
+func TestReaderWithoutHosts(t *testing.T) {
+	for _, text := range []string{`{"seq":7}`, `{"hosts":null,"seq":7}`, `{"hosts":[],"seq":7,"whole":null}`} {
+		got, err := readAll(t, NewReader(strings.NewReader(text)))
+		if err != io.EOF || !reflect.DeepEqual(got, []object{{Seq: 7}}) {
+			t.Errorf("%s: got %+v, %v", text, got, err)
+		}
+	}
+}
+
+func TestReaderUnreadable(t *testing.T) {
+	entry := string(encode(t, exampleEntry(1)))
+	for _, text := range []string{
+		`nonsense`, `[]`, `null`, `7`, `}`, `{"seq":"x"}`, `{"seq":1.5}`, `{"whole":1}`, `{"hosts":{}}`, `{"hosts":[7]}`, `{7:1}`,
+		`{"hosts":[{"host":7}]}`, `{"hosts":[` + entry + `,]}`, `{"hosts":[` + entry + `}`, `{"hosts":[` + entry + ` ` + entry + `]}`,
+		`{"seq":1,}`, `{"seq" 1}`, `{"seq":1 "whole":true}`, `{"hosts":[],"hosts":[]}`,
+		`{"x":` + strings.Repeat("[", maxDepth+1) + `}`,
+		`{"x":"` + strings.Repeat("x", 2*MaxEntry) + `"}`,
+		`{"hosts":[{"host":"` + strings.Repeat("x", 2*MaxEntry) + `"}]}`,
+		`{"hosts":[` + strings.Repeat(" ", 3*MaxEntry) + `]}`,
+	} {
+		got, err := readAll(t, NewReader(strings.NewReader(text)))
+		if unreadable := new(UnreadableError); !errors.As(err, &unreadable) || len(got) != 0 {
+			t.Errorf("%.60s: got %+v, %v", text, got, err)
+		}
+	}
+}
+
+// An answer cut off anywhere is no fault of its form: what had come whole before is delivered, and no object ends.
+func TestReaderCutOff(t *testing.T) {
+	first := append(encode(t, object{Seq: 1, Hosts: exampleEntries(1)}), "\n\n"...)
+	second := encode(t, object{Seq: 2, Whole: true, Hosts: exampleEntries(3)})
+	text := append(first, second...)
+	broken := errors.New("connection reset")
+	for cut := range len(text) {
+		got, err := readAll(t, NewReader(bytes.NewReader(text[:cut])))
+		objectOpen := cut > 0 && cut < len(first)-2 || cut > len(first)
+		if want := map[bool]error{true: io.ErrUnexpectedEOF, false: io.EOF}[objectOpen]; err != want {
+			t.Fatalf("cut at %d: %v, want %v", cut, err, want)
+		}
+		if want := cut >= len(first)-2; (len(got) == 1) != want {
+			t.Fatalf("cut at %d: %d objects", cut, len(got))
+		}
+		in := io.MultiReader(bytes.NewReader(text[:cut]), iotest.ErrReader(broken))
+		if _, err := readAll(t, NewReader(in)); !errors.Is(err, broken) {
+			t.Fatalf("cut at %d: %v, want that of the input", cut, err)
+		}
+	}
+}
+
+// Whatever pieces an answer comes in, and whatever byte of it is changed, the objects that end are those that
+// encoding/json reads.
+func TestReaderPieces(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var text []byte
+		for seq := range rapid.IntRange(1, 4).Draw(t, "objects") {
+			n := rapid.SampledFrom([]int{0, 1, 2, BatchSize - 1, BatchSize, BatchSize + 1, 3 * BatchSize}).Draw(t, "entries")
+			o, _ := json.Marshal(object{Seq: int64(seq), Whole: rapid.Bool().Draw(t, "whole"), Hosts: exampleEntries(n)})
+			text = append(append(text, o...), strings.Repeat("\n", rapid.IntRange(0, 3).Draw(t, "blank"))...)
+		}
+		if rapid.Bool().Draw(t, "spoilt") {
+			text[rapid.IntRange(0, len(text)-1).Draw(t, "at")] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
+		}
+		want := decodeAll(text)
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0))
+		got, err := readAll(t, NewReader(&pieces{bytes.NewReader(text), random}))
+		if len(got) != len(want) {
+			t.Fatalf("%d objects, want %d; %v", len(got), len(want), err)
+		}
+		for i := range got {
+			if got[i].Seq != want[i].Seq || got[i].Whole != want[i].Whole || fmt.Sprint(got[i].Hosts) != fmt.Sprint(want[i].Hosts) {
+				t.Fatalf("object %d: got %+v, want %+v", i, got[i], want[i])
+			}
+		}
+	})
+}
+
+// decodeAll reads objects by encoding/json, up to the first that is not one.
+func decodeAll(text []byte) (objects []object) {
+	for decoder := json.NewDecoder(bytes.NewReader(text)); ; {
+		var o object
+		if decoder.Decode(&o) != nil {
+			return objects
+		}
+		named := o.Hosts[:0]
+		for _, e := range o.Hosts {
+			if e.Host != "" {
+				named = append(named, e)
+			}
+		}
+		o.Hosts = named
+		objects = append(objects, o)
+	}
+}
+
+// pieces gives a text in pieces of random length.
+type pieces struct {
+	from   *bytes.Reader
+	random *rand.Rand
+}
+
+func (p *pieces) Read(b []byte) (int, error) {
+	return p.from.Read(b[:min(len(b), 1+p.random.IntN(1<<p.random.IntN(14)))])
+}
+
+// steps gives one part of a text with each call.
+type steps struct{ parts []string }
+
+func (s *steps) Read(b []byte) (int, error) {
+	if len(s.parts) == 0 {
+		return 0, io.EOF
+	}
+	n := copy(b, s.parts[0])
+	s.parts = s.parts[1:]
+	return n, nil
+}
+
+func TestReaderAlive(t *testing.T) {
+	whole := `{"seq":1,"hosts":[]}`
+	for _, c := range []struct {
+		name  string
+		parts []string
+		want  int
+	}{
+		{"blank lines only", []string{"\n", "\n", "\r\n"}, 3},
+		{"parts of an object", []string{`{"seq":1,`, `"hosts":[]`, `}`}, 3},
+		{"blank lines behind half an object", []string{`{"seq":1,`, "\n", "\n", "\n"}, 1},
+		{"blank lines behind half an object and a whole one", []string{whole + `{"seq`, "\n", "\n"}, 1},
+		{"blank lines behind an object", []string{whole, "\n", "\n", whole + "\n", "\n"}, 5},
+		{"the object goes on after blank lines", []string{`{"seq":1,`, "\n", `"hosts":[]}`, "\n"}, 3},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := NewReader(&steps{c.parts})
+			alive := 0
+			r.Alive = func() { alive++ }
+			_, _ = readAll(t, r)
+			if alive != c.want {
+				t.Errorf("alive %d times, want %d", alive, c.want)
+			}
+		})
+	}
+}
+
+// blankLines gives empty lines without an end, and counts them.
+type blankLines struct{ left int }
+
+func (l *blankLines) Read(b []byte) (int, error) {
+	if l.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(len(b), l.left)
+	for i := range b[:n] {
+		b[i] = '\n'
+	}
+	l.left -= n
+	return n, nil
+}
+
+func TestReaderBlankLinesForDays(t *testing.T) {
+	in := io.MultiReader(&blankLines{100 * MaxEntry}, strings.NewReader(`{"seq":1}`), &blankLines{100 * MaxEntry}, strings.NewReader(`{"seq":2}`))
+	got, err := readAll(t, NewReader(in))
+	if err != io.EOF || len(got) != 2 {
+		t.Errorf("%d objects, %v", len(got), err)
+	}
+}
+
+func TestReadObjectWithinAnother(t *testing.T) {
+	want := object{Seq: 3, Whole: true, Hosts: exampleEntries(BatchSize + 1)}
+	text := append(append([]byte(`{"before":1,"known":`), encode(t, want)...), `,"after":2}`...)
+	decoder := json.NewDecoder(bytes.NewReader(text))
+	for range 4 { // the bracket, before, 1, known
+		if _, err := decoder.Token(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var got object
+	err := ReadObject(decoder, func(b Batch) error {
+		got.Hosts = append(got.Hosts, b.Entries...)
+		got.Seq, got.Whole = b.Seq, b.Whole
+		return nil
+	})
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %d entries, %v", len(got.Hosts), err)
+	}
+	if token, err := decoder.Token(); err != nil || token != "after" {
+		t.Errorf("then %v, %v", token, err)
+	}
+}
+
+// listText is a whole list, made without holding it.
+func listText(entries int) io.Reader {
+	r, w := io.Pipe()
+	go func() {
+		fmt.Fprint(w, `{"seq":1,"whole":true,"hosts":[`)
+		for i := range entries {
+			if i > 0 {
+				fmt.Fprint(w, ",")
+			}
+			text, _ := json.Marshal(exampleEntry(i))
+			_, _ = w.Write(text)
+		}
+		fmt.Fprint(w, "]}")
+		_ = w.Close()
+	}()
+	return r
+}
+
+// maxReaderBytes bounds the memory of a reader, however long the list is.
+const maxReaderBytes = 1 << 20
+
+func TestReaderMemory(t *testing.T) {
+	r := NewReader(listText(20_000))
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	count := 0
+	for batches := 0; ; batches++ {
+		batch, err := r.Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		count += len(batch.Entries)
+		if batches%20 == 0 {
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > maxReaderBytes {
+				t.Fatalf("%d bytes after %d entries", grown, count)
+			}
+		}
+		if batch.End {
+			break
+		}
+	}
+	if count != 20_000 {
+		t.Errorf("%d entries", count)
+	}
+}
+
+func BenchmarkReader(b *testing.B) {
+	const entries = 490_000
+	text, _ := json.Marshal(object{Seq: 1, Whole: true, Hosts: exampleEntries(entries)})
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if got, err := NewReader(bytes.NewReader(text)).count(); err != io.EOF || got != entries {
+			b.Fatal(got, err)
+		}
+	}
+}
+
+// count reads to the end and gives the number of entries.
+func (r *Reader) count() (entries int, err error) {
+	for {
+		batch, err := r.Next()
+		if err != nil {
+			return entries, err
+		}
+		entries += len(batch.Entries)
+	}
+}
--- /dev/null
+++ b/internal/endpoints/store.go
@@ -0,0 +1,287 @@
+package endpoints
+
+import (
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"milletsail/internal/journal"
+)
+
+const (
+	// StepEntries is the most places of the table that a Step looks at, and so the most entries that it writes.
+	StepEntries = 512
+	// flushBytes is how much Append keeps in memory before it writes.
+	flushBytes = 64 << 10
+	// minLogBytes is the least length of the logs that is worth a compaction.
+	minLogBytes = 1 << 20
+	// logShare is the part of the snapshot's length, as a divisor, that the logs may have before a compaction.
+	logShare = 2
+	// maxLogs is the number of logs, one for each start, before a compaction.
+	maxLogs = 8
+	// retryAfter is how long a store waits after a failure before it tries to write again.
+	retryAfter = 10 * time.Second
+)
+
+// Store keeps a table on disk: a snapshot, and logs of the changes since. It belongs to the table's owner. Nothing but a
+// new snapshot is synced, in a goroutine of its own: a process that is killed loses nothing committed, and after a power
+// loss the table may be that of an earlier sequence.
+//
+// After a failed write the store keeps nothing until Step has made a new snapshot; what is on disk stays as it was. Where
+// the budget is too small it is disabled for good.
+type Store struct {
+	dir        string
+	budget     int64
+	fsys       journal.FS
+	now        func() time.Time
+	background func(func()) // runs what waits for the disk
+
+	files   []storedFile // snapshots and logs, the current log last
+	log     journal.File // nil before its first record
+	nextLog header       // of the log to create, or of the current one
+	highest uint64       // the highest number used
+	sum     uint32       // checksum at the end of the log and the buffer
+	buffer  []byte       // records not written yet
+	seq     int64        // of the table
+	stored  int64        // the last sequence in the log or the buffer
+
+	compaction *compaction // nil while there is none
+	failure    error       // why nothing is kept at present
+	retryAt    time.Time
+	disabled   error
+	reported   bool // Commit has given disabled
+}
+
+// Open opens the store in a folder, which is made if need be, and gives the table and the sequence that it held. What is
+// damaged is left out; where the rest is not a whole list the table is empty, or the sequence is 0, and the whole list
+// has to be asked for. The error is of the folder itself.
+func Open(dir string, budgetBytes int64) (*Store, *Table, int64, Found, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, nil, 0, Found{}, err
+	}
+	return OpenFS(dir, budgetBytes, journal.Disk)
+}
+
+// OpenFS is Open in another file system.
+func OpenFS(dir string, budgetBytes int64, fsys journal.FS) (*Store, *Table, int64, Found, error) {
+	r := &replay{dir: dir, fsys: fsys, table: NewTable()}
+	if err := r.run(); err != nil {
+		return nil, nil, 0, Found{}, err
+	}
+	if err := r.tidy(); err != nil {
+		r.found.Damage = append(r.found.Damage, err)
+	}
+	s := &Store{dir: dir, budget: budgetBytes, fsys: fsys, now: time.Now, background: func(f func()) { go f() },
+		files: r.useful, nextLog: r.nextLog(), seq: r.seq, stored: r.seq}
+	s.highest = max(r.highest(), s.nextLog.number)
+	return s, r.table, r.seq, r.found, nil
+}
+
+// Append notes changes that the table has taken on: entries put, then hosts deleted. They need not be on disk before
+// Commit.
+func (s *Store) Append(puts []Entry, deletes []string) {
+	if !s.writable() || len(puts)+len(deletes) == 0 || s.prepareLog() != nil {
+		return
+	}
+	for _, e := range puts {
+		s.buffer = appendPut(s.buffer, &s.sum, e)
+		if s.flushLong() != nil {
+			return
+		}
+	}
+	for _, host := range deletes {
+		s.buffer = appendDelete(s.buffer, &s.sum, host)
+		if s.flushLong() != nil {
+			return
+		}
+	}
+}
+
+// Commit notes that the table has all entries up to a sequence, and writes what was appended. A sequence of 0 says that
+// the whole list has to be asked for. Without an error a process that starts later finds the sequence, or a later one,
+// unless the store is disabled. An error that disables it is given once.
+func (s *Store) Commit(seq int64) error {
+	s.seq = seq
+	s.commit(seq)
+	if s.disabled == nil {
+		return s.failure // until a snapshot has made up for what was not written
+	}
+	if s.reported {
+		return nil
+	}
+	s.reported = true
+	return s.disabled
+}
+
+// commit writes what a commit takes; a failure stays in failure or disabled.
+func (s *Store) commit(seq int64) {
+	if !s.writable() {
+		return
+	}
+	if seq != s.stored {
+		if s.prepareLog() != nil {
+			return
+		}
+		s.buffer = appendNumber(s.buffer, &s.sum, opCommit, seq)
+		s.stored = seq
+	}
+	_ = s.flush()
+}
+
+// Disabled tells whether the store has given up, and why: a *BudgetError.
+func (s *Store) Disabled() (reason error, disabled bool) { return s.disabled, s.disabled != nil }
+
+// Failure is why nothing is kept at present, though the store tries again; nil if all is well.
+func (s *Store) Failure() error { return s.failure }
+
+// Bytes is the size of all files of the store.
+func (s *Store) Bytes() int64 {
+	var total int64
+	for _, f := range s.files {
+		total += f.size
+	}
+	if s.compaction != nil {
+		total += s.compaction.size
+	}
+	return total
+}
+
+// Close writes what was appended and closes the files. It waits for a snapshot that is complete, and gives up one that
+// is not.
+func (s *Store) Close() error {
+	err := s.flush()
+	if c := s.compaction; c != nil && c.done != nil {
+		s.finish(<-c.done)
+	}
+	s.abandon()
+	return errors.Join(err, s.closeLog())
+}
+
+// writable tells whether changes can be kept at present.
+func (s *Store) writable() bool {
+	return s.disabled == nil && (s.failure == nil || s.compaction != nil && s.compaction.repair)
+}
+
+// flushLong writes the buffer once it is long.
+func (s *Store) flushLong() error {
+	if len(s.buffer) < flushBytes {
+		return nil
+	}
+	return s.flush()
+}
+
+// flush writes the buffer to the log.
+func (s *Store) flush() error {
+	if len(s.buffer) == 0 {
+		return nil
+	}
+	text := s.buffer
+	s.buffer = s.buffer[:0]
+	if err := s.write(text); err != nil {
+		return err
+	}
+	if cap(s.buffer) > 2*flushBytes {
+		s.buffer = nil
+	}
+	return nil
+}
+
+// prepareLog creates the log if there is none yet.
+func (s *Store) prepareLog() error {
+	if s.log != nil {
+		return nil
+	}
+	name := fileName(logPrefix, s.nextLog.number)
+	log, err := s.fsys.Create(filepath.Join(s.dir, name))
+	if err != nil {
+		return s.fail(err)
+	}
+	s.log = log
+	s.files = append(s.files, storedFile{name: name, kind: kindLog, number: s.nextLog.number})
+	text := s.nextLog.encode()
+	s.sum = headerSum(text)
+	return s.write(text)
+}
+
+// write writes whole records to the log.
+func (s *Store) write(text []byte) error {
+	if err := s.reserve(len(text)); err != nil {
+		return err
+	}
+	if s.log == nil {
+		return s.failure
+	}
+	n, err := s.log.Write(text)
+	s.files[len(s.files)-1].size += int64(n)
+	if err == nil && n < len(text) {
+		err = io.ErrShortWrite
+	}
+	if err != nil {
+		return s.fail(err)
+	}
+	return nil
+}
+
+// reserve disables the store if it has no room for some more bytes, even without the files that a complete snapshot
+// replaces.
+func (s *Store) reserve(size int) error {
+	if s.disabled != nil {
+		return s.disabled
+	}
+	needed := s.Bytes() + int64(size)
+	if needed <= s.budget {
+		return nil
+	}
+	if c := s.compaction; c != nil && c.done != nil {
+		s.finish(<-c.done)
+		return s.reserve(size)
+	}
+	s.disable(&BudgetError{Budget: s.budget, Needed: needed})
+	return s.disabled
+}
+
+// fail notes that a write failed: the log can't be continued.
+func (s *Store) fail(err error) error {
+	s.failure = err
+	s.retryAt = s.now().Add(retryAfter)
+	s.buffer = nil
+	_ = s.closeLog()
+	if c := s.compaction; c != nil && c.done == nil {
+		s.abandon()
+	} else if c != nil {
+		c.repair = false // it is whole, but what comes behind it is not
+	}
+	return err
+}
+
+// disable gives up for good and removes all files.
+func (s *Store) disable(reason error) {
+	s.abandon()
+	failures := []error{reason, s.closeLog()}
+	for _, f := range s.files {
+		failures = append(failures, s.fsys.Remove(filepath.Join(s.dir, f.name)))
+	}
+	s.files = nil
+	s.buffer = nil
+	s.failure = nil
+	s.disabled = errors.Join(failures...)
+}
+
+func (s *Store) closeLog() error {
+	if s.log == nil {
+		return nil
+	}
+	log := s.log
+	s.log = nil
+	return log.Close()
+}
+
+// removeBefore removes the files that a snapshot has replaced. One that can't be removed is tried again after the next.
+func (s *Store) removeBefore(number uint64) {
+	s.files = slices.DeleteFunc(s.files, func(f storedFile) bool {
+		return f.number < number && s.fsys.Remove(filepath.Join(s.dir, f.name)) == nil
+	})
+}
--- /dev/null
+++ b/internal/endpoints/table_test.go
@@ -0,0 +1,242 @@
+package endpoints
+
+import (
+	"fmt"
+	"runtime"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// exampleEntry is entry i of a list with one endpoint for each destination, of the usual lengths.
+func exampleEntry(i int) Entry {
+	return Entry{Host: fmt.Sprintf("s-%08x", uint32(i)*2654435761), Dial: fmt.Sprintf("10.%d.%d.%d:8443", 1+i>>16, i>>8&255, i&255),
+		Site: string(rune('a' + i%4)), Class: "m2", Block: i, Health: "SERVING", Share: 1}
+}
+
+func exampleTable(n int) *Table {
+	t := NewTable()
+	for i := range n {
+		t.Put(exampleEntry(i))
+	}
+	return t
+}
+
+// tableModel is what a Table should hold.
+type tableModel struct {
+	entries  map[string]Entry
+	order    map[int][]string // hosts of a destination as first put
+	known    map[int]bool
+	replaced map[string]bool // put since the whole list began; nil for none
+}
+
+func (m *tableModel) drop(host string) {
+	e := m.entries[host]
+	delete(m.entries, host)
+	m.order[e.Block] = slices.DeleteFunc(m.order[e.Block], func(h string) bool { return h == host })
+}
+
+func (m *tableModel) put(e Entry) {
+	if old, ok := m.entries[e.Host]; !ok || old.Block != e.Block {
+		if ok {
+			m.drop(e.Host)
+		}
+		m.order[e.Block] = append(m.order[e.Block], e.Host)
+	}
+	m.entries[e.Host] = e
+	m.known[e.Block] = true
+	if m.replaced != nil {
+		m.replaced[e.Host] = true
+	}
+}
+
+func (m *tableModel) check(t *rapid.T, table *Table) {
+	if table.Len() != len(m.entries) {
+		t.Fatalf("%d entries, want %d", table.Len(), len(m.entries))
+	}
+	draining := 0
+	for host, want := range m.entries {
+		if got, ok := table.Get(host); !ok || got != want {
+			t.Fatalf("Get(%q) = %+v, %v; want %+v", host, got, ok, want)
+		}
+		if want.Health == Draining {
+			draining++
+		}
+	}
+	if table.Draining() != draining {
+		t.Fatalf("%d draining, want %d", table.Draining(), draining)
+	}
+	for number := -1; number < 6; number++ {
+		var hosts []string
+		for e := range table.Of(number) {
+			if e != m.entries[e.Host] {
+				t.Fatalf("Of(%d) gives %+v, want %+v", number, e, m.entries[e.Host])
+			}
+			hosts = append(hosts, e.Host)
+		}
+		if !slices.Equal(hosts, m.order[number]) {
+			t.Fatalf("Of(%d) = %q, want %q", number, hosts, m.order[number])
+		}
+		if table.Known(number) != m.known[number] {
+			t.Fatalf("Known(%d) = %v", number, !m.known[number])
+		}
+	}
+	seen := 0
+	for from, done := 0, false; !done; {
+		part, next, end := table.All(from, 3)
+		for e := range part {
+			if e != m.entries[e.Host] {
+				t.Fatalf("All gives %+v, want %+v", e, m.entries[e.Host])
+			}
+			seen++
+		}
+		from, done = next, end
+	}
+	if seen != len(m.entries) {
+		t.Fatalf("All gives %d entries, want %d", seen, len(m.entries))
+	}
+}
+
+func drawEntry(t *rapid.T) Entry {
+	long := string(make([]byte, rapid.SampledFrom([]int{0, 0, 0, 1, 7, 200, 70_000}).Draw(t, "length")))
+	return Entry{Host: drawHost(t), Dial: rapid.SampledFrom([]string{"", "10.1.0.18:8443", "[::1]:1"}).Draw(t, "dial") + long,
+		Site: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "site"), Class: "m2", Block: rapid.IntRange(-1, 5).Draw(t, "block"),
+		Health: rapid.SampledFrom([]string{"SERVING", Draining}).Draw(t, "health"),
+		Share:  rapid.SampledFrom([]float64{0, 0.1, 1}).Draw(t, "share"), BornMS: rapid.Int64().Draw(t, "born")}
+}
+
+func drawHost(t *rapid.T) string { return fmt.Sprint("host-", rapid.IntRange(0, 30).Draw(t, "host")) }
+
+func TestTableAgainstModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable()
+		m := &tableModel{entries: map[string]Entry{}, order: map[int][]string{}, known: map[int]bool{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"put": func(t *rapid.T) {
+				e := drawEntry(t)
+				want, had := m.entries[e.Host]
+				if old, existed := table.Put(e); old != want || existed != had {
+					t.Fatalf("Put gives %+v, %v; want %+v, %v", old, existed, want, had)
+				}
+				m.put(e)
+			},
+			"delete": func(t *rapid.T) {
+				host := drawHost(t)
+				want, had := m.entries[host]
+				if old, existed := table.Delete(host); old != want || existed != had {
+					t.Fatalf("Delete gives %+v, %v; want %+v, %v", old, existed, want, had)
+				}
+				if had {
+					m.drop(host)
+				}
+			},
+			"begin": func(*rapid.T) {
+				table.BeginReplacement()
+				m.replaced = map[string]bool{}
+			},
+			"abort": func(*rapid.T) {
+				table.AbortReplacement()
+				m.replaced = nil
+			},
+			"sweep": func(t *rapid.T) {
+				most := rapid.IntRange(1, 10).Draw(t, "most")
+				removed, done := table.Sweep(most)
+				if len(removed) > most {
+					t.Fatalf("%d removed in a step of %d", len(removed), most)
+				}
+				for _, e := range removed {
+					if m.replaced == nil || m.replaced[e.Host] || e != m.entries[e.Host] {
+						t.Fatalf("Sweep removes %+v", e)
+					}
+					m.drop(e.Host)
+				}
+				if !done {
+					return
+				}
+				for host := range m.entries {
+					if m.replaced != nil && !m.replaced[host] {
+						t.Fatalf("Sweep leaves %q", host)
+					}
+				}
+				m.replaced = nil
+			},
+			"": func(t *rapid.T) { m.check(t, table) },
+		})
+	})
+}
+
+// residentBytes is the memory of what make gives.
+func residentBytes[T any](make func() T) (T, uint64) {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	made := make()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	return made, after.HeapAlloc - before.HeapAlloc
+}
+
+// maxBytesAnEntry is the goal at 490,000 entries, and what the test allows at fewer.
+const maxBytesAnEntry = 110
+
+func TestTableIsCompact(t *testing.T) {
+	const entries = 50_000
+	table, size := residentBytes(func() *Table { return exampleTable(entries) })
+	perEntry := float64(size) / entries
+	t.Logf("%.1f bytes an entry at %d", perEntry, entries)
+	if perEntry > maxBytesAnEntry {
+		t.Errorf("%.1f bytes an entry, want at most %d", perEntry, maxBytesAnEntry)
+	}
+	runtime.KeepAlive(table)
+}
+
+// Memory of removed entries is used again: a list that changes all its hosts many times stays as large as it was.
+func TestTableReusesMemory(t *testing.T) {
+	const entries, rounds = 5_000, 20
+	table := exampleTable(entries)
+	_, grown := residentBytes(func() *Table {
+		for round := 1; round <= rounds; round++ {
+			for i := range entries {
+				table.Delete(exampleEntry((round-1)*entries + i).Host)
+				e := exampleEntry(round*entries + i)
+				e.Block = i
+				table.Put(e)
+			}
+		}
+		return table
+	})
+	if grown := int64(grown); grown > entries*maxBytesAnEntry/4 {
+		t.Errorf("grew by %d bytes", grown)
+	}
+	if table.Len() != entries {
+		t.Errorf("%d entries", table.Len())
+	}
+}
+
+func BenchmarkTableBytesAnEntry(b *testing.B) {
+	const entries = 490_000
+	for b.Loop() {
+		table, size := residentBytes(func() *Table { return exampleTable(entries) })
+		b.ReportMetric(float64(size)/entries, "B/entry")
+		runtime.KeepAlive(table)
+	}
+}
+
+func BenchmarkTablePut(b *testing.B) {
+	for _, entries := range []int{1_000, 490_000} {
+		b.Run(fmt.Sprint(entries), func(b *testing.B) {
+			table := exampleTable(entries)
+			changed := make([]Entry, 1024)
+			for i := range changed {
+				changed[i] = exampleEntry(i * 479 % entries)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				e := changed[i%len(changed)]
+				e.Share = float64(i)
+				table.Put(e)
+			}
+		})
+	}
+}
