--- a/internal/endpoints/bench_test.go
+++ b/internal/endpoints/bench_test.go
@@ -1,7 +1,10 @@
 package endpoints
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
+	"io"
 	"testing"
 )
 
@@ -75,3 +78,26 @@
 		}
 	}
 }
+
+func BenchmarkReader(b *testing.B) {
+	const entries = 490_000
+	text, _ := json.Marshal(object{Seq: 1, Whole: true, Hosts: exampleEntries(entries)})
+	b.SetBytes(int64(len(text)))
+	b.ReportAllocs()
+	for b.Loop() {
+		if got, err := NewReader(bytes.NewReader(text)).count(); err != io.EOF || got != entries {
+			b.Fatal(got, err)
+		}
+	}
+}
+
+// count reads to the end and gives the number of entries.
+func (r *Reader) count() (entries int, err error) {
+	for {
+		batch, err := r.Next()
+		if err != nil {
+			return entries, err
+		}
+		entries += len(batch.Entries)
+	}
+}
--- a/internal/endpoints/compaction.go
+++ b/internal/endpoints/compaction.go
@@ -23,7 +23,7 @@
 }
 
 // Step does a bounded part of a compaction, or begins one if it is due. It tells whether there is more to do now. Every
-// change that the table has taken on must have been appended.
+// change of the table must have been appended.
 func (s *Store) Step(t *Table) (more bool) {
 	c := s.compaction
 	switch {
--- a/internal/endpoints/decode.go
+++ b/internal/endpoints/decode.go
@@ -23,7 +23,7 @@
 	return &recordReader{from: from, sum: sum}, h, err
 }
 
-// next gives the next record: io.EOF behind the last one, errDamaged where the file is torn or spoilt.
+// next gives the next record: io.EOF behind the last one, errDamaged where the file is torn or corrupt.
 func (r *recordReader) next() (change, error) {
 	var head [headSize]byte
 	n, err := io.ReadFull(r.from, head[:])
--- a/internal/endpoints/failure_test.go
+++ b/internal/endpoints/failure_test.go
@@ -21,45 +21,45 @@
 	full := errors.New("no space left")
 	for _, disk := range []failingDisk{{nil, false, 1}, {full, false, 1}, {full, true, 1}, {nil, false, 3}, {full, false, 3},
 		{full, true, 3}, {nil, false, 1000}, {full, false, 1000}, {full, true, 1000}} {
-		for failAt := 1; playFailure(t, disk, failAt); failAt++ {
+		for failAt := 1; runFailure(t, disk, failAt); failAt++ {
 		}
 	}
 }
 
-// playFailure plays a life whose calls fail from one on, and tells whether it got there.
-func playFailure(t *testing.T, disk failingDisk, failAt int) bool {
+// runFailure runs changes and compactions whose calls fail from one on, and tells whether it got there.
+func runFailure(t *testing.T, disk failingDisk, failAt int) bool {
 	t.Helper()
 	fsys := newModelFS()
-	l := newLife(t, fsys, 5, 20)
+	h := newHarness(t, fsys, 5, 20)
 	fsys.failAt, fsys.failFor, fsys.failure, fsys.late = failAt, disk.failFor, disk.failure, disk.late
 	when := fmt.Sprintf("%+v, from call %d on", disk, failAt)
-	fsys.onCall = func() { l.check(t, fsys.killed(), l.durable, fmt.Sprintf("%s, at call %d", when, fsys.calls)) }
+	fsys.onCall = func() { h.check(t, fsys.killed(), h.durable, fmt.Sprintf("%s, at call %d", when, fsys.calls)) }
 	for range 3 {
 		for range 3 {
-			l.change()
+			h.change()
 		}
-		l.compact()
+		h.compact()
 	}
-	l.change()
+	h.change()
 	failed := fsys.calls >= failAt
 	fsys.failAt = 0
-	l.compact()
-	l.change()
-	if l.store.Failure() != nil || l.durable != len(l.commits)-1 {
-		t.Fatalf("%s: not kept again: %v", when, l.store.Failure())
+	h.compact()
+	h.change()
+	if h.store.Failure() != nil || h.durable != len(h.commits)-1 {
+		t.Fatalf("%s: not kept again: %v", when, h.store.Failure())
 	}
-	l.check(t, fsys.killed(), l.durable, when+", after it")
+	h.check(t, fsys.killed(), h.durable, when+", after it")
 	return failed
 }
 
 // heldBack is what a store has handed to its background and nobody has run yet.
 type heldBack []func()
 
-func (h *heldBack) run() {
-	for _, f := range *h {
+func (b *heldBack) run() {
+	for _, f := range *b {
 		f()
 	}
-	*h = nil
+	*b = nil
 }
 
 // A write of the log may fail while a complete snapshot waits for the disk. That snapshot then makes up for nothing that
@@ -67,71 +67,71 @@
 func TestStoreFailsWhileSnapshotIsSynced(t *testing.T) {
 	for _, repair := range []bool{false, true} {
 		fsys := newModelFS()
-		l := newLife(t, fsys, 5, 20)
+		h := newHarness(t, fsys, 5, 20)
 		held := &heldBack{}
-		l.change()
+		h.change()
 		if repair {
 			fsys.failAt, fsys.failFor = fsys.calls+1, 1
-			l.change()
-			if l.store.Failure() == nil {
+			h.change()
+			if h.store.Failure() == nil {
 				t.Fatal("the write did not fail")
 			}
 		}
-		l.store.background = func(f func()) { *held = append(*held, f) }
-		l.compact()
+		h.store.background = func(f func()) { *held = append(*held, f) }
+		h.compact()
 		fsys.failAt, fsys.failFor = fsys.calls+1, 1
-		l.change()
+		h.change()
 		held.run()
 		fsys.failAt = 0
-		l.store.Step(l.table)
-		fsys.onCall = func() { l.check(t, fsys.killed(), l.durable, fmt.Sprintf("repair %v, call %d", repair, fsys.calls)) }
-		l.change()
-		if l.store.Failure() == nil {
+		h.store.Step(h.table)
+		fsys.onCall = func() { h.check(t, fsys.killed(), h.durable, fmt.Sprintf("repair %v, call %d", repair, fsys.calls)) }
+		h.change()
+		if h.store.Failure() == nil {
 			t.Errorf("repair %v: the failure is forgotten", repair)
 		}
-		l.store.background = func(f func()) { f() }
-		l.compact()
-		l.change()
-		if l.store.Failure() != nil || l.durable != len(l.commits)-1 {
-			t.Errorf("repair %v: not kept again: %v", repair, l.store.Failure())
+		h.store.background = func(f func()) { f() }
+		h.compact()
+		h.change()
+		if h.store.Failure() != nil || h.durable != len(h.commits)-1 {
+			t.Errorf("repair %v: not kept again: %v", repair, h.store.Failure())
 		}
-		l.check(t, fsys.killed(), l.durable, fmt.Sprintf("repair %v", repair))
+		h.check(t, fsys.killed(), h.durable, fmt.Sprintf("repair %v", repair))
 	}
 }
 
 // While a snapshot waits for the disk the store goes on, and Close waits for it.
 func TestStoreCloseWaitsForSnapshot(t *testing.T) {
 	fsys := newModelFS()
-	l := newLife(t, fsys, 5, 20)
-	l.change()
+	h := newHarness(t, fsys, 5, 20)
+	h.change()
 	held := &heldBack{}
-	l.store.background = func(f func()) { *held = append(*held, f) }
-	l.compact()
-	l.change()
-	l.check(t, fsys.killed(), len(l.commits)-1, "before the snapshot is in its place")
+	h.store.background = func(f func()) { *held = append(*held, f) }
+	h.compact()
+	h.change()
+	h.check(t, fsys.killed(), len(h.commits)-1, "before the snapshot is in its place")
 	held.run()
-	if err := l.store.Close(); err != nil {
+	if err := h.store.Close(); err != nil {
 		t.Fatal(err)
 	}
-	if l.store.files[0].kind != kindSnapshot {
-		t.Errorf("files %+v", l.store.files)
+	if h.store.files[0].kind != kindSnapshot {
+		t.Errorf("files %+v", h.store.files)
 	}
-	l.check(t, fsys.killed(), len(l.commits)-1, "closed")
+	h.check(t, fsys.killed(), len(h.commits)-1, "closed")
 }
 
 // A record that is missing, or two that have changed places, are noticed though each record is whole.
 func TestStoreMissingRecord(t *testing.T) {
 	fsys := newModelFS()
-	l := newLife(t, fsys, 7, 6)
+	h := newHarness(t, fsys, 7, 6)
 	for range 10 {
-		l.change()
+		h.change()
 	}
-	path := currentLog(l.store)
+	path := currentLog(h.store)
 	records := splitRecords(fsys.files[path].data)
 	for i := 1; i+1 < len(records); i++ {
 		left := fsys.killed()
 		left.files[path].data = slices.Concat(slices.Concat(records[:i]...), slices.Concat(records[i+1:]...))
-		l.check(t, left, 0, fmt.Sprintf("without record %d", i))
+		h.check(t, left, 0, fmt.Sprintf("without record %d", i))
 		if _, _, _, found := open(t, left, testBudget); len(found.Damage) == 0 {
 			t.Errorf("record %d is not missed", i)
 		}
@@ -142,7 +142,7 @@
 		swapped[i], swapped[i+1] = swapped[i+1], swapped[i]
 		left = fsys.killed()
 		left.files[path].data = slices.Concat(swapped...)
-		l.check(t, left, 0, fmt.Sprintf("records %d and %d swapped", i, i+1))
+		h.check(t, left, 0, fmt.Sprintf("records %d and %d swapped", i, i+1))
 	}
 }
 
@@ -156,3 +156,50 @@
 	}
 	return parts
 }
+
+// The log that goes with a repairing snapshot continues nothing: what came between is lost until the snapshot is whole,
+// though the write that failed may have reached the disk.
+func TestStoreRepairContinuesNothing(t *testing.T) {
+	fsys := newModelFS()
+	h := newHarness(t, fsys, 5, 20)
+	for i := range 3 * StepEntries {
+		e := exampleEntry(100 + i)
+		h.record(e.Host, version{entry: e})
+		h.table.Put(e)
+		h.store.Append([]Entry{e}, nil)
+	}
+	h.change()
+	fsys.failAt, fsys.failFor, fsys.late, fsys.failure = fsys.calls+1, 1, true, errors.New("no space left")
+	h.change()
+	if h.store.Failure() == nil {
+		t.Fatal("the write did not fail")
+	}
+	for range 10 {
+		h.change() // not kept
+	}
+	fsys.onCall = func() { h.check(t, fsys.killed(), h.durable, fmt.Sprintf("call %d", fsys.calls)) }
+	h.compact()
+	if h.store.Failure() != nil {
+		t.Error(h.store.Failure())
+	}
+	h.check(t, fsys.killed(), len(h.commits)-1, "repaired")
+}
+
+// A snapshot that can be neither read nor removed at one start, but read at the next one, counts for nothing then.
+func TestStoreSnapshotBackAgain(t *testing.T) {
+	fsys := newModelFS()
+	h := newHarness(t, fsys, 5, 20)
+	for range 10 {
+		h.change()
+	}
+	h.compact()
+	fsys.stuck = "folder/" + h.store.files[0].name
+	h.restart(t)
+	if h.table.Len() != 0 || h.store.seq != 0 {
+		t.Fatalf("%d entries, sequence %d", h.table.Len(), h.store.seq)
+	}
+	h.beginAnew()
+	h.change()
+	fsys.stuck = ""
+	h.check(t, fsys.killed(), h.durable, "back again")
+}
--- a/internal/endpoints/model_test.go
+++ b/internal/endpoints/model_test.go
@@ -34,6 +34,7 @@
 	failure error // of these; nil for a write that is short
 	late    bool  // a write that fails has written all the same
 	onCall  func()
+	stuck   string // the path of a file that can be neither read nor removed
 }
 
 func newModelFS() *modelFS {
@@ -90,6 +91,9 @@
 	if !ok {
 		return nil, 0, fs.ErrNotExist
 	}
+	if path == m.stuck {
+		return nil, 0, syscall.EIO
+	}
 	return io.NopCloser(bytes.NewReader(f.data)), int64(len(f.data)), nil
 }
 
@@ -106,7 +110,7 @@
 	if m.files[path] == nil {
 		return fs.ErrNotExist
 	}
-	if m.fails() {
+	if m.fails() || path == m.stuck {
 		return m.reason()
 	}
 	delete(m.files, path)
--- a/internal/endpoints/reader_test.go
+++ b/internal/endpoints/reader_test.go
@@ -163,7 +163,7 @@
 			o, _ := json.Marshal(object{Seq: int64(seq), Whole: rapid.Bool().Draw(t, "whole"), Hosts: exampleEntries(n)})
 			text = append(append(text, o...), strings.Repeat("\n", rapid.IntRange(0, 3).Draw(t, "blank"))...)
 		}
-		if rapid.Bool().Draw(t, "spoilt") {
+		if rapid.Bool().Draw(t, "corrupt") {
 			text[rapid.IntRange(0, len(text)-1).Draw(t, "at")] ^= 1 << rapid.IntRange(0, 7).Draw(t, "bit")
 		}
 		want := decodeAll(text)
@@ -340,26 +340,3 @@
 		t.Errorf("%d entries", count)
 	}
 }
-
-func BenchmarkReader(b *testing.B) {
-	const entries = 490_000
-	text, _ := json.Marshal(object{Seq: 1, Whole: true, Hosts: exampleEntries(entries)})
-	b.SetBytes(int64(len(text)))
-	b.ReportAllocs()
-	for b.Loop() {
-		if got, err := NewReader(bytes.NewReader(text)).count(); err != io.EOF || got != entries {
-			b.Fatal(got, err)
-		}
-	}
-}
-
-// count reads to the end and gives the number of entries.
-func (r *Reader) count() (entries int, err error) {
-	for {
-		batch, err := r.Next()
-		if err != nil {
-			return entries, err
-		}
-		entries += len(batch.Entries)
-	}
-}
--- a/internal/endpoints/replay.go
+++ b/internal/endpoints/replay.go
@@ -69,7 +69,7 @@
 		table := NewTable()
 		seq, size, err := r.readSnapshot(file, table)
 		if err != nil {
-			r.note(file, err)
+			r.reportDamage(file, err)
 			continue
 		}
 		file.size = size
@@ -114,7 +114,7 @@
 	for _, file := range r.files {
 		if file.kind == kindLog && file.number >= r.snapshot.number {
 			if err := r.readLog(file); err != nil {
-				r.note(file, err)
+				r.reportDamage(file, err)
 			}
 		}
 	}
@@ -186,7 +186,7 @@
 	}
 }
 
-func (r *replay) note(file storedFile, err error) {
+func (r *replay) reportDamage(file storedFile, err error) {
 	if errors.Is(err, errNewer) {
 		r.found.Newer++
 		return
--- a/internal/endpoints/store.go
+++ b/internal/endpoints/store.go
@@ -80,7 +80,7 @@
 	return s, r.table, r.seq, r.found, nil
 }
 
-// Append notes changes that the table has taken on: entries put, then hosts deleted. They need not be on disk before
+// Append records changes that were made to the table: entries put, then hosts deleted. They need not be on disk before
 // Commit.
 func (s *Store) Append(puts []Entry, deletes []string) {
 	if !s.writable() || len(puts)+len(deletes) == 0 || s.prepareLog() != nil {
@@ -100,7 +100,7 @@
 	}
 }
 
-// Commit notes that the table has all entries up to a sequence, and writes what was appended. A sequence of 0 says that
+// Commit records that the table has all entries up to a sequence, and writes what was appended. A sequence of 0 says that
 // the whole list has to be asked for. Without an error a process that starts later finds the sequence, or a later one,
 // unless the store is disabled. An error that disables it is given once.
 func (s *Store) Commit(seq int64) error {
@@ -243,7 +243,7 @@
 	return s.disabled
 }
 
-// fail notes that a write failed: the log can't be continued.
+// fail records that a write failed: the log can't be continued.
 func (s *Store) fail(err error) error {
 	s.failure = err
 	s.retryAt = s.now().Add(retryAfter)
--- a/internal/endpoints/store_test.go
+++ b/internal/endpoints/store_test.go
@@ -1,7 +1,6 @@
 package endpoints
 
 import (
-	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -24,135 +23,6 @@
 	return s, table, seq, found
 }
 
-// version is what a host had from a commit on; absent if it was deleted.
-type version struct {
-	commit int // number of the commit after which it came
-	entry  Entry
-	absent bool
-}
-
-// life plays changes into a table and its store, and keeps what was true when.
-type life struct {
-	fsys    *modelFS
-	store   *Store
-	table   *Table
-	random  *rand.Rand
-	hosts   int
-	history map[string][]version
-	commits []int64 // sequences committed, by number of the commit; the first is 0
-	durable int     // number of the last commit without an error
-}
-
-func newLife(t testing.TB, fsys *modelFS, seed uint64, hosts int) *life {
-	l := &life{fsys: fsys, random: rand.New(rand.NewPCG(seed, 0)), hosts: hosts, history: map[string][]version{}, commits: []int64{0}}
-	l.restart(t)
-	return l
-}
-
-func (l *life) restart(t testing.TB) {
-	l.store, l.table, _, _ = open(t, l.fsys, testBudget)
-}
-
-// beginAnew takes what the store has found for the truth.
-func (l *life) beginAnew() {
-	l.commits = []int64{l.store.seq}
-	l.durable = 0
-	l.history = map[string][]version{}
-	for host, e := range contents(l.table) {
-		l.history[host] = []version{{commit: 0, entry: e}}
-	}
-}
-
-// change plays one object of a few entries.
-func (l *life) change() {
-	for range 1 + l.random.IntN(3) {
-		e := exampleEntry(l.random.IntN(l.hosts))
-		e.BornMS = int64(len(l.commits))
-		e.Block = l.random.IntN(3)
-		if l.random.IntN(4) == 0 {
-			l.note(e.Host, version{absent: true})
-			l.table.Delete(e.Host)
-			l.store.Append(nil, []string{e.Host})
-			continue
-		}
-		l.note(e.Host, version{entry: e})
-		l.table.Put(e)
-		l.store.Append([]Entry{e}, nil)
-	}
-	l.commits = append(l.commits, l.commits[len(l.commits)-1]+10)
-	if l.store.Commit(l.commits[len(l.commits)-1]) == nil {
-		l.durable = len(l.commits) - 1
-	}
-}
-
-func (l *life) note(host string, v version) {
-	v.commit = len(l.commits)
-	l.history[host] = append(l.history[host], v)
-}
-
-// compact makes a whole snapshot, with changes meanwhile.
-func (l *life) compact() {
-	l.store.retryAt = time.Time{}
-	if l.store.compaction == nil {
-		l.store.begin()
-	}
-	for l.store.Step(l.table) {
-		l.change()
-	}
-}
-
-// check opens what a death has left, and fails unless each entry is one that was true at or after the sequence found.
-// least is the number of the commit that must be there.
-func (l *life) check(t *testing.T, left *modelFS, least int, when string) {
-	t.Helper()
-	_, table, seq, found := open(t, left, testBudget)
-	commit := -1
-	for i, s := range l.commits {
-		if s == seq {
-			commit = i
-		}
-	}
-	if commit < least {
-		t.Fatalf("%s: sequence %d, want that of commit %d (%d) or later; found %v", when, seq, least, l.commits[least], found)
-	}
-	if seq == 0 && least == 0 {
-		l.checkFacts(t, table, when)
-		return
-	}
-	for host, versions := range l.history {
-		got, ok := table.Get(host)
-		if !trueSince(versions, commit, got, ok) {
-			t.Fatalf("%s: at sequence %d (commit %d) %s is %+v, %v; history %+v", when, seq, commit, host, got, ok, versions)
-		}
-	}
-	l.checkFacts(t, table, when)
-}
-
-// checkFacts fails unless all entries were true at some time.
-func (l *life) checkFacts(t *testing.T, table *Table, when string) {
-	t.Helper()
-	entries, _, _ := table.All(0, testBudget)
-	for e := range entries {
-		if !trueSince(l.history[e.Host], 0, e, true) {
-			t.Fatalf("%s: %+v was never true", when, e)
-		}
-	}
-}
-
-// trueSince tells whether a host was as given at or after a commit.
-func trueSince(versions []version, commit int, got Entry, ok bool) bool {
-	current := version{absent: true}
-	for _, v := range versions {
-		if v.commit > commit && same(current, got, ok) {
-			return true
-		}
-		current = v
-	}
-	return same(current, got, ok)
-}
-
-func same(v version, got Entry, ok bool) bool { return v.absent != ok && (v.absent || v.entry == got) }
-
 func TestStoreEmptyFolder(t *testing.T) {
 	for _, dir := range []string{t.TempDir(), filepath.Join(t.TempDir(), "new")} {
 		s, table, seq, found, err := Open(dir, testBudget)
@@ -259,35 +129,35 @@
 // A process may be killed between any two calls of the file system, and in the middle of any write.
 func TestStoreKilledAnywhere(t *testing.T) {
 	fsys := newModelFS()
-	l := newLife(t, fsys, 1, 2*StepEntries)
+	h := newHarness(t, fsys, 1, 2*StepEntries)
 	points := 0
 	fsys.onCall = func() {
 		points++
-		l.check(t, fsys.killed(), l.durable, fmt.Sprintf("before call %d", fsys.calls))
+		h.check(t, fsys.killed(), h.durable, fmt.Sprintf("before call %d", fsys.calls))
 		for path, f := range fsys.files { // the tails of files, as of a write that was under way
 			for _, less := range []int{1, 9, 30} {
-				if len(f.data) < less || path != currentLog(l.store) {
+				if len(f.data) < less || path != currentLog(h.store) {
 					continue
 				}
 				left := fsys.killed()
 				cut := left.files[path]
 				cut.data = cut.data[:len(cut.data)-less]
-				l.check(t, left, max(0, l.durable-1), fmt.Sprintf("within the write before call %d", fsys.calls))
+				h.check(t, left, max(0, h.durable-1), fmt.Sprintf("within the write before call %d", fsys.calls))
 			}
 		}
 	}
 	for range 3 {
 		for range 20 {
-			l.change()
+			h.change()
 		}
-		l.compact()
-		l.change()
-		l.restart(t)
+		h.compact()
+		h.change()
+		h.restart(t)
 		for range 5 {
-			l.change()
+			h.change()
 		}
 	}
-	l.check(t, fsys.killed(), l.durable, "at the end")
+	h.check(t, fsys.killed(), h.durable, "at the end")
 	t.Logf("%d points", points)
 }
 
@@ -298,21 +168,22 @@
 	return filepath.Join(s.dir, s.files[len(s.files)-1].name)
 }
 
-// After a power loss the sequence may be an earlier one, or 0, but the table is never without what goes with it.
+// After a power loss the sequence may be an earlier one, but none before that of the last snapshot that was put in its
+// place, and the table is never without what goes with it.
 func TestStorePowerLoss(t *testing.T) {
 	for seed := range uint64(20) {
 		fsys := newModelFS()
-		l := newLife(t, fsys, seed, 40)
+		h := newHarness(t, fsys, seed, 40)
 		random := rand.New(rand.NewPCG(seed, 1))
 		fsys.onCall = func() {
-			l.check(t, fsys.powerLoss(random.IntN), 0, fmt.Sprintf("seed %d, before call %d", seed, fsys.calls))
+			h.check(t, fsys.powerLoss(random.IntN), h.synced, fmt.Sprintf("seed %d, before call %d", seed, fsys.calls))
 		}
 		for range 3 {
 			for range 10 {
-				l.change()
+				h.change()
 			}
-			l.compact()
-			l.restart(t)
+			h.compact()
+			h.restart(t)
 		}
 	}
 }
@@ -320,31 +191,31 @@
 // Each bit of each file is turned once: what is read is a state that goes with the sequence, or the sequence is 0.
 func TestStoreTurnedBits(t *testing.T) {
 	fsys := newModelFS()
-	l := newLife(t, fsys, 3, 12)
+	h := newHarness(t, fsys, 3, 12)
 	for range 6 {
-		l.change()
+		h.change()
 	}
-	l.compact()
-	l.restart(t)
+	h.compact()
+	h.restart(t)
 	for range 4 {
-		l.change()
+		h.change()
 	}
-	l.restart(t)
-	l.change()
+	h.restart(t)
+	h.change()
 	for path, f := range fsys.files {
 		for bit := range 8 * len(f.data) {
 			left := fsys.killed()
 			left.files[path].data[bit/8] ^= 1 << (bit % 8)
-			l.check(t, left, 0, fmt.Sprintf("%s, bit %d", path, bit))
+			h.check(t, left, 0, fmt.Sprintf("%s, bit %d", path, bit))
 		}
 		for cut := range len(f.data) {
 			left := fsys.killed()
 			left.files[path].data = left.files[path].data[:cut]
-			l.check(t, left, 0, fmt.Sprintf("%s, cut at %d", path, cut))
+			h.check(t, left, 0, fmt.Sprintf("%s, cut at %d", path, cut))
 		}
 		left := fsys.killed()
 		delete(left.files, path)
-		l.check(t, left, 0, path+" lost")
+		h.check(t, left, 0, path+" lost")
 	}
 }
 
@@ -352,91 +223,36 @@
 func TestStoreGoesOnAfterDamage(t *testing.T) {
 	for seed := range uint64(200) {
 		fsys := newModelFS()
-		l := newLife(t, fsys, seed, 12)
+		h := newHarness(t, fsys, seed, 12)
 		for range 4 {
-			l.change()
+			h.change()
 		}
-		l.compact()
-		l.restart(t)
-		l.change()
+		h.compact()
+		h.restart(t)
+		h.change()
 		random := rand.New(rand.NewPCG(seed, 2))
 		for _, f := range fsys.files {
 			if len(f.data) > 0 && random.IntN(2) == 0 {
 				f.data[random.IntN(len(f.data))] ^= 1
 			}
 		}
-		l.restart(t)
-		l.beginAnew()
+		h.restart(t)
+		h.beginAnew()
 		for range 3 {
-			l.change()
-		}
-		l.check(t, fsys.killed(), l.durable, fmt.Sprintf("seed %d", seed))
-		l.compact()
-		l.check(t, fsys.killed(), l.durable, fmt.Sprintf("seed %d", seed))
-	}
-}
-
-func TestStoreBudget(t *testing.T) {
-	const entries = 5_000
-	whole := newModelFS()
-	fill(t, whole, testBudget, entries)
-	for budget := int64(0); budget < 2_000_000; budget += 10_007 {
-		fsys := newModelFS()
-		s, errs := fill(t, fsys, budget, entries)
-		reason, disabled := s.Disabled()
-		if !disabled {
-			continue
-		}
-		tooSmall := new(BudgetError)
-		if !errors.As(reason, &tooSmall) || tooSmall.Budget != budget || tooSmall.Needed <= budget {
-			t.Fatalf("budget %d: %v", budget, reason)
-		}
-		if len(fsys.files) != 0 || s.Bytes() != 0 {
-			t.Fatalf("budget %d: %d files left", budget, len(fsys.files))
-		}
-		if errs != 1 {
-			t.Fatalf("budget %d: said %d times", budget, errs)
-		}
-	}
-	s, _ := fill(t, newModelFS(), 2_000_000, entries)
-	if _, disabled := s.Disabled(); disabled {
-		t.Error("disabled though there is room")
-	}
-}
-
-// fill plays a list and compactions within a budget, and gives how often Commit said that it is too small.
-func fill(t *testing.T, fsys *modelFS, budget int64, entries int) (s *Store, errs int) {
-	t.Helper()
-	s, table, _, _ := open(t, fsys, budget)
-	fsys.onCall = func() {
-		if s.Bytes() > budget {
-			t.Fatalf("%d bytes of %d", s.Bytes(), budget)
-		}
-	}
-	for i := range 2 * entries {
-		e := exampleEntry(i % entries)
-		e.BornMS = int64(i)
-		table.Put(e)
-		s.Append([]Entry{e}, nil)
-		if i%10 == 9 {
-			if s.Commit(int64(i)) != nil {
-				errs++
-			}
-			if i%2000 == 1999 && s.compaction == nil && s.disabled == nil {
-				s.begin()
-			}
-			s.Step(table)
+			h.change()
 		}
+		h.check(t, fsys.killed(), h.durable, fmt.Sprintf("seed %d", seed))
+		h.compact()
+		h.check(t, fsys.killed(), h.durable, fmt.Sprintf("seed %d", seed))
 	}
-	return s, errs
 }
 
 // Files of a newer version count as none.
 func TestStoreNewerVersion(t *testing.T) {
 	fsys := newModelFS()
-	l := newLife(t, fsys, 1, 20)
-	l.change()
-	l.compact()
+	h := newHarness(t, fsys, 1, 20)
+	h.change()
+	h.compact()
 	for _, f := range fsys.files {
 		f.data[versionAt] = formatVersion + 1
 	}
@@ -484,9 +300,9 @@
 // Sequence 0 is kept as any other: the whole list has to be asked for.
 func TestStoreForgetsSequence(t *testing.T) {
 	fsys := newModelFS()
-	l := newLife(t, fsys, 1, 20)
-	l.change()
-	if err := l.store.Commit(0); err != nil {
+	h := newHarness(t, fsys, 1, 20)
+	h.change()
+	if err := h.store.Commit(0); err != nil {
 		t.Fatal(err)
 	}
 	if _, _, seq, _ := open(t, fsys.killed(), testBudget); seq != 0 {
--- a/internal/endpoints/table_test.go
+++ b/internal/endpoints/table_test.go
@@ -214,6 +214,23 @@
 	}
 }
 
+// Sites that no entry names any more are forgotten.
+func TestTableForgetsAttributes(t *testing.T) {
+	table := NewTable()
+	e := exampleEntry(1)
+	for i := range 1000 {
+		e.Site = fmt.Sprint("site-", i)
+		table.Put(e)
+	}
+	if kept := len(table.attributes.values); kept > 2 {
+		t.Errorf("%d combinations kept for one entry", kept)
+	}
+	table.Delete(e.Host)
+	if len(table.attributes.ids) != 0 {
+		t.Errorf("%d combinations kept for none", len(table.attributes.ids))
+	}
+}
+
 func BenchmarkTableBytesAnEntry(b *testing.B) {
 	const entries = 490_000
 	for b.Loop() {
