Check the time of a shared call's answer when it is read, not by a timer alone

The platform counts that time from an earlier moment, and takes an answer that comes after it for none of the messages; the relay believed it for all, and sent no notice. At fault: internal/relay, call, which began the timeout after the batch was committed, and exchange, which asked no clock.

Change: the timeout counts from the call, and an answer read later than 50 ms (the protocol's slack) before the time of one of its messages counts for none of them: they may have run. A message that has little time left keeps half of it.

--- a/internal/relay/actions.go
+++ b/internal/relay/actions.go
@@ -57,7 +57,7 @@
 	host    Member
 	timeout time.Duration
 	within  time.Duration // to be written in; 0 for no bound
-	left    time.Duration // until the message is given up
+	expires time.Time     // when the message is given up
 }
 
 // send notes an attempt and makes it ready to go.
@@ -68,7 +68,7 @@
 	}
 	h, ok := l.hosts[a.Endpoint]
 	left := l.clock(m.Expires) - now
-	s := send{m: m, call: a.Call, attempt: len(m.Attempts), host: h, timeout: left, within: a.Within, left: left}
+	s := send{m: m, call: a.Call, attempt: len(m.Attempts), host: h, timeout: left, within: a.Within, expires: l.instant(now + left)}
 	if a.Timeout > 0 {
 		s.timeout = min(left, a.Timeout)
 	}
@@ -87,9 +87,38 @@
 	l.answered(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, result: result{outcome: policy.Ignored}})
 }
 
-// call makes a call in a goroutine of its own. Its messages share its fate: it is given up for all of them once the
-// time of one is up, and for none while any of them is still waited for. Clients count that time from a little earlier,
-// and the module's clock has its steps: two of them are left out.
+// answerMargin before the time of a message is up, an answer to a call that it shares with others counts for none of them.
+// The platform counts that time from when the request was sent, so it ends earlier there by the relay's delay in reading
+// the request. The protocol allows 50 ms on each of its time limits.
+const answerMargin = 50 * time.Millisecond
+
+// answerBy is when the answer to a call with several messages has to be read to count: answerMargin before the time of
+// any of them is up. A message with little time left keeps half of it for the call.
+func answerBy(now time.Time, sends []send) (by time.Time) {
+	for _, s := range sends {
+		due := s.expires.Add(-min(answerMargin, s.expires.Sub(now)/2))
+		if by.IsZero() || due.Before(by) {
+			by = due
+		}
+	}
+	return by
+}
+
+// sharedTimeout is how long a call with several messages may last: until two ticks before the time of any of them is up,
+// which is when the module gives up a message that it holds.
+func sharedTimeout(now time.Time, sends []send, tick time.Duration) time.Duration {
+	left := sends[0].timeout
+	for _, s := range sends {
+		left = max(left, s.timeout)
+	}
+	for _, s := range sends {
+		left = min(left, s.expires.Sub(now)-2*tick)
+	}
+	return max(left, tick)
+}
+
+// call makes a call in a goroutine of its own. Its messages share its fate: it is given up for all of them shortly before
+// the time of one is up, and for none while any of them is still waited for.
 func (l *loop) call(sends []send) {
 	ctx, cancel := context.WithCancel(l.calls)
 	r := request{addr: sends[0].host.Dial}
@@ -97,15 +126,14 @@
 		return answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, took: took, result: res}
 	}
 	waiting := len(sends)
-	for _, s := range sends {
-		r.timeout = max(r.timeout, s.timeout)
+	r.timeout = sends[0].timeout
+	if len(sends) > 1 {
+		now := time.Now()
+		r.timeout, r.answerBy = sharedTimeout(now, sends, l.cfg.policy.Tick), answerBy(now, sends)
 	}
 	for _, s := range sends {
 		p := parcel{ID: s.m.ID, Key: s.m.Key, Body: s.m.Body, fate: new(fate)}
 		r.parcels = append(r.parcels, p)
-		if len(sends) > 1 {
-			r.timeout = max(min(r.timeout, s.left-2*l.cfg.policy.Tick), l.cfg.policy.Tick)
-		}
 		if s.within > 0 && (r.within == 0 || s.within < r.within) {
 			r.within = s.within
 		}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -49,8 +49,14 @@
 	parcels []parcel
 	timeout time.Duration
 	within  time.Duration // to be written in, or not at all; 0 for no bound
+	// answerBy is when the answer to several messages has to be read whole to count for any of them; zero for no bound.
+	// It is checked once the answer is read, since a timer may fire late.
+	answerBy time.Time
 }
 
+// late tells whether an answer that has been read by now counts for nothing.
+func (r request) late() bool { return !r.answerBy.IsZero() && !time.Now().Before(r.answerBy) }
+
 // parcel is one message of a call, as it goes on the wire where there are several.
 type parcel struct {
 	ID   string `json:"id"`
@@ -205,6 +211,11 @@
 		if err != nil {
 			return r.all(result{outcome: broken(ctx)}), false
 		}
+		if r.late() {
+			unheard := classify(resp)
+			unheard.outcome, unheard.over = policy.TimedOut, false
+			return r.all(unheard), false // a wait that it tells binds all the same
+		}
 		res = r.ends(resp, body)
 	}
 	c.stall = 0
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -69,6 +69,11 @@
 // clock turns a wall time into the module's.
 func (l *loop) clock(t time.Time) time.Duration { return time.Duration(t.UnixNano()) }
 
+// instant turns the module's time into a time of this process, which steps of the system's clock do not move.
+func (l *loop) instant(t time.Duration) time.Time {
+	return l.start.Add(t - time.Duration(l.start.UnixNano()))
+}
+
 // wall turns the module's time into a wall time.
 func (l *loop) wall(t time.Duration) time.Time { return time.Unix(0, int64(t)) }
 
