Keep an admin reply from being reset away by what the caller sent behind its line

At fault: internal/relay/door.go, answer, which read off what follows only where the line was not whole.

--- a/internal/relay/door.go
+++ b/internal/relay/door.go
@@ -145,11 +145,13 @@
 	if _, err := c.Write(reply); err != nil {
 		slog.Debug("operators' door", "err", err)
 	}
-	if !whole {
-		// Closing with bytes unread would reset the connection, and the reply with it.
-		_ = c.SetDeadline(time.Now().Add(drainTime))
-		_, _ = io.CopyN(io.Discard, c, maxBody)
+	// Closing with bytes unread would reset the connection, and the reply with it: the sending side ends first, and what the
+	// caller has sent behind its line is read off.
+	if half, ok := c.Conn.(*net.TCPConn); ok {
+		_ = half.CloseWrite()
 	}
+	_ = c.SetDeadline(time.Now().Add(drainTime))
+	_, _ = io.CopyN(io.Discard, c, maxBody)
 }
 
 // reply answers one call.
