--- a/internal/endpoints/compaction.go
+++ b/internal/endpoints/compaction.go
@@ -62,7 +62,14 @@
 		logs++
 		logBytes += f.size
 	}
-	return logBytes >= max(minLogBytes, snapshot/logShare) || logs > maxLogs
+	return logBytes >= s.longLog(snapshot) || logs > maxLogs
+}
+
+// longLog is the length of the logs beside a snapshot from which a compaction is due: early enough that the next
+// snapshot and the logs meanwhile fit into the budget, as far as that can be had.
+func (s *Store) longLog(snapshot int64) int64 {
+	room := s.budget - 2*snapshot
+	return min(max(minLogBytes, snapshot/logShare), max(room/2, s.budget/budgetShare))
 }
 
 // begin begins a snapshot and the log that goes with it.
--- a/internal/endpoints/store.go
+++ b/internal/endpoints/store.go
@@ -20,6 +20,8 @@
 	minLogBytes = 1 << 20
 	// logShare is the part of the snapshot's length, as a divisor, that the logs may have before a compaction.
 	logShare = 2
+	// budgetShare is the part of the budget, as a divisor, that the logs may have whatever the snapshot leaves.
+	budgetShare = 16
 	// maxLogs is the number of logs, one for each start, before a compaction.
 	maxLogs = 8
 	// retryAfter is how long a store waits after a failure before it tries to write again.
