--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -70,7 +70,7 @@
 	AgainMS int64  `json:"again_ms,omitempty"`
 }
 
-// List is the list of hosts as last told, in its owner's own form.
+// List is a list of hosts in its owner's own form, as programs of before kept it here.
 type List struct {
 	Text  []byte
 	Hosts int // that it names
@@ -216,9 +216,24 @@
 // Health is what is remembered of hosts.
 func (j *Journal) Health() map[string]Health { return j.health }
 
-// Listed is the list as last told to this process or an earlier one; without a text for never.
+// Listed is the list of hosts that a program of before kept here; without a text for none.
 func (j *Journal) Listed() List { return j.list }
 
+// DropList forgets that list, since its owner keeps it elsewhere, and begins a segment without it.
+func (j *Journal) DropList() {
+	if j.list.Text == nil {
+		return
+	}
+	j.live -= j.listLen
+	j.list, j.listLen = List{}, 0
+	if j.broken != nil {
+		return // the next segment begins without it
+	}
+	if err := j.begin(); err != nil {
+		j.fail(err)
+	}
+}
+
 // Broken tells why nothing can be written, or gives nil.
 func (j *Journal) Broken() error { return j.broken }
 
@@ -265,7 +280,7 @@
 // Forget drops what is remembered of a host that is gone; the files forget with the next segment.
 func (j *Journal) Forget(host string) { delete(j.health, host) }
 
-// List notes the list of hosts as discovery has now told it.
+// List notes a list of hosts as programs of before did, for tests and for folders that go back to one.
 func (j *Journal) List(l List) { j.note(record{op: opList, list: l}) }
 
 // note applies a record and buffers it.
--- a/internal/journal/tools.go
+++ b/internal/journal/tools.go
@@ -23,7 +23,7 @@
 	ByClass  map[string]int `json:"by_class,omitempty"`
 	BodySize int            `json:"body_bytes"`
 	Room     int            `json:"room_bytes"` // that all this needs, with later records
-	Hosts    int            `json:"hosts"`      // on the list as last told
+	Hosts    int            `json:"hosts"`      // on the list, where a program of before kept it here
 	Sick     int            `json:"sick"`       // hosts remembered as out
 }
 
