Take discovery's list in batches, keep it in the compact table and on disk by change

A whole list's removals come in bounded steps. known of the configuration is read in batches too, and skipped on a reload.

--- a/internal/relay/actions.go
+++ b/internal/relay/actions.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"time"
 
+	"milletsail/internal/endpoints"
 	"milletsail/internal/journal"
 	"milletsail/policy"
 )
@@ -19,11 +20,11 @@
 			l.effects = append(l.effects, m.cancel)
 		}
 	case policy.Withhold:
-		if h, ok := l.hosts[a.Endpoint]; ok {
+		if h, ok := l.list.table.Get(a.Endpoint); ok {
 			l.effects = append(l.effects, func() { l.pool.withhold(h.Dial) })
 		}
 	case policy.CloseIdle:
-		if h, ok := l.hosts[a.Endpoint]; ok {
+		if h, ok := l.list.table.Get(a.Endpoint); ok {
 			l.effects = append(l.effects, func() { l.pool.closeIdle(h.Dial) })
 		}
 	case policy.Wake:
@@ -34,7 +35,7 @@
 	case policy.Tell:
 		l.effects = append(l.effects, func() { l.tell(a.Note) })
 	case policy.Remember:
-		if _, ok := l.hosts[a.Endpoint]; ok {
+		if _, ok := l.list.table.Get(a.Endpoint); ok {
 			l.journal.Remember(a.Endpoint, journal.Health{Sick: a.Sick, At: l.wall(a.At)})
 			if !a.Hearsay {
 				l.shared.Health(a.Endpoint, a.Sick)
@@ -54,7 +55,7 @@
 	m       *message
 	call    int
 	attempt int
-	host    Member
+	host    endpoints.Entry
 	timeout time.Duration
 	within  time.Duration // to be written in; 0 for no bound
 	expires time.Time     // when the message is given up
@@ -66,7 +67,7 @@
 	if m == nil || m.over {
 		return
 	}
-	h, ok := l.hosts[a.Endpoint]
+	h, ok := l.list.table.Get(a.Endpoint)
 	left := l.clock(m.Expires) - now
 	s := send{m: m, call: a.Call, attempt: len(m.Attempts), host: h, timeout: left, within: a.Within, expires: l.instant(now + left)}
 	if a.Timeout > 0 {
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -4,13 +4,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"log/slog"
 	"os"
 	"strconv"
 
+	"milletsail/internal/endpoints"
 	"milletsail/internal/journal"
 	"milletsail/internal/settings"
 	"milletsail/policy"
@@ -18,13 +18,12 @@
 
 // Config is what the platform tells a relay in its configuration file.
 type Config struct {
-	Name      string  `json:"name"`
-	Listen    string  `json:"listen"`
-	Admin     string  `json:"admin"` // the operators' door; empty for none
-	Discovery string  `json:"discovery"`
-	Seed      string  `json:"seed"` // hexadecimal
-	Limits    Limits  `json:"limits"`
-	Known     Members `json:"known"`
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Admin     string `json:"admin"` // the operators' door; empty for none
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"` // hexadecimal
+	Limits    Limits `json:"limits"`
 	// Notes of other relays come to PeerListen, from their addresses in Peers; PeersAll reaches all of them.
 	PeerListen string            `json:"peer_listen"`
 	Peers      []string          `json:"peers"`
@@ -45,6 +44,7 @@
 	Files journal.FS `json:"-"`
 	Boot  string     `json:"-"`
 
+	known     knownList
 	inherited string // number of the descriptor on which clients are taken; empty to listen
 
 	policy policy.Settings
@@ -67,12 +67,19 @@
 
 // ReadConfig reads and checks a configuration file.
 func ReadConfig(path string) (*Config, error) {
-	raw, err := os.ReadFile(path)
+	file, err := os.Open(path)
 	if err != nil {
 		return nil, fmt.Errorf("configuration: %w", err)
 	}
-	c := &Config{}
-	if err := json.Unmarshal(raw, c); err != nil {
+	defer file.Close()
+	c := &Config{known: knownList{path: path}}
+	err = decodeConfig(file, c, func(b endpoints.Batch) error {
+		if b.End {
+			c.known.seq = b.Seq
+		}
+		return nil
+	})
+	if err != nil {
 		return nil, fmt.Errorf("configuration %s: %w", path, err)
 	}
 	if admin := os.Getenv("NODE_ADMIN"); admin != "" {
--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -92,8 +92,8 @@
 	old.Health = draining
 	p.lines <- hostLine(t, 42, old)
 	p.until("the change is noted", func() bool {
-		list, ok := remembered(readJournal(t, p.dir).Listed())
-		return ok && list.Seq == 42
+		_, seq := storedList(t, p.dir)
+		return seq == 42
 	})
 	p.kill(c)
 	p.set(func() { p.down = true })
@@ -110,7 +110,7 @@
 	t.Helper()
 	s := httptest.NewServer(serve)
 	members, failed := make(chan Members, 10), make(chan bool, 10)
-	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), 0, func(m Members) { members <- m }, func() { failed <- true })
+	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), 0, inObjects(func(m Members) { members <- m }), func() { failed <- true })
 	w.silence, w.seq = silence, 40
 	t.Cleanup(func() {
 		s.CloseClientConnections()
@@ -228,7 +228,7 @@
 	t.Cleanup(s.Close)
 	const fleet = 800 * time.Millisecond
 	failed, spans := make(chan bool, 10), make(chan time.Duration, 10)
-	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), fleet, func(Members) {}, func() { failed <- true })
+	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), fleet, inObjects(func(Members) {}), func() { failed <- true })
 	w.draw = func(span time.Duration) time.Duration {
 		spans <- span
 		return 0
@@ -280,11 +280,11 @@
 		down := outage{begun, begun.Add(lasts), refuses}
 		told := make(chan time.Time, 100)
 		var w *watcher
-		w = newWatcher("discovery", spread, func(m Members) {
+		w = newWatcher("discovery", spread, inObjects(func(m Members) {
 			if m.Seq == 42 {
 				told <- time.Now()
 			}
-		}, func() {
+		}), func() {
 			time.AfterFunc(500*time.Millisecond, w.ask) // as the module does
 		})
 		w.prompt = true
@@ -352,7 +352,7 @@
 // A process that took over from another asks at once: what changes meanwhile would come too late.
 func TestWatchAfterTakeover(t *testing.T) {
 	spans := make(chan time.Duration, 1)
-	w := newWatcher("127.0.0.1:0", 47*askSpread, func(Members) {}, func() {})
+	w := newWatcher("127.0.0.1:0", 47*askSpread, inObjects(func(Members) {}), func() {})
 	w.prompt = true
 	w.draw = func(span time.Duration) time.Duration {
 		spans <- span
@@ -372,7 +372,7 @@
 			rw.Header().Set("Retry-After", text)
 			rw.WriteHeader(http.StatusServiceUnavailable)
 		}))
-		w := newWatcher(strings.TrimPrefix(s.URL, "http://"), 0, func(Members) {}, func() {})
+		w := newWatcher(strings.TrimPrefix(s.URL, "http://"), 0, inObjects(func(Members) {}), func() {})
 		_, err := w.watch(t.Context(), s.URL+"/catalog/members")
 		s.Close()
 		busy := new(busyError)
@@ -408,8 +408,8 @@
 	p.called()
 	reload(text)
 	p.until("the new list is in force", func() bool {
-		list, ok := remembered(readJournal(t, p.dir).Listed())
-		return ok && len(list.Hosts) == 1 && list.Hosts[0].Host == fresh.Host
+		hosts, _ := storedList(t, p.dir)
+		return len(hosts) == 1 && hosts[0].Host == fresh.Host
 	})
 	next.answer = func(*http.Request) int { return 0 }
 	r := p.handIn("order", "b", "0.4", func(r *http.Request) { r.Header.Set("X-Envelope", "dest=8") })
--- a/internal/relay/door_test.go
+++ b/internal/relay/door_test.go
@@ -25,7 +25,7 @@
 }
 
 // ask sends an operator's line and gives the whole reply.
-func ask(t *testing.T, addr, line string) string {
+func ask(t testing.TB, addr, line string) string {
 	t.Helper()
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -1,10 +1,9 @@
 package relay
 
 import (
-	"maps"
-	"slices"
 	"time"
 
+	"milletsail/internal/endpoints"
 	"milletsail/internal/fleet/live"
 	"milletsail/internal/journal"
 	"milletsail/policy"
@@ -34,8 +33,11 @@
 		took    time.Duration
 		result
 	}
-	// told is a list, or a change of it.
-	told struct{ Members }
+	// listBatch is a part of an object that discovery sent. The watch goes on once taken is closed.
+	listBatch struct {
+		endpoints.Batch
+		taken chan struct{}
+	}
 	// heard is a note of another relay.
 	heard struct{ note []byte }
 	// fleetSaid is what the other relays have found out together.
@@ -67,17 +69,7 @@
 	}
 }
 
-func (e told) apply(l *loop) {
-	l.told(e.Members)
-	if e.Whole {
-		for host := range l.journal.Health() {
-			if _, ok := l.hosts[host]; !ok {
-				l.journal.Forget(host)
-			}
-		}
-	}
-	l.journal.List(Members{Seq: e.Seq, Whole: true, Hosts: slices.Collect(maps.Values(l.hosts))}.kept())
-}
+func (e listBatch) apply(l *loop) { l.acceptBatch(e) }
 
 func (e heard) apply(l *loop) { l.events = append(l.events, policy.Heard{Note: e.note}) }
 
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -143,7 +143,7 @@
 	}
 	p.set(func() { p.down = false })
 	p.until("the list is followed", func() bool {
-		list, ok := remembered(readJournal(t, p.dir).Listed())
-		return ok && list.Seq == 41
+		_, seq := storedList(t, p.dir)
+		return seq == 41
 	})
 }
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -340,6 +340,7 @@
 		return false
 	}
 	_ = l.journal.Close()
+	l.list.close()
 	l.owner.Release()
 	// Past this point the newer process owns the folder, whether or not the line reaches it.
 	if err := k.step(line{Step: stepYours}, time.Now().Add(offerTime)); err != nil {
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -31,7 +31,7 @@
 		}
 		return
 	}
-	if !l.dests[a.entry.Dest] || !l.journal.Reserve(a.entry) {
+	if !l.list.table.Known(a.entry.Dest) || !l.journal.Reserve(a.entry) {
 		// Guards the module against destinations that no list has named, and the disk against overflow.
 		l.figures.end(l.class(a.entry.Class), rejected)
 		a.verdict <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -2,46 +2,228 @@
 
 import (
 	"log/slog"
+	"slices"
+	"time"
 
+	"milletsail/internal/endpoints"
+	"milletsail/internal/settings"
 	"milletsail/policy"
 )
 
-// told takes in a change of the list.
-func (l *loop) told(m Members) {
-	named := map[string]bool{}
+const (
+	// sweepSize is how many places of the table one batch of the loop looks at, while the entries are removed that a whole
+	// list no longer names.
+	sweepSize = 2048
+	// loggedChanges is how many changes of one object are logged one by one; of further ones only the number is.
+	loggedChanges = 32
+)
+
+// maxBornMS bounds the times of starts: the year 2200.
+const maxBornMS = 7_258_118_400_000
+
+// endpointList is the list of endpoints as discovery last sent it, in memory and, where there is room, on disk. The loop
+// owns it. Discovery's objects come in batches. A whole list replaces the entries that it does not name: they are
+// removed in bounded steps once its last batch is in.
+type endpointList struct {
+	settings *settings.Settings
+	table    *endpoints.Table
+	store    *endpoints.Store // nil for none
+	storing  bool             // the store has more to do
+	seq      int64            // of the last object that is complete
+
+	replacing bool        // the entries of the present object are marked, since it may be a whole list
+	changes   int         // of the present object
+	removing  *listBatch  // the last batch of a whole list, while entries that it did not name are removed
+	waiting   []listBatch // came meanwhile
+}
+
+// endpoint translates an entry into the policy's terms.
+func (list *endpointList) endpoint(e endpoints.Entry) policy.Endpoint {
+	born := time.Duration(max(0, min(e.BornMS, maxBornMS))) * time.Millisecond
+	return policy.Endpoint{
+		ID:          e.Host,
+		Destination: e.Block,
+		Kind:        slices.Index(list.settings.Shapes, e.Class),
+		Zone:        slices.Index(list.settings.Localities, e.Site),
+		Weight:      e.Share,
+		Born:        born,
+		Draining:    e.Health == endpoints.Draining,
+		Gone:        e.Health == endpoints.Deleted,
+	}
+}
+
+// Endpoints gives the endpoints of a destination, in the order in which they were first listed; for policy.Directory.
+func (list *endpointList) Endpoints(destination int) (all []policy.Endpoint) {
+	for e := range list.table.Of(destination) {
+		all = append(all, list.endpoint(e))
+	}
+	return all
+}
+
+// Destination gives the destination of a listed endpoint; for policy.Directory.
+func (list *endpointList) Destination(endpoint string) (int, bool) {
+	e, ok := list.table.Get(endpoint)
+	return e.Block, ok
+}
+
+// acceptBatch takes in a batch of the watch, or keeps it until the list before it is complete.
+func (l *loop) acceptBatch(b listBatch) {
+	if l.list.removing != nil {
+		l.list.waiting = append(l.list.waiting, b)
+		return
+	}
+	if b.First {
+		l.list.begin(b.Batch)
+	}
+	l.updateList(b.Batch)
+	switch {
+	case !b.End:
+		close(b.taken)
+	case b.Whole && l.list.replacing:
+		l.list.removing = &b // the watch waits until the whole list is in force
+	default:
+		l.list.abortReplacement()
+		l.completeList(b)
+	}
+}
+
+// looksUp tells whether the module keeps state only for destinations in use, and looks up the rest of the list.
+func (l *loop) looksUp() bool { return l.cfg.policy.Directory != nil && !l.cfg.policy.Zones }
+
+// avoided is how many listed endpoints get nothing now but trials. Where the module does not know the whole list, it
+// counts those that drain nowhere.
+func (l *loop) avoided() int {
+	if !l.looksUp() {
+		return l.d.Avoided()
+	}
+	return l.d.Avoided() + l.list.table.Draining()
+}
+
+// begin prepares for the first batch of an object. Entries need marks unless the object is known to hold changes alone.
+func (list *endpointList) begin(b endpoints.Batch) {
+	list.abortReplacement() // of an object that was cut off
+	list.changes = 0
+	if b.Whole || !b.WholeKnown {
+		list.table.BeginReplacement()
+		list.replacing = true
+	}
+}
+
+// abortReplacement gives up a replacement that is not complete, or was none: no entry is removed.
+func (list *endpointList) abortReplacement() {
+	if list.replacing {
+		list.table.AbortReplacement()
+		list.replacing = false
+	}
+}
+
+// updateList takes in the entries of a batch, and hands the module what is new in them.
+func (l *loop) updateList(b endpoints.Batch) {
+	var changed []policy.Endpoint
 	var recalled []policy.Event
-	for _, h := range m.Hosts {
-		if !m.Whole {
-			slog.Info("told", "seq", m.Seq, "host", h.Host, "dest", h.Block, "health", h.Health, "dial", h.Dial)
+	for _, e := range b.Entries {
+		if e.Health == endpoints.Deleted {
+			if old, listed := l.list.table.Delete(e.Host); listed {
+				changed = append(changed, l.gone(old))
+				l.list.persist(nil, []string{e.Host})
+			}
+			continue
 		}
-		named[h.Host] = true
-		old, had := l.hosts[h.Host]
-		if had && (old.Dial != h.Dial || h.Health == deleted) {
+		old, listed := l.list.table.Put(e)
+		if listed && old == e {
+			continue
+		}
+		l.logChange(b, e)
+		if listed && old.Dial != e.Dial {
 			l.pool.closeIdle(old.Dial)
 		}
-		if h.Health == deleted {
-			l.forget(h.Host)
-			continue
+		l.list.persist([]endpoints.Entry{e}, nil)
+		if listed && old.Block != e.Block {
+			old.Health = endpoints.Deleted // at its former destination
+			changed = append(changed, l.list.endpoint(old))
 		}
-		l.hosts[h.Host] = h
-		l.dests[h.Block] = true
-		if health, ok := l.journal.Health()[h.Host]; ok && !had {
-			// An earlier process saw it go out; the list that came with the configuration may lack it.
-			recalled = append(recalled, policy.Recalled{Endpoint: h.Host, Sick: health.Sick, At: l.clock(health.At)})
+		changed = append(changed, l.list.endpoint(e))
+		if !listed {
+			recalled = l.recall(recalled, e.Host)
 		}
 	}
-	if m.Whole {
-		for id, h := range l.hosts {
-			if !named[id] {
-				l.pool.closeIdle(h.Dial)
-				l.forget(id)
-			}
+	if len(changed) > 0 {
+		l.events = append(l.events, policy.Listed{Endpoints: changed})
+		l.events = append(l.events, recalled...)
+	}
+}
+
+// gone forgets an entry that was removed, and gives it as the module is told of it.
+func (l *loop) gone(e endpoints.Entry) policy.Endpoint {
+	l.pool.closeIdle(e.Dial)
+	l.journal.Forget(e.Host)
+	e.Health = endpoints.Deleted
+	return l.list.endpoint(e)
+}
+
+// recall adds what an earlier process of this relay knew of an endpoint's outage: the list that came with the
+// configuration may lack it.
+func (l *loop) recall(events []policy.Event, host string) []policy.Event {
+	health, ok := l.journal.Health()[host]
+	if !ok {
+		return events
+	}
+	return append(events, policy.Recalled{Endpoint: host, Sick: health.Sick, At: l.clock(health.At)})
+}
+
+// logChange logs a change of an entry, as long as the object does not bring many.
+func (l *loop) logChange(b endpoints.Batch, e endpoints.Entry) {
+	l.list.changes++
+	if l.list.changes <= loggedChanges && !b.Whole {
+		slog.Info("endpoint changed", "host", e.Host, "dest", e.Block, "health", e.Health, "dial", e.Dial)
+	}
+}
+
+// removeUnlisted goes on removing the entries that a whole list did not name.
+func (l *loop) removeUnlisted() {
+	last := l.list.removing
+	if last == nil {
+		return
+	}
+	removed, done := l.list.table.Sweep(sweepSize)
+	var gone []policy.Endpoint
+	var hosts []string
+	for _, e := range removed {
+		gone = append(gone, l.gone(e))
+		hosts = append(hosts, e.Host)
+	}
+	l.list.persist(nil, hosts)
+	l.list.changes += len(removed)
+	if len(gone) > 0 {
+		l.events = append(l.events, policy.Listed{Endpoints: gone})
+	}
+	if !done {
+		return
+	}
+	l.list.removing, l.list.replacing = nil, false
+	l.forgetUnlisted()
+	l.completeList(*last)
+	waiting := l.list.waiting
+	l.list.waiting = nil
+	for _, b := range waiting {
+		l.acceptBatch(b)
+	}
+}
+
+// forgetUnlisted drops what is remembered of the health of hosts that are no longer listed.
+func (l *loop) forgetUnlisted() {
+	for host := range l.journal.Health() {
+		if _, listed := l.list.table.Get(host); !listed {
+			l.journal.Forget(host)
 		}
 	}
-	l.events = append(append(l.events, m.listed(&l.cfg.Settings)), recalled...)
 }
 
-func (l *loop) forget(host string) {
-	delete(l.hosts, host)
-	l.journal.Forget(host)
+// completeList notes that all of an object is in force, and has the watch go on.
+func (l *loop) completeList(last listBatch) {
+	l.list.commit(last.Seq)
+	if l.list.changes > loggedChanges || last.Whole {
+		slog.Info("list changed", "seq", last.Seq, "whole", last.Whole, "changes", l.list.changes, "endpoints", l.list.table.Len())
+	}
+	close(last.taken)
 }
--- /dev/null
+++ b/internal/relay/list_disk_test.go
@@ -0,0 +1,293 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io/fs"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"milletsail/internal/journal"
+	"milletsail/internal/settings"
+	"milletsail/policy"
+)
+
+// listLoop gives a loop that has its journal and its list in a folder, as Run makes it, and is not run.
+func listLoop(t testing.TB, dir string, diskMB float64) *loop {
+	t.Helper()
+	cfg := &Config{Limits: Limits{DiskMB: diskMB}, Settings: settings.Settings{Shapes: []string{"m2"}, Localities: []string{"a"}}}
+	list := &endpointList{settings: &cfg.Settings}
+	cfg.policy = policy.Settings{Instances: 1, Slots: 1, HoldRoom: 9, MaxAttempts: 1, Directory: list,
+		Classes: []policy.Class{{Name: "status", Aim: time.Second, Deadline: time.Minute, Worth: 1}}}
+	d, err := policy.New(cfg.policy, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	kept, _, err := journal.Open(dir, journal.Options{DiskMB: (1 - listShare) * diskMB})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := &loop{cfg: cfg, d: d, list: list, figures: newFigures([]policy.Class{{Name: "status"}}), journal: kept, start: time.Now(), messages: map[string]*message{},
+		pool: newPool(time.Second, time.Second, 10, nil)}
+	l.openList(dir)
+	t.Cleanup(func() {
+		l.list.close()
+		_ = kept.Close()
+	})
+	return l
+}
+
+// object has the loop take in an object of discovery's, in batches, to the end.
+func (l *loop) object(t testing.TB, m Members) {
+	t.Helper()
+	text, err := json.Marshal(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := newWatcher("", 0, func(b listBatch) {
+		l.accept(b)
+		for l.step(); l.list.removing != nil; {
+			l.step()
+		}
+	}, nil)
+	if _, err := w.follow(t.Context(), bytes.NewReader(text), time.AfterFunc(long, func() {})); w.seq != m.Seq {
+		t.Fatalf("version %d of the list was not taken in: %v", m.Seq, err)
+	}
+}
+
+// folderSize is the size of all files in a folder.
+func folderSize(t testing.TB, dir string) (size int64) {
+	t.Helper()
+	err := filepath.WalkDir(dir, func(_ string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() {
+			return err
+		}
+		info, err := d.Info()
+		if err == nil {
+			size += info.Size()
+		}
+		return err
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return size
+}
+
+// A change of one host costs the same bytes on disk however long the list is.
+func TestBytesOfAChange(t *testing.T) {
+	written := map[int]int64{}
+	for _, n := range []int{300, 30_000} {
+		dir := t.TempDir()
+		l := listLoop(t, dir, 1000)
+		hosts := filler(n)
+		l.object(t, Members{Seq: 50, Whole: true, Hosts: hosts})
+		for l.list.maintainStore(); l.list.storing; {
+			l.list.maintainStore()
+		}
+		before := folderSize(t, dir)
+		drains := hosts[0]
+		drains.Health = draining
+		l.object(t, Members{Seq: 51, Hosts: []Member{drains}})
+		written[n] = folderSize(t, dir) - before
+	}
+	t.Logf("bytes written for a change, by hosts listed: %v", written)
+	if few, many := written[300], written[30_000]; few != many || few == 0 {
+		t.Errorf("bytes written for a change, by hosts listed: %v", written)
+	}
+}
+
+// A process that starts asks from the version on disk, has all of the list, and is sent nothing anew.
+func TestRestartAsksFromTheDisk(t *testing.T) {
+	p, known := listPlatform(t)
+	indexes := make(chan string, 10)
+	p.watch = func(a *watchAnswer) {
+		indexes <- a.index()
+		if a.index() == "40" {
+			a.send(wholeList(t, 50, append(filler(manyHosts), known)))
+		}
+		a.rest()
+	}
+	c := p.start()
+	p.until("the list is on disk", func() bool {
+		_, seq := storedList(t, p.dir)
+		return seq == 50
+	})
+	p.kill(c)
+	p.start()
+	if one, two := receive(t, indexes), receive(t, indexes); one != "40" || two != "50" {
+		t.Errorf("indexes %s, %s", one, two)
+	}
+	p.untilMembers(manyHosts + 1)
+	p.take("status", "m", "20")
+	p.called()
+}
+
+// What is remembered of a host's health stays as long as it is listed, and no longer.
+func TestHealthOfListedHosts(t *testing.T) {
+	l := listLoop(t, t.TempDir(), 100)
+	hosts := filler(manyHosts)
+	l.object(t, Members{Seq: 50, Whole: true, Hosts: hosts})
+	stays, goes := hosts[17].Host, hosts[manyHosts-1].Host
+	for _, host := range []string{stays, goes, "never listed"} {
+		l.journal.Remember(host, journal.Health{Sick: true, At: time.Now()})
+	}
+	l.object(t, Members{Seq: 51, Whole: true, Hosts: hosts[:manyHosts-1]})
+	if l.list.table.Len() != manyHosts-1 {
+		t.Errorf("%d hosts are listed", l.list.table.Len())
+	}
+	if health := l.journal.Health(); len(health) != 1 || !health[stays].Sick {
+		t.Errorf("remembered: %v", health)
+	}
+}
+
+// A relay whose disk is too small for its list goes without it there, says so once, and stays within the limit. The next
+// process asks for what the configuration's list lacks.
+func TestDiskTooSmallForTheList(t *testing.T) {
+	p, known := listPlatform(t)
+	p.disk = 3
+	indexes := make(chan string, 10)
+	p.watch = func(a *watchAnswer) {
+		indexes <- a.index()
+		a.send(wholeList(t, 50, append(filler(manyHosts), known)))
+		a.rest()
+	}
+	c := p.start()
+	p.untilMembers(manyHosts + 1)
+	p.until("the whole list is in force", func() bool {
+		return strings.Contains(ask(t, p.admin, "counters\n"), fmt.Sprint("relay_members ", manyHosts+1))
+	})
+	if size := folderSize(t, p.dir); size > 3e6 {
+		t.Errorf("%d bytes are on disk", size)
+	}
+	p.kill(c)
+	if n := strings.Count(fmt.Sprint(c.Stderr), "not kept on disk"); n != 1 {
+		t.Errorf("it said so %d times", n)
+	}
+	p.start()
+	if one, two := receive(t, indexes), receive(t, indexes); one != "40" || two != "40" {
+		t.Errorf("indexes %s, %s", one, two)
+	}
+	p.untilMembers(manyHosts + 1)
+}
+
+// The list that a version before left in its journal is taken up once, and what this one is sent goes before it.
+func TestListOfTheVersionBefore(t *testing.T) {
+	p, known := listPlatform(t)
+	drains := known
+	drains.Health = draining
+	fresh := p.addHost("h2", 7)
+	p.set(func() { p.hosts = []Member{known} }) // the configuration's list
+	before, _, err := journal.Open(p.dir, journal.Options{DiskMB: 100})
+	if err != nil {
+		t.Fatal(err)
+	}
+	before.List(journal.List{Text: []byte(wholeList(t, 45, []Member{drains, fresh})), Hosts: 2})
+	if err := before.Commit(); err != nil {
+		t.Fatal(err)
+	}
+	if err := before.Close(); err != nil {
+		t.Fatal(err)
+	}
+	indexes := make(chan string, 10)
+	p.watch = func(a *watchAnswer) {
+		indexes <- a.index()
+		if a.index() == "45" {
+			a.send(hostLine(t, 46, known) + "\n")
+		}
+		a.rest()
+	}
+	c := p.start()
+	if one := receive(t, indexes); one != "45" {
+		t.Errorf("index %s", one)
+	}
+	p.until("the change is on disk", func() bool {
+		hosts, seq := storedList(t, p.dir)
+		return seq == 46 && len(hosts) == 2
+	})
+	p.kill(c)
+	p.start()
+	if two := receive(t, indexes); two != "46" {
+		t.Errorf("index %s", two)
+	}
+	if got := readJournal(t, p.dir).Listed(); got.Text != nil {
+		t.Errorf("the journal still has a list: %s", got.Text)
+	}
+}
+
+// A newer process goes on from the version that the one before it had.
+func TestListAfterHandover(t *testing.T) {
+	p, known := listPlatform(t)
+	indexes := make(chan string, 10)
+	p.watch = func(a *watchAnswer) {
+		indexes <- a.index()
+		if a.index() == "40" {
+			a.send(wholeList(t, 50, append(filler(manyHosts), known)))
+		}
+		a.rest()
+	}
+	p.inherits()
+	p.start()
+	p.until("the list is on disk", func() bool {
+		_, seq := storedList(t, p.dir)
+		return seq == 50
+	})
+	p.upgrade()
+	if one, two := receive(t, indexes), receive(t, indexes); one != "40" || two != "50" {
+		t.Errorf("indexes %s, %s", one, two)
+	}
+	p.untilMembers(manyHosts + 1)
+	p.take("status", "m", "20")
+	p.called()
+}
+
+// A long list of changes is logged in a few lines, a short one host by host.
+func TestManyChangesAreLoggedInShort(t *testing.T) {
+	p, known := listPlatform(t)
+	known.Health = draining
+	p.watch = func(a *watchAnswer) {
+		many, err := json.Marshal(Members{Seq: 50, Hosts: filler(manyHosts)})
+		if err != nil {
+			t.Error(err)
+		}
+		a.send(string(many) + "\n" + hostLine(t, 51, known) + "\n")
+		a.rest()
+	}
+	c := p.start()
+	p.until("the change is on disk", func() bool {
+		_, seq := storedList(t, p.dir)
+		return seq == 51
+	})
+	p.kill(c)
+	log := fmt.Sprint(c.Stderr)
+	if n := strings.Count(log, "host=filler-"); n == 0 || n > loggedChanges {
+		t.Errorf("%d of %d changes are logged", n, manyHosts)
+	}
+	if !strings.Contains(log, "host="+known.Host+" ") {
+		t.Error("a change of one host is not logged")
+	}
+}
+
+// On a disk of the usual size, changes without end make the store begin anew in time: it never outgrows its share.
+func TestManyChangesOnASmallDisk(t *testing.T) {
+	dir := t.TempDir()
+	l := listLoop(t, dir, 3)
+	hosts := filler(300)
+	l.object(t, Members{Seq: 50, Whole: true, Hosts: hosts})
+	for seq := int64(51); seq < 12_000; seq++ {
+		change := hosts[seq%300]
+		if seq%600 < 300 {
+			change.Health = draining
+		}
+		l.object(t, Members{Seq: seq, Hosts: []Member{change}})
+		if l.list.store == nil {
+			t.Fatalf("given up after %d changes", seq-50)
+		}
+	}
+	if size := folderSize(t, dir+"/"+listFolder); float64(size) > listShare*3e6 {
+		t.Errorf("%d bytes are on disk", size)
+	}
+}
--- /dev/null
+++ b/internal/relay/list_platform_test.go
@@ -0,0 +1,95 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// manyHosts is the length of a list that comes in many batches.
+const manyHosts = 20_000
+
+// watchAnswer is discovery's answer to one watch, as a test writes it.
+type watchAnswer struct {
+	rw http.ResponseWriter
+	r  *http.Request
+	p  *platform
+}
+
+// index is the version from which the watch asks.
+func (a *watchAnswer) index() string { return a.r.URL.Query().Get("index") }
+
+// send writes a piece of the answer.
+func (a *watchAnswer) send(text string) {
+	_, _ = io.WriteString(a.rw, text)
+	a.rw.(http.Flusher).Flush()
+}
+
+// hang says nothing until the relay leaves.
+func (a *watchAnswer) hang() {
+	select {
+	case <-a.r.Context().Done():
+	case <-a.p.released:
+	}
+}
+
+// rest tells that nothing changes until the relay leaves.
+func (a *watchAnswer) rest() {
+	for {
+		a.send("\n")
+		select {
+		case <-a.r.Context().Done():
+			return
+		case <-a.p.released:
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+// cut ends the connection in the middle of the answer.
+func (a *watchAnswer) cut() { panic(http.ErrAbortHandler) }
+
+// filler are hosts of destinations of their own, which no message is for.
+func filler(n int) (hosts []Member) {
+	for i := range n {
+		hosts = append(hosts, Member{Host: fmt.Sprintf("filler-%06d", i), Dial: fmt.Sprintf("127.0.0.1:%d", 10_000+i%1000), Site: "a", Class: "m2",
+			Block: 1000 + i, Health: "SERVING", Share: 1})
+	}
+	return hosts
+}
+
+// wholeList is a whole list as discovery writes it.
+func wholeList(t testing.TB, seq int64, hosts []Member) string {
+	t.Helper()
+	text, err := json.Marshal(Members{Seq: seq, Whole: true, Hosts: hosts})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text) + "\n"
+}
+
+// halves cuts a list within an entry near its middle.
+func halves(list string) (first, second string) {
+	cut := len(list)/2 + strings.Index(list[len(list)/2:], `"block"`)
+	return list[:cut], list[cut:]
+}
+
+// members is how many hosts the relay has on its list.
+func (p *platform) members() (n int) {
+	p.t.Helper()
+	for line := range strings.Lines(ask(p.t, p.admin, "counters\n")) {
+		_, _ = fmt.Sscanf(line, "relay_members %d", &n)
+	}
+	return n
+}
+
+// untilMembers waits until the relay has a list of some length.
+func (p *platform) untilMembers(n int) {
+	p.t.Helper()
+	p.until(fmt.Sprintf("%d hosts are on the list", n), func() bool { return p.members() == n })
+}
--- /dev/null
+++ b/internal/relay/list_watch_test.go
@@ -0,0 +1,207 @@
+package relay
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// listPlatform gives a platform with a host of destination 7, operators, and room on disk for long lists.
+func listPlatform(t *testing.T) (p *platform, known Member) {
+	t.Helper()
+	p = newPlatform(t)
+	p.disk = 100
+	p.admin = closedAddress(t)
+	return p, p.addHost("h1", 7)
+}
+
+// A long list that is cut off in the middle removes nothing, and the next watch asks from the version before it.
+func TestLongListCutOff(t *testing.T) {
+	p, known := listPlatform(t)
+	list := wholeList(t, 50, append(filler(manyHosts), known))
+	indexes, served := make(chan string, 10), make(chan bool)
+	first := true
+	p.watch = func(a *watchAnswer) {
+		indexes <- a.index()
+		if first {
+			first = false
+			half, _ := halves(list)
+			a.send(half)
+			a.cut()
+		}
+		<-served
+		a.send(list)
+		a.rest()
+	}
+	p.start()
+	if one, two := receive(t, indexes), receive(t, indexes); one != "40" || two != "40" {
+		t.Errorf("indexes %s, %s", one, two)
+	}
+	p.take("status", "between", "20") // the host is not in the half that came
+	p.called()
+	close(served)
+	p.untilMembers(manyHosts + 1)
+	p.until("the list is on disk", func() bool {
+		hosts, seq := storedList(t, p.dir)
+		return seq == 50 && len(hosts) == manyHosts+1
+	})
+}
+
+// A long list that is spoilt in the middle removes nothing, and the whole list is asked for.
+func TestLongListSpoilt(t *testing.T) {
+	p, known := listPlatform(t)
+	list := wholeList(t, 50, append(filler(manyHosts), known))
+	indexes, served := make(chan string, 10), make(chan bool)
+	first := true
+	p.watch = func(a *watchAnswer) {
+		indexes <- a.index()
+		if first {
+			first = false
+			half, rest := halves(list)
+			a.send(half + strings.Replace(rest, `"block":`, `"block":"x`, 1))
+			a.rest()
+			return
+		}
+		<-served
+		a.send(list)
+		a.rest()
+	}
+	p.start()
+	if one, two := receive(t, indexes), receive(t, indexes); one != "40" || two != "0" {
+		t.Errorf("indexes %s, %s", one, two)
+	}
+	p.take("status", "between", "20")
+	p.called()
+	close(served)
+	p.untilMembers(manyHosts + 1)
+}
+
+// A long list of which nothing more comes but empty lines is dead: the next watch asks from the version before it, and in
+// time for what it brings.
+func TestLongListSilent(t *testing.T) {
+	p, known := listPlatform(t)
+	list := wholeList(t, 50, append(filler(manyHosts), known))
+	type ask struct {
+		index string
+		at    time.Time
+	}
+	asks, silent := make(chan ask, 10), make(chan time.Time, 1)
+	first := true
+	p.watch = func(a *watchAnswer) {
+		asks <- ask{a.index(), time.Now()}
+		if first {
+			first = false
+			half, _ := halves(list)
+			a.send(half)
+			silent <- time.Now()
+			a.rest()
+			return
+		}
+		a.send(list)
+		a.rest()
+	}
+	p.start()
+	one, from, two := receive(t, asks), receive(t, silent), receive(t, asks)
+	if one.index != "40" || two.index != "40" {
+		t.Errorf("indexes %s, %s", one.index, two.index)
+	}
+	if after := two.at.Sub(from); after < watchSilence || after > 6*time.Second {
+		t.Errorf("asked again %v after the last of the list, want within 6 s", after)
+	}
+	p.untilMembers(manyHosts + 1)
+}
+
+// A long list may come indented, and in pieces that end anywhere.
+func TestLongListIndented(t *testing.T) {
+	p, known := listPlatform(t)
+	hosts := append(filler(manyHosts), known)
+	text, err := json.MarshalIndent(Members{Seq: 50, Whole: true, Hosts: hosts}, "", "    ")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.watch = func(a *watchAnswer) {
+		rest := string(text) + "\r\n\n" + hostLine(t, 51, Member{Host: "last", Block: 8, Health: "SERVING"}) + "\n"
+		for size := 1; len(rest) > 0; size = size%9973 + 1 {
+			size = min(size, len(rest))
+			a.send(rest[:size])
+			rest = rest[size:]
+		}
+		a.rest()
+	}
+	p.start()
+	p.until("the list and the change are on disk", func() bool {
+		stored, seq := storedList(t, p.dir)
+		return seq == 51 && len(stored) == len(hosts)+1
+	})
+	p.untilMembers(len(hosts) + 1)
+}
+
+// Messages for known destinations are served while a long list is still being read.
+func TestServedWhileAListIsRead(t *testing.T) {
+	p, known := listPlatform(t)
+	list := wholeList(t, 50, append(filler(manyHosts), known))
+	delivered := make(chan bool)
+	p.watch = func(a *watchAnswer) {
+		half, rest := halves(list)
+		a.send(half)
+		for waiting := true; waiting; { // slowly on, so that the watch lives
+			select {
+			case <-delivered:
+				waiting = false
+			case <-a.r.Context().Done():
+				return
+			case <-time.After(watchSilence / 5):
+				a.send(rest[:1])
+				rest = rest[1:]
+			}
+		}
+		a.send(rest)
+		a.rest()
+	}
+	p.start()
+	p.until("much of the list is taken in", func() bool { return p.members() > manyHosts/3 })
+	for i := range 20 {
+		p.take("status", fmt.Sprint("m", i), "20")
+		p.called()
+	}
+	if n := p.members(); n > manyHosts {
+		t.Errorf("%d hosts are on the list before all of it was written", n)
+	}
+	close(delivered)
+	p.untilMembers(manyHosts + 1)
+}
+
+// A whole list removes the hosts that it does not name, however many others it names: they get nothing new. What is
+// remembered of the others stays.
+func TestWholeListRemovesHosts(t *testing.T) {
+	p, gone := listPlatform(t)
+	stays := p.addHost("h2", 7)
+	p.watch = func(a *watchAnswer) {
+		a.send(wholeList(t, 50, append(filler(manyHosts), stays)))
+		a.rest()
+	}
+	p.start()
+	p.until("the whole list is in force", func() bool {
+		hosts, seq := storedList(t, p.dir)
+		return seq == 50 && len(hosts) == manyHosts+1
+	})
+	var hit []string
+	p.set(func() {
+		p.answer = func(r *http.Request) int {
+			hit = append(hit, r.Host)
+			return http.StatusOK
+		}
+	})
+	for i := range 10 {
+		p.take("status", fmt.Sprint("m", i), "20")
+		p.called()
+	}
+	for _, dial := range hit {
+		if dial == gone.Dial {
+			t.Fatal("a host that was removed got new work")
+		}
+	}
+}
--- /dev/null
+++ b/internal/relay/liststart.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"bytes"
+	"encoding/json"
+	"log/slog"
+	"math"
+	"path/filepath"
+
+	"milletsail/internal/endpoints"
+	"milletsail/internal/journal"
+	"milletsail/policy"
+)
+
+// listSource is a list of endpoints that may be older or newer than another.
+type listSource struct {
+	name string
+	seq  int64
+	read func(deliver func(endpoints.Batch) error) error
+}
+
+// openList takes up the newest of the lists on disk and in the configuration. The latter may be older than what an
+// earlier process of this relay was sent: an endpoint that drains gets nothing new from this one either.
+func (l *loop) openList(dir string) {
+	budget := int64(listShare * l.cfg.Limits.DiskMB * 1e6)
+	store, table, seq, found, err := endpoints.Open(filepath.Join(dir, listFolder), budget)
+	if err != nil {
+		slog.Warn("list of endpoints not kept on disk", "err", err)
+		table = endpoints.NewTable()
+	}
+	for _, damage := range found.Damage {
+		slog.Warn("list of endpoints: damaged", "err", damage)
+	}
+	l.list.table, l.list.store, l.list.seq = table, store, seq
+	source := listSource{name: "disk", seq: seq}
+	for _, other := range []listSource{journalList(l.journal.Listed()), {"configuration", l.cfg.known.seq, l.cfg.known.read}} {
+		if other.seq > source.seq {
+			source = other
+		}
+	}
+	if source.read != nil {
+		if err := source.read(l.list.replace); err != nil {
+			slog.Error("list of endpoints: all of it is asked for", "source", source.name, "err", err)
+			l.list.table.AbortReplacement()
+			l.list.seq = 0
+		}
+	}
+	l.journal.DropList()
+	slog.Info("list of endpoints", "source", source.name, "seq", l.list.seq, "endpoints", table.Len())
+}
+
+// journalList is the list that the version before kept in its journal, if it did.
+func journalList(kept journal.List) listSource {
+	var head struct{ Seq int64 }
+	if kept.Text == nil || json.Unmarshal(kept.Text, &head) != nil {
+		return listSource{}
+	}
+	return listSource{"journal", head.Seq, func(deliver func(endpoints.Batch) error) error {
+		return endpoints.ReadObject(json.NewDecoder(bytes.NewReader(kept.Text)), deliver)
+	}}
+}
+
+// replace takes in a batch of a list that replaces all there is, while the loop does not run yet.
+func (list *endpointList) replace(b endpoints.Batch) error {
+	if b.First {
+		list.table.BeginReplacement()
+	}
+	for _, e := range b.Entries {
+		if old, listed := list.table.Put(e); !listed || old != e {
+			list.persist([]endpoints.Entry{e}, nil)
+		}
+	}
+	if !b.End {
+		return nil
+	}
+	removed, _ := list.table.Sweep(math.MaxInt)
+	for _, e := range removed {
+		list.persist(nil, []string{e.Host})
+	}
+	list.commit(b.Seq)
+	return nil
+}
+
+// inform tells the module that there is a list, and what an earlier process knew of the health of its endpoints. The
+// module looks up what it needs of the list, or is given all of it where it has to know all zones.
+func (l *loop) inform() {
+	var all []policy.Endpoint
+	if !l.looksUp() {
+		entries, _, _ := l.list.table.All(0, math.MaxInt)
+		for e := range entries {
+			all = append(all, l.list.endpoint(e))
+		}
+	}
+	l.events = append(l.events, policy.Listed{Endpoints: all})
+	for host := range l.journal.Health() {
+		if _, listed := l.list.table.Get(host); listed {
+			l.events = l.recall(l.events, host)
+		}
+	}
+}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -40,8 +40,7 @@
 	figures  *figures
 	start    time.Time
 	messages map[string]*message
-	hosts    map[string]Member
-	dests    map[int]bool // named by some list
+	list     *endpointList
 	wakeAt   time.Duration
 	stepped  time.Duration // when the last batch was handled
 	calls    context.Context
@@ -95,6 +94,7 @@
 			l.pool.sweep()
 			if l.heir == nil {
 				l.stored(l.journal.Retry())
+				l.list.maintainStore()
 			}
 			continue
 		case e := <-l.inbox:
@@ -136,10 +136,14 @@
 	switch {
 	case l.heir != nil:
 		return time.Hour
-	case len(l.events) > 0:
+	case len(l.events) > 0 || l.list.removing != nil:
 		return 0
 	}
-	return max(0, l.wakeAt-l.now())
+	wait := max(0, l.wakeAt-l.now())
+	if l.list.storing {
+		return min(wait, storeEvery)
+	}
+	return wait
 }
 
 // accept takes in one event.
@@ -163,6 +167,7 @@
 		l.wakeAt = now + time.Hour
 		l.events = append(l.events, policy.Woken{})
 	}
+	l.removeUnlisted()
 	events := l.events
 	l.events = nil
 	actions := l.d.Handle(now, events)
@@ -179,8 +184,9 @@
 		l.act(now, a)
 	}
 	l.commit()
-	l.figures.members.Store(int64(len(l.hosts)))
-	l.figures.avoided.Store(int64(l.d.Avoided()))
+	l.list.maintainStore()
+	l.figures.members.Store(int64(l.list.table.Len()))
+	l.figures.avoided.Store(int64(l.avoided()))
 	if l.zoning != nil && len(l.zoning.pending) > 0 {
 		l.reorder()
 	}
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -15,6 +16,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -22,7 +24,9 @@
 	"testing"
 	"time"
 
+	"milletsail/internal/endpoints"
 	"milletsail/internal/journal"
+	"milletsail/internal/settings"
 )
 
 // childConfig and childState make the test program a relay, so that tests can kill one; childDies makes it a process
@@ -57,6 +61,60 @@
 	}
 }
 
+// Members is an object of discovery's, a list or a change of it, and Member one of its entries.
+type Members struct {
+	Seq   int64    `json:"seq"`
+	Whole bool     `json:"whole"`
+	Hosts []Member `json:"hosts"`
+}
+
+type Member = endpoints.Entry
+
+const draining = endpoints.Draining
+
+// storedList gives the list that a relay has on disk, and its version; the relay may run.
+func storedList(t testing.TB, dir string) (hosts []Member, seq int64) {
+	t.Helper()
+	folder := t.TempDir()
+	if err := os.CopyFS(folder, os.DirFS(filepath.Join(dir, listFolder))); err != nil && !errors.Is(err, os.ErrNotExist) {
+		t.Fatal(err)
+	}
+	store, table, seq, _, err := endpoints.Open(folder, math.MaxInt64)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := store.Close(); err != nil {
+		t.Fatal(err)
+	}
+	all, _, _ := table.All(0, math.MaxInt)
+	return slices.Collect(all), seq
+}
+
+// listAt gives a list of endpoints with one for each of some destinations.
+func listAt(destinations ...int) *endpointList {
+	table := endpoints.NewTable()
+	for _, number := range destinations {
+		table.Put(Member{Host: fmt.Sprint("host-", number), Block: number})
+	}
+	return &endpointList{settings: &settings.Settings{}, table: table}
+}
+
+// inObjects gathers batches into the objects that they are of, and has the watch go on at once.
+func inObjects(told func(Members)) func(listBatch) {
+	var object Members
+	return func(b listBatch) {
+		if b.First {
+			object = Members{}
+		}
+		object.Hosts = append(object.Hosts, b.Entries...)
+		if b.End {
+			object.Seq, object.Whole = b.Seq, b.Whole
+			told(object)
+		}
+		close(b.taken)
+	}
+}
+
 // testSettings has a class of each effect; memory is that of the keyed one, in seconds.
 func testSettings(memory float64, bundle int, discovery string) string {
 	return fmt.Sprintf(`{"az":0,"categories":[
@@ -80,12 +138,13 @@
 	dir       string
 	memory    float64
 	sockets   int
-	disk      int    // MB
-	bundle    int    // messages in a call at most
-	mode      string // of discovery, in the settings
-	unknown   bool   // the configuration lists no host
-	limited   bool   // a relay holds no more descriptors than sockets
-	down      bool   // watches fail
+	disk      int                // MB
+	bundle    int                // messages in a call at most
+	mode      string             // of discovery, in the settings
+	unknown   bool               // the configuration lists no host
+	limited   bool               // a relay holds no more descriptors than sockets
+	down      bool               // watches fail
+	watch     func(*watchAnswer) // answers watches; nil for the list of hosts and lines
 
 	mu      sync.Mutex
 	hosts   []Member
@@ -188,6 +247,12 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
+	if serve := p.watch; serve != nil {
+		p.mu.Unlock()
+		defer p.mu.Lock()
+		serve(&watchAnswer{w, r, p})
+		return
+	}
 	line, _ := json.Marshal(Members{Seq: 41, Whole: true, Hosts: p.hosts})
 	_, _ = w.Write(append(line, '\n'))
 	p.mu.Unlock()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,6 +33,8 @@
 // clients may still come, and leaves what is not delivered by then to the journal in dir. Each address that
 // comes on discovery takes the place of the one in cfg.
 func Run(ctx context.Context, cfg *Config, dir string, discovery <-chan string) error {
+	list := &endpointList{settings: &cfg.Settings}
+	cfg.policy.Directory = list
 	d, err := policy.New(cfg.policy, cfg.seed)
 	if err != nil {
 		return err
@@ -59,7 +61,7 @@
 		return err
 	}
 	defer owner.Release()
-	kept, found, err := journal.Open(dir, journal.Options{DiskMB: cfg.Limits.DiskMB, Relay: cfg.Name, Power: cfg.Durability == DurablePower,
+	kept, found, err := journal.Open(dir, journal.Options{DiskMB: (1 - listShare) * cfg.Limits.DiskMB, Relay: cfg.Name, Power: cfg.Durability == DurablePower,
 		Files: cfg.Files, Boot: cfg.Boot})
 	if err != nil {
 		return err
@@ -75,12 +77,12 @@
 	defer retired()
 	s := cfg.Settings
 	l := &loop{cfg: cfg, d: d, journal: kept, figures: figures, inbox: make(chan event, inboxSize), start: time.Now(), calls: live,
-		messages: map[string]*message{}, hosts: map[string]Member{}, dests: map[int]bool{},
+		messages: map[string]*message{}, list: list,
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle,
 			max(1, int(hostShare*float64(cfg.Limits.Sockets))), &figures.written),
 		gate: gate, owner: owner, ceded: make(chan bool), retired: retired}
-	l.watch = newWatcher(cfg.Discovery, fleetSpread(&cfg.Settings), func(m Members) { l.put(told{m}) },
-		func() { l.put(watchEnded{}) })
+	l.watch = newWatcher(cfg.Discovery, fleetSpread(&cfg.Settings), func(b listBatch) { l.put(b) }, func() { l.put(watchEnded{}) })
+	l.watch.maxList = int64(listMemory * cfg.Limits.MemoryMB * 1e6)
 	l.watch.prompt = before != nil // the process before had a watch until now, and no other relay starts for that
 	l.notices = newNotifier(cfg.Discovery, func(ids []string) { l.put(received{ids}) })
 	l.peers = newPeers(cfg, func(from int, note []byte) {
@@ -101,6 +103,8 @@
 	if err := heir(deciding, dir, func(k *link) { l.put(takeover{k}) }); err != nil {
 		slog.Error("no newer process can take over", "err", err)
 	}
+	l.openList(dir)
+	defer func() { l.list.close() }()
 	l.openZones(dir)
 	if l.zoning != nil {
 		operators.offer("zone", l.askZones)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -592,7 +592,7 @@
 		t.Fatal(err)
 	}
 	l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3), start: time.Now(), inbox: make(chan event, 1),
-		messages: map[string]*message{}, dests: map[int]bool{7: true}}
+		messages: map[string]*message{}, list: listAt(7)}
 	l.cfg.policy.Classes = []policy.Class{{Name: "status"}}
 	copyOf := func(id string) *arrival {
 		return &arrival{verdict: make(chan verdict, 1),
@@ -661,7 +661,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3), start: time.Now(), messages: map[string]*message{}}
+	l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3), start: time.Now(), messages: map[string]*message{}, list: listAt()}
 	timer := l.now() + time.Minute
 	l.wakeAt = timer
 	m := &message{Entry: &journal.Entry{ID: "m"}}
@@ -687,7 +687,7 @@
 			t.Fatal(err)
 		}
 		l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3),
-			start: time.Now(), messages: map[string]*message{}, dests: map[int]bool{7: true}, notices: &notifier{}}
+			start: time.Now(), messages: map[string]*message{}, list: listAt(7), notices: &notifier{}}
 		l.cfg.policy.Classes = []policy.Class{{Name: "status"}}
 		hand := func(id string, left time.Duration) *arrival {
 			a := &arrival{verdict: make(chan verdict, 1), entry: &journal.Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(left)}}
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -8,21 +8,14 @@
 	"milletsail/policy"
 )
 
-// restore takes up what the journal holds, the list that the configuration gives, and what the process before has
-// out, where that one handed over.
+// restore takes up what the journal holds, the list of endpoints, and what the process before has out, where that one
+// handed over.
 func (l *loop) restore(k *link, off *offer) {
-	list := l.cfg.Known
-	if told, ok := remembered(l.journal.Listed()); ok && told.Seq > list.Seq {
-		// The configuration's list may be older than what an earlier process was told: a host that drains
-		// gets nothing new from this one either.
-		list = told
-	}
-	list.Whole = true
-	l.told(list)
+	l.inform()
 	if l.zoning != nil && len(l.zoning.pending) > 0 {
 		l.step() // an order goes on before anything is sent
 	}
-	l.watch.seq = list.Seq
+	l.watch.seq = l.list.seq
 	out := map[string]attemptOut{}
 	if off != nil {
 		for _, a := range off.Out {
