--- a/internal/relay/discovery_test.go
+++ b/internal/relay/discovery_test.go
@@ -107,10 +107,18 @@
 
 // watchOf follows a handler's watches and returns what the watcher tells.
 func watchOf(t *testing.T, silence time.Duration, serve http.HandlerFunc) (*watcher, chan Members, chan bool) {
+	t.Helper()
+	members := make(chan Members, 10)
+	w, failed := startWatch(t, silence, serve, inObjects(func(m Members) { members <- m }))
+	return w, members, failed
+}
+
+// startWatch starts a watcher of a handler, from version 40 on.
+func startWatch(t *testing.T, silence time.Duration, serve http.HandlerFunc, told func(listBatch)) (*watcher, chan bool) {
 	t.Helper()
 	s := httptest.NewServer(serve)
-	members, failed := make(chan Members, 10), make(chan bool, 10)
-	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), 0, inObjects(func(m Members) { members <- m }), func() { failed <- true })
+	failed := make(chan bool, 10)
+	w := newWatcher(strings.TrimPrefix(s.URL, "http://"), 0, told, func() { failed <- true })
 	w.silence, w.seq = silence, 40
 	t.Cleanup(func() {
 		s.CloseClientConnections()
@@ -118,7 +126,7 @@
 	})
 	go w.run(t.Context())
 	w.ask()
-	return w, members, failed
+	return w, failed
 }
 
 // A watch that goes silent is given up, and the next one asks from the last version that came.
--- /dev/null
+++ b/internal/relay/list_flow_test.go
@@ -0,0 +1,197 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"milletsail/internal/endpoints"
+	"milletsail/internal/journal"
+	"milletsail/policy"
+)
+
+// A relay that takes long over a batch does not take the watch for silent, and gets no other batch meanwhile.
+func TestBusyRelayIsNoSilentWatch(t *testing.T) {
+	const silence = 100 * time.Millisecond
+	list := wholeList(t, 50, filler(2*endpoints.BatchSize))
+	batches := make(chan listBatch, 100)
+	_, failed := startWatch(t, silence, func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(rw, list)
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}, func(b listBatch) { batches <- b })
+	first := receive(t, batches)
+	select {
+	case <-failed:
+		t.Fatal("the watch was given up while a batch was taken in")
+	case <-batches:
+		t.Fatal("another batch came while one was taken in")
+	case <-time.After(5 * silence):
+	}
+	close(first.taken)
+	for b := receive(t, batches); ; b = receive(t, batches) {
+		close(b.taken)
+		if b.End {
+			break
+		}
+	}
+	receive(t, failed) // now nothing comes any more
+}
+
+// Discovery may move while a batch is taken in: the watch at the new address begins at once, from the last version that
+// is whole.
+func TestDiscoveryMovesWhileABatchIsTakenIn(t *testing.T) {
+	list := wholeList(t, 50, filler(2*endpoints.BatchSize))
+	batches := make(chan listBatch, 100)
+	w, _ := startWatch(t, long, func(rw http.ResponseWriter, r *http.Request) {
+		_, _ = io.WriteString(rw, list)
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}, func(b listBatch) { batches <- b })
+	receive(t, batches)
+	p := newPlatform(t)
+	indexes := make(chan string, 1)
+	p.watch = func(a *watchAnswer) {
+		indexes <- a.index()
+		a.rest()
+	}
+	w.redirect(strings.TrimPrefix(p.discovery.URL, "http://"))
+	if index := receive(t, indexes); index != "40" {
+		t.Errorf("index %s", index)
+	}
+}
+
+// The next object waits while entries are removed that a whole list does not name, the version of the whole list counts
+// only once they are, and no batch of the loop looks at much of the table.
+func TestNextObjectWaitsForRemovals(t *testing.T) {
+	dir := t.TempDir()
+	l := listLoop(t, dir, 100)
+	hosts := filler(manyHosts)
+	l.object(t, Members{Seq: 50, Whole: true, Hosts: hosts})
+	whole := listBatch{taken: make(chan struct{})}
+	whole.Entries, whole.First, whole.End = hosts[:1], true, true
+	whole.Seq, whole.Whole, whole.WholeKnown = 51, true, true
+	next := listBatch{taken: make(chan struct{})}
+	next.Entries, next.First, next.End = hosts[manyHosts-1:], true, true
+	next.Seq, next.WholeKnown = 52, true
+	l.accept(whole)
+	l.accept(next)
+	for steps := 1; l.list.removing != nil; steps++ {
+		before := l.list.table.Len()
+		if _, seq := storedList(t, dir); seq != 50 || taken(whole) || taken(next) {
+			t.Fatalf("version %d is on disk, taken in %v and %v, with entries to be removed", seq, taken(whole), taken(next))
+		}
+		l.step()
+		if removed := before - l.list.table.Len(); removed > sweepSize {
+			t.Fatalf("%d entries removed in one batch", removed)
+		}
+		if steps > manyHosts {
+			t.Fatal("no end of it")
+		}
+	}
+	if !taken(whole) || !taken(next) {
+		t.Error("the watch is not told to go on")
+	}
+	listed, seq := storedList(t, dir)
+	if seq != 52 || len(listed) != 2 || listed[0] != hosts[0] || listed[1] != hosts[manyHosts-1] {
+		t.Errorf("version %d on disk: %+v", seq, listed)
+	}
+}
+
+// taken tells whether a batch has been taken in.
+func taken(b listBatch) bool {
+	select {
+	case <-b.taken:
+		return true
+	default:
+		return false
+	}
+}
+
+// A host that comes back to the list is recalled with what is remembered of its health, at its former destination it is
+// gone, and what a whole list repeats is not told anew.
+func TestEventsOfAList(t *testing.T) {
+	l := listLoop(t, t.TempDir(), 100)
+	host := filler(1)[0]
+	b := listBatch{taken: make(chan struct{})}
+	b.Entries = []Member{host}
+	events := func() (text string) {
+		l.events = nil
+		l.updateList(b.Batch)
+		for _, e := range l.events {
+			text += fmt.Sprintf("%T ", e)
+			if listed, ok := e.(policy.Listed); ok {
+				for _, ep := range listed.Endpoints {
+					text += fmt.Sprint(ep.Destination, ep.Gone, " ")
+				}
+			}
+		}
+		return text
+	}
+	if got := events(); got != "policy.Listed 1000 false " {
+		t.Errorf("new: %s", got)
+	}
+	if got := events(); got != "" {
+		t.Errorf("repeated: %s", got)
+	}
+	b.Entries[0].Block = 2000
+	if got := events(); got != "policy.Listed 1000 true 2000 false " {
+		t.Errorf("moved: %s", got)
+	}
+	b.Entries[0].Health = endpoints.Deleted
+	if got := events(); got != "policy.Listed 2000 true " {
+		t.Errorf("deleted: %s", got)
+	}
+	l.journal.Remember(host.Host, journal.Health{Sick: true, At: time.Now()})
+	b.Entries[0].Health = "SERVING"
+	if got := events(); got != "policy.Listed 2000 false policy.Recalled " {
+		t.Errorf("back: %s", got)
+	}
+}
+
+// The list of a configuration is read in batches wherever it stands, is no part of what a reload builds, and an error in
+// it says where it is.
+func TestKnownListOfAConfiguration(t *testing.T) {
+	const rest = `"name":"n","listen":"127.0.0.1:1","discovery":"127.0.0.1:2","seed":"8c1f30d27a5be964",
+	 "limits":{"cores":1,"memory_mb":192,"sockets":1024,"disk_mb":3},"settings":`
+	fields := rest + testSettings(15, 1, "subscribe")
+	known := strings.TrimSpace(wholeList(t, 40, filler(1000)))
+	for _, tt := range []struct{ name, text, want string }{
+		{"first", `{"known":` + known + `,` + fields + `}`, ""},
+		{"last", `{` + fields + `,"known":` + known + `}`, ""},
+		{"a field of a wrong type", `{` + fields + `,"known":` + strings.Replace(known, `"block":1500`, `"block":"x"`, 1) + `}`, "known: unreadable list at byte"},
+		{"no list", `{` + fields + `,"known":7}`, "known"},
+		{"cut off in the list", `{` + fields + `,"known":` + known[:len(known)/2], "known: unexpected"},
+		{"cut off behind it", `{` + fields + `,"known":` + known, "unexpected"},
+		{"more behind the object", `{` + fields + `,"known":` + known + `} {`, "more behind"},
+	} {
+		path := filepath.Join(t.TempDir(), "c.json")
+		if err := os.WriteFile(path, []byte(tt.text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c, err := ReadConfig(path)
+		if tt.want != "" {
+			if err == nil || !strings.Contains(err.Error(), tt.want) || !strings.Contains(err.Error(), path) {
+				t.Errorf("%s: error %v, want %q", tt.name, err, tt.want)
+			}
+			continue
+		}
+		if err != nil {
+			t.Errorf("%s: %v", tt.name, err)
+			continue
+		}
+		n := 0
+		err = c.known.read(func(b endpoints.Batch) error {
+			n += len(b.Entries)
+			return nil
+		})
+		if err != nil || n != 1000 || c.known.seq != 40 {
+			t.Errorf("%s: %d hosts of version %d, %v", tt.name, n, c.known.seq, err)
+		}
+	}
+}
