--- a/internal/relay/list_disk_test.go
+++ b/internal/relay/list_disk_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"milletsail/internal/endpoints"
 	"milletsail/internal/journal"
 	"milletsail/internal/settings"
 	"milletsail/policy"
@@ -103,7 +104,7 @@
 // A process that starts asks from the version on disk, has all of the list, and is sent nothing anew.
 func TestRestartAsksFromTheDisk(t *testing.T) {
 	p, known := listPlatform(t)
-	indexes := make(chan string, 10)
+	indexes := make(chan string, 1000)
 	p.watch = func(a *watchAnswer) {
 		indexes <- a.index()
 		if a.index() == "40" {
@@ -126,6 +127,19 @@
 	p.called()
 }
 
+// A host that is deleted is gone from the disk too.
+func TestDeletedHostOnDisk(t *testing.T) {
+	dir := t.TempDir()
+	l := listLoop(t, dir, 100)
+	hosts := filler(3)
+	l.object(t, Members{Seq: 50, Whole: true, Hosts: hosts})
+	hosts[1].Health = endpoints.Deleted
+	l.object(t, Members{Seq: 51, Hosts: hosts[1:2]})
+	if listed, seq := storedList(t, dir); seq != 51 || len(listed) != 2 || listed[0] != hosts[0] || listed[1] != hosts[2] {
+		t.Errorf("version %d on disk: %+v", seq, listed)
+	}
+}
+
 // What is remembered of a host's health stays as long as it is listed, and no longer.
 func TestHealthOfListedHosts(t *testing.T) {
 	l := listLoop(t, t.TempDir(), 100)
@@ -149,7 +163,7 @@
 func TestDiskTooSmallForTheList(t *testing.T) {
 	p, known := listPlatform(t)
 	p.disk = 3
-	indexes := make(chan string, 10)
+	indexes := make(chan string, 1000)
 	p.watch = func(a *watchAnswer) {
 		indexes <- a.index()
 		a.send(wholeList(t, 50, append(filler(manyHosts), known)))
@@ -192,7 +206,7 @@
 	if err := before.Close(); err != nil {
 		t.Fatal(err)
 	}
-	indexes := make(chan string, 10)
+	indexes := make(chan string, 1000)
 	p.watch = func(a *watchAnswer) {
 		indexes <- a.index()
 		if a.index() == "45" {
@@ -221,7 +235,7 @@
 // A newer process goes on from the version that the one before it had.
 func TestListAfterHandover(t *testing.T) {
 	p, known := listPlatform(t)
-	indexes := make(chan string, 10)
+	indexes := make(chan string, 1000)
 	p.watch = func(a *watchAnswer) {
 		indexes <- a.index()
 		if a.index() == "40" {
--- a/internal/relay/list_platform_test.go
+++ b/internal/relay/list_platform_test.go
@@ -29,14 +29,6 @@
 	a.rw.(http.Flusher).Flush()
 }
 
-// hang says nothing until the relay leaves.
-func (a *watchAnswer) hang() {
-	select {
-	case <-a.r.Context().Done():
-	case <-a.p.released:
-	}
-}
-
 // rest tells that nothing changes until the relay leaves.
 func (a *watchAnswer) rest() {
 	for {
@@ -51,6 +43,17 @@
 	}
 }
 
+// await waits for the test, unless that or the relay ends.
+func (a *watchAnswer) await(test <-chan bool) {
+	select {
+	case <-test:
+	case <-a.r.Context().Done():
+		a.cut()
+	case <-a.p.released:
+		a.cut()
+	}
+}
+
 // cut ends the connection in the middle of the answer.
 func (a *watchAnswer) cut() { panic(http.ErrAbortHandler) }
 
--- a/internal/relay/list_watch_test.go
+++ b/internal/relay/list_watch_test.go
@@ -18,22 +18,25 @@
 	return p, p.addHost("h1", 7)
 }
 
-// A long list that is cut off in the middle removes nothing, and the next watch asks from the version before it.
+// A long list that is cut off in the middle removes nothing, also once the next one has begun, and the next watch asks
+// from the version before it.
 func TestLongListCutOff(t *testing.T) {
 	p, known := listPlatform(t)
 	list := wholeList(t, 50, append(filler(manyHosts), known))
-	indexes, served := make(chan string, 10), make(chan bool)
+	indexes, served := make(chan string, 1000), make(chan bool, 2)
 	first := true
 	p.watch = func(a *watchAnswer) {
 		indexes <- a.index()
+		half, rest := halves(list)
 		if first {
 			first = false
-			half, _ := halves(list)
 			a.send(half)
 			a.cut()
 		}
-		<-served
-		a.send(list)
+		a.await(served)
+		a.send(`{"seq":49,"whole":false,"hosts":[]}` + "\n" + half)
+		a.await(served)
+		a.send(rest)
 		a.rest()
 	}
 	p.start()
@@ -42,7 +45,14 @@
 	}
 	p.take("status", "between", "20") // the host is not in the half that came
 	p.called()
-	close(served)
+	served <- true
+	p.until("the next one has begun", func() bool {
+		_, seq := storedList(t, p.dir)
+		return seq == 49
+	})
+	p.take("status", "meanwhile", "20")
+	p.called()
+	served <- true
 	p.untilMembers(manyHosts + 1)
 	p.until("the list is on disk", func() bool {
 		hosts, seq := storedList(t, p.dir)
@@ -54,7 +64,7 @@
 func TestLongListSpoilt(t *testing.T) {
 	p, known := listPlatform(t)
 	list := wholeList(t, 50, append(filler(manyHosts), known))
-	indexes, served := make(chan string, 10), make(chan bool)
+	indexes, served := make(chan string, 1000), make(chan bool)
 	first := true
 	p.watch = func(a *watchAnswer) {
 		indexes <- a.index()
@@ -65,7 +75,7 @@
 			a.rest()
 			return
 		}
-		<-served
+		a.await(served)
 		a.send(list)
 		a.rest()
 	}
@@ -88,7 +98,7 @@
 		index string
 		at    time.Time
 	}
-	asks, silent := make(chan ask, 10), make(chan time.Time, 1)
+	asks, silent := make(chan ask, 1000), make(chan time.Time, 1)
 	first := true
 	p.watch = func(a *watchAnswer) {
 		asks <- ask{a.index(), time.Now()}
@@ -179,11 +189,16 @@
 func TestWholeListRemovesHosts(t *testing.T) {
 	p, gone := listPlatform(t)
 	stays := p.addHost("h2", 7)
+	served := make(chan bool)
 	p.watch = func(a *watchAnswer) {
+		a.await(served)
 		a.send(wholeList(t, 50, append(filler(manyHosts), stays)))
 		a.rest()
 	}
-	p.start()
+	c := p.start()
+	p.take("status", "before", "20") // the module knows the destination
+	p.called()
+	close(served)
 	p.until("the whole list is in force", func() bool {
 		hosts, seq := storedList(t, p.dir)
 		return seq == 50 && len(hosts) == manyHosts+1
@@ -204,4 +219,8 @@
 			t.Fatal("a host that was removed got new work")
 		}
 	}
+	p.kill(c)
+	if strings.Contains(fmt.Sprint(c.Stderr), "not of the destination") {
+		t.Error("the module was not told that the host is gone")
+	}
 }
