Start from the configured list where it has no version

Cause: openList took the configuration's list only where its version was above that on disk. No test of ours had a configured list of version 0. Test: TestNewestList and TestConfiguredListWithoutVersion; the latter fails with the comparison before.

--- /dev/null
+++ b/internal/relay/list_start_test.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// The newest list is the one to start from; a configuration's counts also where it has no version, as at the first start of
+// a fleet.
+func TestNewestList(t *testing.T) {
+	for _, c := range []struct {
+		onDisk, inJournal, configured int64
+		want                          string
+	}{
+		{0, 0, 0, "configuration"},
+		{0, 0, 40, "configuration"},
+		{40, 0, 0, "disk"},
+		{40, 0, 40, "disk"},
+		{40, 0, 41, "configuration"},
+		{0, 41, 40, "journal"},
+		{41, 41, 40, "disk"},
+		{0, 40, 41, "configuration"},
+	} {
+		newest := newestList(c.onDisk, listSource{name: "journal", seq: c.inJournal}, listSource{name: "configuration", seq: c.configured})
+		if newest.name != c.want {
+			t.Errorf("versions %d on disk, %d in the journal, %d configured: %s, want %s", c.onDisk, c.inJournal, c.configured, newest.name, c.want)
+		}
+	}
+}
+
+// A relay without anything on disk has the endpoints of a configured list that has version 0.
+func TestConfiguredListWithoutVersion(t *testing.T) {
+	hosts := filler(3)
+	text, err := json.Marshal(map[string]any{knownField: Members{Whole: true, Hosts: hosts}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	l := listLoop(t, t.TempDir(), 1000)
+	l.cfg.known = knownList{path: path}
+	l.openList(t.TempDir())
+	if n := l.list.table.Len(); n != len(hosts) {
+		t.Errorf("%d endpoints are listed, want %d", n, len(hosts))
+	}
+}
--- a/internal/relay/liststart.go
+++ b/internal/relay/liststart.go
@@ -32,12 +32,7 @@
 		slog.Warn("list of endpoints: damaged", "err", damage)
 	}
 	l.list.table, l.list.store, l.list.seq = table, store, seq
-	source := listSource{name: "disk", seq: seq}
-	for _, other := range []listSource{journalList(l.journal.Listed()), {"configuration", l.cfg.known.seq, l.cfg.known.read}} {
-		if other.seq > source.seq {
-			source = other
-		}
-	}
+	source := newestList(seq, journalList(l.journal.Listed()), listSource{"configuration", l.cfg.known.seq, l.cfg.known.read})
 	if source.read != nil {
 		if err := source.read(l.list.replace); err != nil {
 			slog.Error("list of endpoints: all of it is asked for", "source", source.name, "err", err)
@@ -49,6 +44,19 @@
 	slog.Info("list of endpoints", "source", source.name, "seq", l.list.seq, "endpoints", table.Len())
 }
 
+// newestList chooses the list to start from. The configuration's counts also where it has no version, and the one on disk
+// only where it has one: version 0 there means that all of the list has to be asked for.
+func newestList(onDisk int64, inJournal, configured listSource) listSource {
+	newest := configured
+	if inJournal.seq > newest.seq {
+		newest = inJournal
+	}
+	if onDisk > 0 && onDisk >= newest.seq {
+		newest = listSource{name: "disk", seq: onDisk}
+	}
+	return newest
+}
+
 // journalList is the list that the version before kept in its journal, if it did.
 func journalList(kept journal.List) listSource {
 	var head struct{ Seq int64 }
