--- a/cmd/milletsail/main.go
+++ b/cmd/milletsail/main.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -52,7 +53,7 @@
 		PersistentPreRunE: func(c *cobra.Command, _ []string) error { return logTo(c, format, level) }}
 	c.PersistentFlags().StringVar(&format, "log-format", "text", "form of the log on standard error: text or json")
 	c.PersistentFlags().StringVar(&level, "log-level", "warn", "least level of the log: debug, info, warn or error")
-	c.AddCommand(labCommand(), demoCommand(), fleetCommand(), zoneCommand(), rolloutCommand(), agentCommand(), journalCommand(), versionCommand())
+	c.AddCommand(labCommand(), scaleCommand(), demoCommand(), fleetCommand(), zoneCommand(), rolloutCommand(), agentCommand(), journalCommand(), versionCommand())
 	return c
 }
 
@@ -77,20 +78,29 @@
 func versionCommand() *cobra.Command {
 	return &cobra.Command{Use: "version", Short: "Print what this program was built from", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
-			info, ok := debug.ReadBuildInfo()
-			if !ok {
+			revision := programRevision()
+			if revision == "" {
 				return errors.New("built without information about its version")
 			}
-			revision, changed := info.Main.Version, ""
-			for _, s := range info.Settings {
-				switch {
-				case s.Key == "vcs.revision":
-					revision = s.Value
-				case s.Key == "vcs.modified" && s.Value == "true":
-					changed = ", changed since"
-				}
-			}
-			fmt.Fprintf(c.OutOrStdout(), "milletsail %s%s, %s\n", revision, changed, info.GoVersion)
+			fmt.Fprintf(c.OutOrStdout(), "milletsail %s, %s\n", revision, runtime.Version())
 			return nil
 		}}
 }
+
+// programRevision is what this program was built from; empty where that is not known.
+func programRevision() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return ""
+	}
+	revision, changed := info.Main.Version, ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision":
+			revision = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			changed = ", changed since"
+		}
+	}
+	return revision + changed
+}
--- a/internal/fleet/live/live.go
+++ b/internal/fleet/live/live.go
@@ -271,6 +271,13 @@
 	Beliefs   []Belief `json:"beliefs"`
 }
 
+// Live gives the relays that count as there.
+func (s *Service) Live() []int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.node.Live(time.Since(s.begun))
+}
+
 // View gives what this relay believes, from whom, and how old it is.
 func (s *Service) View() View {
 	s.mu.Lock()
--- a/internal/lab/platform/discovery.go
+++ b/internal/lab/platform/discovery.go
@@ -49,6 +49,9 @@
 	BornMS int64   `json:"born_ms"`
 }
 
+// Entry is one endpoint in discovery's form, for stand-ins that keep lists of their own.
+type Entry = entryOf
+
 // Members is a list, or changes of it, in discovery's form.
 type Members struct {
 	Seq   int       `json:"seq"`
--- a/internal/lab/relays/config.go
+++ b/internal/lab/relays/config.go
@@ -50,6 +50,9 @@
 		"tenants": []string{}, "weights": s.Fleet.Weights, "worth_by": "request"}
 }
 
+// Settings gives the settings object of a relay of a scenario, for relays that are run without a Fleet.
+func Settings(s *scenario.Scenario, relay int) map[string]any { return settingsOf(s, nil, relay) }
+
 // writeConfig writes the configuration of a relay's next process in its folder.
 func (r *Relay) writeConfig() error {
 	f, n := r.fleet, r.fleet.subnet
--- a/internal/lab/relays/relays.go
+++ b/internal/lab/relays/relays.go
@@ -306,6 +306,16 @@
 	return r.now.admin
 }
 
+// PID is the process that serves, or 0 for none.
+func (r *Relay) PID() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.now == nil {
+		return 0
+	}
+	return r.now.cmd.Process.Pid
+}
+
 // end sends a process a signal that it should end on, and waits until it has; SIGKILL follows where it does not.
 func (r *Relay) end(p *process, sig syscall.Signal) {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/scale/changes.go
@@ -0,0 +1,113 @@
+package scale
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"milletsail/internal/scale/standin"
+)
+
+// issued is a change of the list: when discovery had it, and how many entries are listed with it.
+type issued struct {
+	at     time.Time
+	listed int
+}
+
+// changeOne takes the next of the changing entries off the list, or puts it back: first all of them go one by one, then
+// all come back, so that the number of entries tells how many changes a relay has taken in.
+func (b *bed) changeOne() (issued, error) {
+	health, index := standin.Deleted, b.position
+	if index >= changing {
+		health, index = standin.Serving, index-changing
+	}
+	b.position = (b.position + 1) % (2 * changing)
+	at := time.Now()
+	listed, err := b.list.Set(index, health)
+	return issued{at, listed}, err
+}
+
+// change changes the list at a steady rate for a time.
+func (b *bed) change(ctx context.Context, rate float64, span time.Duration) (all []issued, err error) {
+	if rate <= 0 {
+		sleep(ctx, span)
+		return nil, nil
+	}
+	begun, gap := time.Now(), time.Duration(float64(time.Second)/rate)
+	for due := begun; due.Before(begun.Add(span)); due = due.Add(gap) {
+		if !sleep(ctx, time.Until(due)) {
+			return all, ctx.Err()
+		}
+		one, err := b.changeOne()
+		if err != nil {
+			return all, err
+		}
+		all = append(all, one)
+	}
+	sleep(ctx, time.Until(begun.Add(span)))
+	return all, nil
+}
+
+// catchUp is how long a relay has after a phase to take in what discovery has told it.
+const catchUp = 10 * time.Second
+
+// settled waits until the relay has taken in all changes, and tells whether it has.
+func (b *bed) settled(ctx context.Context) bool {
+	const lookAgain = 50 * time.Millisecond
+	for end := time.Now().Add(catchUp); time.Now().Before(end); {
+		if listed, err := b.members(); err == nil && listed == b.list.Listed() {
+			return true
+		}
+		if !sleep(ctx, lookAgain) {
+			return false
+		}
+	}
+	return false
+}
+
+// look is what the relay's counter said at a moment.
+type look struct {
+	at     time.Time
+	listed int
+}
+
+// watchCounter looks at the relay's counter until the context ends.
+func (b *bed) watchCounter(ctx context.Context) (all []look) {
+	for {
+		listed, err := b.members()
+		if err == nil && (len(all) == 0 || all[len(all)-1].listed != listed) {
+			all = append(all, look{time.Now(), listed})
+		}
+		if !sleep(ctx, lookEvery) {
+			return all
+		}
+	}
+}
+
+// inForce gives the time until each change was in force, in rising order, and how many were not by the end. A look stands
+// for the first change not yet in force that leads to its number of entries, so that what is not certain is taken as late.
+func inForce(changes []issued, looks []look) (took []time.Duration, missing int) {
+	next := 0
+	for _, l := range looks {
+		reached := -1
+		for i := next; i < len(changes) && !changes[i].at.After(l.at); i++ {
+			if changes[i].listed == l.listed {
+				reached = i
+				break
+			}
+		}
+		for ; next <= reached; next++ {
+			took = append(took, l.at.Sub(changes[next].at))
+		}
+	}
+	slices.Sort(took)
+	return took, len(changes) - next
+}
+
+// quantile gives a quantile of times in rising order; 0 for none.
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
+}
--- /dev/null
+++ b/internal/scale/fit/fit_test.go
@@ -0,0 +1,57 @@
+package fit
+
+import (
+	"math"
+	"testing"
+)
+
+func series(sizes []float64, of func(float64) float64) (values []float64) {
+	for _, size := range sizes {
+		values = append(values, of(size))
+	}
+	return values
+}
+
+// Each form is found where the values have it, with its slope or exponent, and noise is no fit.
+func TestForms(t *testing.T) {
+	sizes := []float64{1000, 10_000, 50_000, 120_000, 490_000}
+	line := Of(sizes, series(sizes, func(x float64) float64 { return 3 + 2*x }))
+	if line.Form != Linear || math.Abs(line.Slope-2) > 1e-9 || line.Low > 2 || line.High < 2 || line.R2 < 0.999 {
+		t.Errorf("a line: %+v", line)
+	}
+	if flat := Of(sizes, series(sizes, func(float64) float64 { return 7 })); flat.Form != Constant || flat.Slope != 0 {
+		t.Errorf("a constant: %+v", flat)
+	}
+	square := Of(sizes, series(sizes, func(x float64) float64 { return x * x / 1e6 }))
+	if square.Form != Power || math.Abs(square.Exponent-2) > 1e-6 {
+		t.Errorf("a square: %+v", square)
+	}
+	if noise := Of(sizes, []float64{5, 900, 3, 700, 10}); noise.Usable() {
+		t.Errorf("noise: %+v", noise)
+	}
+	if few := Of(sizes[:2], []float64{1, 2}); few.Usable() {
+		t.Errorf("two points: %+v", few)
+	}
+}
+
+// The interval of a slope contains the true one, and widens with the noise.
+func TestInterval(t *testing.T) {
+	sizes := []float64{1, 2, 3, 4, 5, 6}
+	noise := []float64{0.1, -0.2, 0.1, 0.15, -0.1, -0.05}
+	with := func(factor float64) Result {
+		values := series(sizes, func(x float64) float64 { return 10 * x })
+		for i := range values {
+			values[i] += factor * noise[i]
+		}
+		return Of(sizes, values)
+	}
+	small, large := with(1), with(10)
+	for _, r := range []Result{small, large} {
+		if r.Low > 10 || r.High < 10 {
+			t.Errorf("10 is not within %v to %v", r.Low, r.High)
+		}
+	}
+	if large.High-large.Low < 9*(small.High-small.Low) {
+		t.Errorf("%v and %v", small, large)
+	}
+}
--- /dev/null
+++ b/internal/scale/fleet.go
@@ -0,0 +1,264 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"time"
+
+	"milletsail/internal/lab/history"
+	"milletsail/internal/lab/platform"
+	"milletsail/internal/lab/relays"
+	"milletsail/internal/lab/scenario"
+	"milletsail/internal/scale/hollow"
+	"milletsail/internal/scale/process"
+)
+
+const (
+	// fleetZones is the zones that the relays of a fleet are spread over.
+	fleetZones = 3
+	// factEvery is the time between facts that are shared, factWait the time that the last one has to reach all.
+	factEvery, factWait = 250 * time.Millisecond, 5 * time.Second
+)
+
+// fleetBed is a fleet of real and hollow relays on the lab's stand-ins.
+type fleetBed struct {
+	plan     *Plan
+	x        int
+	variant  variant
+	platform *platform.Platform
+	history  *history.Writer
+	real     *relays.Fleet
+	hollow   *hollowFleet
+	point    Point
+}
+
+// measureFleet measures one point of a sweep over relays; what went wrong is in it.
+func measureFleet(ctx context.Context, plan *Plan, x int, v variant, binary, self, dir string, subnet *platform.Subnet, progress func(string)) Point {
+	begun := time.Now()
+	b := &fleetBed{plan: plan, x: x, variant: v, point: Point{X: x}}
+	err := b.open(ctx, binary, self, dir, subnet, progress)
+	defer b.close()
+	if err == nil {
+		err = b.run(ctx, progress)
+	}
+	if err != nil {
+		b.point.Failed = err.Error()
+	}
+	b.point.Seconds = time.Since(begun).Seconds()
+	return b.point
+}
+
+// fleetScenario is the scenario of a fleet that has next to nothing to do but to keep track of itself.
+func fleetScenario(seed uint64, count int) *scenario.Scenario {
+	s := scenario.Default()
+	s.Seed, s.Fleet.Relays, s.Fleet.Shares = seed, count, true
+	s.Fleet.Zones = []string{"a", "b", "c"}[:fleetZones]
+	s.Classes = []scenario.Class{{Name: usualClass, Effect: "retryable", Group: "all", Aim: scenario.Duration(2 * time.Second),
+		Deadline: scenario.Duration(usualDeadline), Memory: scenario.Duration(15 * time.Second), Worth: 1, LateShare: 0.3, Share: 1}}
+	s.Destinations = []scenario.Destination{{Count: 1, Endpoints: 1, Share: 1, Limit: "none", Service: scenario.Duration(40 * time.Millisecond),
+		Workers: 16, Queue: 16, Bulk: 1}}
+	s.Hosts = []scenario.Host{{Name: "d0-e0", Zone: "a", Of: &s.Destinations[0]}}
+	return &s
+}
+
+// open starts the stand-ins and all relays.
+func (b *fleetBed) open(ctx context.Context, binary, self, dir string, subnet *platform.Subnet, progress func(string)) error {
+	s := fleetScenario(b.plan.Seed, b.x)
+	file, err := os.Create(filepath.Join(dir, "history.jsonl"))
+	if err != nil {
+		return err
+	}
+	b.history = history.NewWriter(file, time.Now())
+	if b.platform, err = platform.New(s, b.history, subnet); err != nil {
+		return fmt.Errorf("stand-ins: %w", err)
+	}
+	for relay := range b.x {
+		b.platform.SpoilNotes(relay, b.variant.loss.Part(), 0)
+	}
+	progress("start")
+	real := min(b.plan.Fleet.Real, b.x-1)
+	if b.hollow, err = startHollow(ctx, self, dir, real, b.x, fleetZones, b.plan.Seed, subnet); err != nil {
+		return err
+	}
+	if b.real, err = relays.New(s, b.history, b.platform, subnet, binary, dir, nil); err != nil {
+		return err
+	}
+	b.real.Relays = b.real.Relays[:real]
+	begun := time.Now()
+	err = b.real.Start(ctx)
+	b.point.add("real relays to ready", "s", time.Since(begun).Seconds())
+	return err
+}
+
+func (b *fleetBed) close() {
+	if b.real != nil {
+		b.real.Stop()
+	}
+	if b.hollow != nil {
+		b.hollow.close()
+	}
+	if b.platform != nil {
+		b.platform.Close()
+	}
+	if b.history != nil {
+		_ = b.history.Close()
+	}
+}
+
+// run measures a fleet at rest, then facts that spread, then a relay that dies.
+func (b *fleetBed) run(ctx context.Context, progress func(string)) error {
+	sleep(ctx, b.plan.Phases.Settle.D())
+	progress("at rest")
+	if err := b.measureRest(ctx); err != nil {
+		return err
+	}
+	progress("facts")
+	if err := b.measureFacts(ctx); err != nil {
+		return err
+	}
+	progress("a dead relay")
+	return b.measureDead(ctx)
+}
+
+// fleetReading is the accounts of a fleet at a moment.
+type fleetReading struct {
+	at                 time.Time
+	hollowCPU, realCPU time.Duration
+	hollowMB, realMB   float64
+	traffic            hollow.Traffic
+	sent, sentBytes    int
+}
+
+func (b *fleetBed) read(ctx context.Context) (r fleetReading, err error) {
+	if r.traffic, err = b.hollow.count(ctx); err != nil {
+		return r, err
+	}
+	if r.hollowCPU, r.hollowMB, err = b.hollow.usage(); err != nil {
+		return r, err
+	}
+	for _, relay := range b.real.Relays {
+		usage, err := process.UsageOf(relay.PID())
+		if err != nil {
+			return r, fmt.Errorf("relay %d: %w", relay.No, err)
+		}
+		r.realCPU, r.realMB = r.realCPU+usage.CPU, r.realMB+usage.ResidentMB
+	}
+	r.at = time.Now()
+	r.sent, r.sentBytes, _ = b.platform.NotesSent()
+	return r, nil
+}
+
+// measureRest measures what relays spend on keeping track of one another.
+func (b *fleetBed) measureRest(ctx context.Context) error {
+	before, err := b.read(ctx)
+	if err != nil {
+		return err
+	}
+	if !sleep(ctx, b.plan.Fleet.Measure.D()) {
+		return ctx.Err()
+	}
+	after, err := b.read(ctx)
+	if err != nil {
+		return err
+	}
+	seconds, hollows, reals := after.at.Sub(before.at).Seconds(), float64(b.hollow.relays()), float64(len(b.real.Relays))
+	const percent, kilobytes = 100, 1024
+	b.point.add("hollow relay processor", "% of a core", percent*(after.hollowCPU-before.hollowCPU).Seconds()/seconds/hollows)
+	b.point.add("hollow relay resident", "kB", kilobytes*after.hollowMB/hollows)
+	if reals > 0 {
+		b.point.add("real relay processor", "% of a core", percent*(after.realCPU-before.realCPU).Seconds()/seconds/reals)
+		b.point.add("real relay resident", "MB", after.realMB/reals)
+	}
+	b.point.add("sent a relay", "B/s", float64(after.sentBytes-before.sentBytes)/seconds/float64(b.x))
+	b.point.add("datagrams sent a relay", "1/s", float64(after.sent-before.sent)/seconds/float64(b.x))
+	b.point.add("received a relay", "B/s", float64(after.traffic.ReceivedBytes-before.traffic.ReceivedBytes)/seconds/hollows)
+	b.point.add("datagrams received a relay", "1/s", float64(after.traffic.Received-before.traffic.Received)/seconds/hollows)
+	return nil
+}
+
+// measureFacts shares facts one after the other, and times how each reaches the hollow relays.
+func (b *fleetBed) measureFacts(ctx context.Context) error {
+	random := generator(b.plan.Seed, 3)
+	first, hollows := len(b.real.Relays), b.hollow.relays()
+	shared := map[string]time.Time{}
+	var took []time.Duration
+	collect := func(span time.Duration) {
+		limited, cancel := context.WithTimeout(ctx, span)
+		defer cancel()
+		for len(took) < b.plan.Fleet.Facts*hollows {
+			e, err := b.hollow.await(limited, hollow.Learned)
+			if err != nil {
+				return
+			}
+			if since, known := shared[e.Key]; known {
+				took = append(took, max(0, time.Unix(0, e.At).Sub(since)))
+			}
+		}
+	}
+	for fact := range b.plan.Fleet.Facts {
+		key := strconv.Itoa(1000 + fact)
+		shared[key] = time.Now()
+		if err := b.hollow.do(hollow.Command{Do: hollow.Share, Relay: first + random.IntN(hollows), Key: key}); err != nil {
+			return err
+		}
+		collect(factEvery)
+	}
+	collect(factWait)
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	slices.Sort(took)
+	missing := b.plan.Fleet.Facts*hollows - len(took)
+	b.addTimes("fact in force", "ms", milliseconds, took, missing, factWait)
+	b.point.add("facts that did not arrive", "% of deliveries", 100*float64(missing)/float64(b.plan.Fleet.Facts*hollows))
+	return nil
+}
+
+// measureDead ends a hollow relay and times when the others drop it.
+func (b *fleetBed) measureDead(ctx context.Context) error {
+	victim := b.x - 1
+	if err := errors.Join(b.hollow.do(hollow.Command{Do: hollow.Watch, Relay: victim}), b.hollow.do(hollow.Command{Do: hollow.Stop, Relay: victim})); err != nil {
+		return err
+	}
+	died := time.Now()
+	limited, cancel := context.WithTimeout(ctx, b.plan.Fleet.DeadWait.D())
+	defer cancel()
+	others := b.hollow.relays() - 1
+	var took []time.Duration
+	for len(took) < others {
+		e, err := b.hollow.await(limited, hollow.Dropped)
+		if err != nil {
+			break
+		}
+		took = append(took, time.Unix(0, e.At).Sub(died))
+	}
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	slices.Sort(took)
+	b.addTimes("dead relay dropped", "s", time.Duration.Seconds, took, others-len(took), b.plan.Fleet.DeadWait.D())
+	return nil
+}
+
+// addTimes states the quantiles of times in rising order, of which some did not come within a bound.
+func (b *fleetBed) addTimes(name, unit string, in func(time.Duration) float64, took []time.Duration, missing int, bound time.Duration) {
+	all := append(slices.Clone(took), slices.Repeat([]time.Duration{bound}, missing)...)
+	for _, q := range []struct {
+		name  string
+		share float64
+	}{{"p50", 0.5}, {"p99", 0.99}, {"all", 1}} {
+		at := min(len(all)-1, int(q.share*float64(len(all))))
+		switch {
+		case at < 0:
+		case at >= len(took):
+			b.point.addBound(name+" "+q.name, unit, in(bound))
+		default:
+			b.point.add(name+" "+q.name, unit, in(all[at]))
+		}
+	}
+}
--- /dev/null
+++ b/internal/scale/load.go
@@ -0,0 +1,186 @@
+package scale
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+const (
+	// patience is how long a client waits for its answer, by the protocol.
+	patience = 400 * time.Millisecond
+	// answerWait is how long a client of the test bed waits, so that a longer stall is measured and not cut off.
+	answerWait = 20 * time.Second
+	// lateAfter is how late a hand-in of the test bed may be until it counts as late.
+	lateAfter = 50 * time.Millisecond
+	// messageBytes is the length of a message's body.
+	messageBytes = 200
+	// mostInFlight hand-ins are out at once.
+	mostInFlight = 2000
+	// heldInFlight hand-ins of messages that are to be held are out at once.
+	heldInFlight = 256
+)
+
+// clients hand messages in at one relay.
+type clients struct {
+	url   string
+	class string
+	http  *http.Client
+	next  atomic.Int64 // number of the next message
+	run   uint64       // distinguishes the ids of this process of the bed
+
+	accepted, refused, failed atomic.Int64
+	due, late                 atomic.Int64
+}
+
+func newClients(address, class string, run uint64) *clients {
+	transport := &http.Transport{MaxIdleConnsPerHost: mostInFlight, IdleConnTimeout: time.Second,
+		DialContext: (&net.Dialer{Timeout: answerWait}).DialContext}
+	return &clients{url: "http://" + address + "/" + class, class: class, run: run,
+		http: &http.Client{Timeout: answerWait, Transport: transport}}
+}
+
+func (c *clients) close() { c.http.CloseIdleConnections() }
+
+// handIn hands one message in and gives the status of the answer; 0 for none.
+func (c *clients) handIn(ctx context.Context, destination int, timeout time.Duration) int {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url, bytes.NewReader(make([]byte, messageBytes)))
+	if err != nil {
+		return 0
+	}
+	request.Header.Set("Request-Id", fmt.Sprintf("%x-%d", c.run, c.next.Add(1)))
+	request.Header.Set("Request-Timeout", strconv.FormatFloat(timeout.Seconds(), 'f', 3, 64))
+	request.Header.Set("X-Envelope", "dest="+strconv.Itoa(destination))
+	response, err := c.http.Do(request)
+	if err != nil {
+		c.failed.Add(1)
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	c.count(response.StatusCode)
+	return response.StatusCode
+}
+
+func (c *clients) count(status int) {
+	switch status {
+	case http.StatusOK, http.StatusAccepted:
+		c.accepted.Add(1)
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		c.refused.Add(1)
+	default:
+		c.failed.Add(1)
+	}
+}
+
+// answers is the times from hand-in to answer of a phase. A hand-in is timed from when it is due, so that a stall that
+// holds further ones up is counted for each of them.
+type answers struct {
+	mu         sync.Mutex
+	histogram  *hdrhistogram.Histogram // microseconds
+	unanswered int                     // not within a client's patience
+}
+
+func newAnswers() *answers {
+	const significantDigits = 3
+	return &answers{histogram: hdrhistogram.New(1, (2 * answerWait).Microseconds(), significantDigits)}
+}
+
+func (a *answers) add(took time.Duration, status int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	_ = a.histogram.RecordValue(min(took, 2*answerWait).Microseconds())
+	if status == 0 || took > patience {
+		a.unanswered++
+	}
+}
+
+// steady hands messages in at a steady rate for a time, and waits for all answers.
+func (c *clients) steady(ctx context.Context, rate float64, span time.Duration, timeout time.Duration, destination func() int) *answers {
+	all := newAnswers()
+	if rate <= 0 {
+		sleep(ctx, span)
+		return all
+	}
+	var open sync.WaitGroup
+	room := make(chan struct{}, mostInFlight)
+	begun, gap := time.Now(), time.Duration(float64(time.Second)/rate)
+	for due := begun; due.Before(begun.Add(span)); due = due.Add(gap) {
+		if !sleep(ctx, time.Until(due)) {
+			break
+		}
+		room <- struct{}{}
+		c.due.Add(1)
+		if time.Since(due) > lateAfter {
+			c.late.Add(1)
+		}
+		to := destination()
+		open.Go(func() {
+			defer func() { <-room }()
+			status := c.handIn(ctx, to, timeout)
+			all.add(time.Since(due), status)
+		})
+	}
+	open.Wait()
+	return all
+}
+
+// fill hands messages in as fast as the relay answers, until so many were accepted, the time is up, or the relay refuses
+// steadily. It gives the time that it took.
+func (c *clients) fill(ctx context.Context, count int, within, timeout time.Duration, destination func() int) time.Duration {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	begun := time.Now()
+	before := c.accepted.Load()
+	refusedBefore := c.refused.Load()
+	var work sync.WaitGroup
+	var numbers sync.Mutex
+	var taken atomic.Int64
+	for range heldInFlight {
+		work.Go(func() {
+			for ctx.Err() == nil && taken.Add(1) <= int64(count) {
+				numbers.Lock()
+				to := destination()
+				numbers.Unlock()
+				status := c.handIn(ctx, to, timeout)
+				if status == http.StatusAccepted || status == http.StatusOK {
+					continue
+				}
+				taken.Add(-1)
+				if c.refused.Load()-refusedBefore > 100+(c.accepted.Load()-before)/2 {
+					return // the relay takes no more
+				}
+			}
+		})
+	}
+	work.Wait()
+	return time.Since(begun)
+}
+
+// sleep waits for a time and tells whether the context lasts.
+func sleep(ctx context.Context, span time.Duration) bool {
+	if span <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// generator gives random numbers for one purpose; the same seed and purpose give the same ones.
+func generator(seed, purpose uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, purpose)) }
--- /dev/null
+++ b/internal/scale/process/usage.go
@@ -0,0 +1,60 @@
+package process
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"milletsail/internal/procfs"
+)
+
+// UsageOf reads what the system's accounts say of a process.
+func UsageOf(pid int) (usage Usage, err error) {
+	usage.At = time.Now()
+	if usage.CPU, err = cpuTime(pid); err != nil {
+		return usage, err
+	}
+	if usage.ResidentMB, err = procfs.ResidentMB(pid); err != nil {
+		return usage, err
+	}
+	const kilobytesOfMB = 1024
+	usage.ProportionMB = field(pid, "smaps_rollup", "Pss:") / kilobytesOfMB
+	usage.StorageBytes = int64(field(pid, "io", "write_bytes:"))
+	usage.WrittenBytes = int64(field(pid, "io", "wchar:"))
+	usage.WriteCalls = int64(field(pid, "io", "syscw:"))
+	descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", pid))
+	usage.Descriptors = len(descriptors)
+	return usage, err
+}
+
+// cpuTime reads the clock of a process's processor time, which counts in nanoseconds where /proc/PID/stat counts in
+// hundredths of a second.
+func cpuTime(pid int) (time.Duration, error) {
+	// The kernel's MAKE_PROCESS_CPUCLOCK of linux/posix-timers.h, with CPUCLOCK_SCHED.
+	const scheduled = 2
+	clock := int32(^uint32(pid)<<3 | scheduled)
+	var now unix.Timespec
+	if err := unix.ClockGettime(clock, &now); err != nil {
+		return 0, fmt.Errorf("processor time of process %d: %w", pid, err)
+	}
+	return time.Duration(now.Nano()), nil
+}
+
+// field reads a number from a file of a process's accounts; 0 where there is none.
+func field(pid int, file, name string) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", pid, file))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, name); ok {
+			value, _ := strconv.ParseFloat(strings.Fields(rest)[0], 64)
+			return value
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/scale/single.go
@@ -0,0 +1,348 @@
+package scale
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"milletsail/internal/lab/platform"
+	"milletsail/internal/scale/process"
+	"milletsail/internal/scale/standin"
+)
+
+// sizeAt is what a point of a sweep asks of the relay.
+func (p *Plan) sizeAt(x int) size {
+	s := size{destinations: p.Load.Destinations, changes: p.Load.Changes.PerSecond(), messages: p.Load.Messages.PerSecond(), held: p.Load.Held}
+	switch p.Sweep {
+	case SweepDestinations:
+		s.destinations = x
+	case SweepChanges:
+		s.changes = float64(x)
+	case SweepHeld:
+		s.held = x
+	}
+	return s
+}
+
+// reading is all accounts at a moment.
+type reading struct {
+	usage   process.Usage
+	control standin.Traffic
+	calls   standin.Traffic
+}
+
+func (b *bed) read() (r reading, err error) {
+	r.usage, err = b.relay.Usage()
+	r.control, r.calls = b.discovery.Control(), b.endpoints.Traffic()
+	return r, err
+}
+
+// phase is what a relay used in a phase.
+type phase struct {
+	span    time.Duration
+	cpu     float64 // share of a core
+	storage int64   // bytes
+	written int64   // bytes, less what went to the stand-ins
+	calls   int64   // of write
+	state   int64   // growth of the folder in bytes
+	control standin.Traffic
+	changes int
+}
+
+// measure runs something and gives what the relay used meanwhile.
+func (b *bed) measure(ctx context.Context, run func() (changes int, err error)) (phase, error) {
+	before, err := b.read()
+	if err != nil {
+		return phase{}, err
+	}
+	changes, err := run()
+	if err != nil {
+		return phase{}, err
+	}
+	if err := ctx.Err(); err != nil {
+		return phase{}, err
+	}
+	after, err := b.read()
+	if err != nil {
+		return phase{}, err
+	}
+	p := phase{span: after.usage.At.Sub(before.usage.At), control: after.control.Minus(before.control), changes: changes,
+		storage: after.usage.StorageBytes - before.usage.StorageBytes, calls: after.usage.WriteCalls - before.usage.WriteCalls,
+		state: after.usage.StateBytes - before.usage.StateBytes}
+	p.cpu = (after.usage.CPU - before.usage.CPU).Seconds() / p.span.Seconds()
+	p.written = after.usage.WrittenBytes - before.usage.WrittenBytes - p.control.Sent - after.calls.Minus(before.calls).Sent
+	return p, nil
+}
+
+// single measures one point at one relay.
+type single struct {
+	*bed
+	point Point
+	draw  func() int // a destination that gets usual messages
+}
+
+// measureSingle measures one point; what went wrong is in it.
+func measureSingle(ctx context.Context, plan *Plan, x int, binary, dir string, subnet *platform.Subnet, progress func(string)) Point {
+	m := &single{point: Point{X: x}}
+	begun := time.Now()
+	b, err := newBed(plan, plan.sizeAt(x), binary, dir, subnet)
+	if err == nil {
+		m.bed = b
+		defer b.close()
+		err = m.run(ctx, progress)
+		m.point.HandIns, m.point.Late = int(b.clients.due.Load()), int(b.clients.late.Load())
+	}
+	if err != nil {
+		m.point.Failed = err.Error()
+	}
+	m.point.Seconds = time.Since(begun).Seconds()
+	return m.point
+}
+
+// run goes through the phases of a point.
+func (m *single) run(ctx context.Context, progress func(string)) error {
+	random := generator(m.plan.Seed, 1)
+	usual := m.size.destinations - changing
+	if m.size.held > 0 {
+		usual -= silentDestinations
+	}
+	m.draw = func() int { return changing + random.IntN(usual) }
+	progress("start")
+	if err := m.measureStart(ctx); err != nil {
+		return err
+	}
+	if m.size.held > 0 {
+		progress("fill")
+		if err := m.measureFill(ctx); err != nil {
+			return err
+		}
+	}
+	sleep(ctx, m.plan.Phases.Settle.D())
+	if err := m.measurePhases(ctx, progress); err != nil {
+		return err
+	}
+	progress("in force")
+	if err := m.measureInForce(ctx); err != nil {
+		return err
+	}
+	if err := m.addMemory("end"); err != nil {
+		return err
+	}
+	m.addMessages()
+	if m.plan.Relay.Restart {
+		progress("restart")
+		return m.measureRestart(ctx)
+	}
+	return nil
+}
+
+func (m *single) measureStart(ctx context.Context) error {
+	s, err := m.start(ctx)
+	if s.ready > 0 {
+		m.point.add("start to ready", "s", s.ready.Seconds())
+	}
+	if err != nil {
+		return err
+	}
+	m.point.add("start to list in force", "s", s.list.Seconds())
+	m.point.add("start processor time", "s", s.usage.CPU.Seconds())
+	m.point.add("start control received", "B", float64(m.discovery.Control().Received))
+	return nil
+}
+
+// measureFill hands in the messages that are to be held.
+func (m *single) measureFill(ctx context.Context) error {
+	holders := newClients(m.subnet.Clients(0), heldClass, uint64(time.Now().UnixNano()))
+	defer holders.close()
+	random := generator(m.plan.Seed, 2)
+	first := m.size.destinations - silentDestinations
+	took := holders.fill(ctx, m.size.held, m.plan.Relay.Fill.D(), heldDeadline, func() int { return first + random.IntN(silentDestinations) })
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	pending, err := m.counter(pendingCounter)
+	if err != nil {
+		return err
+	}
+	m.point.add("messages held", "messages", pending)
+	m.point.add("fill", "s", took.Seconds())
+	const nearly = 0.99
+	if pending < nearly*float64(m.size.held) {
+		return fmt.Errorf("the relay holds %.0f of %d messages after %.0f s: %d were refused and %d had no answer", pending, m.size.held,
+			took.Seconds(), holders.refused.Load(), holders.failed.Load())
+	}
+	return nil
+}
+
+// measurePhases measures what control costs, what messages cost, and whether the two add up.
+func (m *single) measurePhases(ctx context.Context, progress func(string)) error {
+	phases := m.plan.Phases
+	progress("idle")
+	idle, err := m.measure(ctx, func() (int, error) { sleep(ctx, phases.Idle.D()); return 0, nil })
+	if err != nil {
+		return err
+	}
+	if err := m.addMemory("idle"); err != nil {
+		return err
+	}
+	progress("changes")
+	changes, err := m.measure(ctx, func() (int, error) {
+		all, err := m.change(ctx, m.size.changes, phases.Changes.D())
+		return len(all), err
+	})
+	if err != nil {
+		return err
+	}
+	if !m.settled(ctx) {
+		m.point.add("changes not taken in after the phase", "s", catchUp.Seconds())
+	}
+	progress("messages")
+	var rest, busy *answers
+	messages, err := m.measure(ctx, func() (int, error) {
+		rest = m.clients.steady(ctx, m.size.messages, phases.Messages.D(), usualDeadline, m.draw)
+		return 0, nil
+	})
+	if err != nil {
+		return err
+	}
+	progress("messages and changes")
+	both, err := m.measure(ctx, func() (int, error) {
+		done := make(chan *answers)
+		go func() { done <- m.clients.steady(ctx, m.size.messages, phases.Both.D(), usualDeadline, m.draw) }()
+		all, err := m.change(ctx, m.size.changes, phases.Both.D())
+		busy = <-done
+		return len(all), err
+	})
+	if err != nil {
+		return err
+	}
+	if !m.settled(ctx) {
+		m.point.add("changes not taken in after both", "s", catchUp.Seconds())
+	}
+	m.addCPU(idle, changes, messages, both)
+	m.addChanges(idle, changes)
+	m.addStalls("messages", rest)
+	m.addStalls("both", busy)
+	m.point.add("stall by changes p99", "ms", stallMS(busy, 99)-stallMS(rest, 99))
+	m.point.add("stall by changes max", "ms", stallMS(busy, 100)-stallMS(rest, 100))
+	return nil
+}
+
+// addCPU states the split of processor time, and by how much the parts miss the whole.
+func (m *single) addCPU(idle, changes, messages, both phase) {
+	const percent = 100
+	m.point.add("idle processor", "% of a core", percent*idle.cpu)
+	m.point.add("control processor", "% of a core", percent*changes.cpu)
+	m.point.add("messages processor", "% of a core", percent*(messages.cpu-idle.cpu))
+	m.point.add("whole processor", "% of a core", percent*both.cpu)
+	m.point.add("split deviation", "% of a core", percent*(both.cpu-changes.cpu-(messages.cpu-idle.cpu)))
+}
+
+// addChanges states what changes cost, each and a second.
+func (m *single) addChanges(idle, changes phase) {
+	seconds := changes.span.Seconds()
+	m.point.add("control received", "B/s", float64(changes.control.Received)/seconds)
+	m.point.add("control sent", "B/s", float64(changes.control.Sent)/seconds)
+	m.point.add("idle control received", "B/s", float64(idle.control.Received)/idle.span.Seconds())
+	if changes.changes == 0 {
+		return
+	}
+	each := func(value int64) float64 { return float64(value) / float64(changes.changes) }
+	m.point.add("processor a change", "ms", 1000*(changes.cpu-idle.cpu)*seconds/float64(changes.changes))
+	m.point.add("bytes written a change", "B", each(changes.written))
+	m.point.add("bytes to storage a change", "B", each(changes.storage))
+	m.point.add("write calls a change", "calls", each(changes.calls))
+	m.point.add("folder growth a change", "B", each(changes.state))
+}
+
+// stallMS is a percentile of the answers' times in milliseconds.
+func stallMS(a *answers, percentile float64) float64 {
+	const microsecondsOfMillisecond = 1000
+	return float64(a.histogram.ValueAtPercentile(percentile)) / microsecondsOfMillisecond
+}
+
+func (m *single) addStalls(name string, a *answers) {
+	m.point.add("answer "+name+" p50", "ms", stallMS(a, 50))
+	m.point.add("answer "+name+" p99", "ms", stallMS(a, 99))
+	m.point.add("answer "+name+" max", "ms", stallMS(a, 100))
+	m.point.add("answer "+name+" over 400 ms", "messages", float64(a.unanswered))
+}
+
+// addMemory states the memory of the relay.
+func (m *single) addMemory(when string) error {
+	usage, err := m.relay.Usage()
+	if err != nil {
+		return err
+	}
+	m.point.add("resident "+when, "MB", usage.ResidentMB)
+	m.point.add("live heap "+when, "MB", usage.LiveHeapMB)
+	m.point.add("folder "+when, "B", float64(usage.StateBytes))
+	return nil
+}
+
+// measureInForce times how long changes take until the relay's counter shows them.
+func (m *single) measureInForce(ctx context.Context) error {
+	watching, stop := context.WithCancel(ctx)
+	defer stop()
+	done := make(chan []look)
+	go func() { done <- m.watchCounter(watching) }()
+	changes, err := m.change(ctx, m.size.changes, m.plan.Phases.InForce.D())
+	if err == nil {
+		m.settled(ctx)
+		sleep(ctx, 4*lookEvery)
+	}
+	stop()
+	looks := <-done
+	if err != nil {
+		return err
+	}
+	took, missing := inForce(changes, looks)
+	if len(changes) == 0 {
+		return ctx.Err()
+	}
+	m.point.add("in force p50", "ms", milliseconds(quantile(took, 0.5)))
+	m.point.add("in force p99", "ms", milliseconds(quantile(took, 0.99)))
+	if missing > 0 {
+		m.point.addBound("in force all", "ms", milliseconds(catchUp))
+		m.point.add("changes never in force", "changes", float64(missing))
+		return ctx.Err()
+	}
+	m.point.add("in force all", "ms", milliseconds(quantile(took, 1)))
+	return ctx.Err()
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// addMessages states what became of the usual messages.
+func (m *single) addMessages() {
+	m.point.add("usual messages accepted", "messages", float64(m.clients.accepted.Load()))
+	m.point.add("usual messages refused", "messages", float64(m.clients.refused.Load()))
+	m.point.add("usual messages without an answer", "messages", float64(m.clients.failed.Load()))
+	m.point.add("calls delivered", "calls", float64(m.endpoints.Delivered()))
+	m.point.add("notices", "messages", float64(m.discovery.Notices()))
+}
+
+// missedChanges are made while the relay is down for its restart.
+const missedChanges = 16
+
+// measureRestart ends the relay and starts it again on the same folder.
+func (m *single) measureRestart(ctx context.Context) error {
+	m.relay.End(syscall.SIGTERM, endWait)
+	for range missedChanges {
+		if _, err := m.changeOne(); err != nil {
+			return err
+		}
+	}
+	before, whole := m.discovery.Control(), m.discovery.WholeLists()
+	s, err := m.start(ctx)
+	if err != nil {
+		return fmt.Errorf("restart: %w", err)
+	}
+	m.point.add("restart to ready", "s", s.ready.Seconds())
+	m.point.add("restart to list in force", "s", s.list.Seconds())
+	m.point.add("restart processor time", "s", s.usage.CPU.Seconds())
+	m.point.add("restart control received", "B", float64(m.discovery.Control().Minus(before).Received))
+	m.point.add("restart whole lists", "lists", float64(m.discovery.WholeLists()-whole))
+	return m.addMemory("restart")
+}
--- a/scenarios/scenarios.go
+++ b/scenarios/scenarios.go
@@ -23,8 +23,11 @@
 }
 
 // Names lists the scenarios.
-func Names() (all []string) {
-	entries, err := files.ReadDir(".")
+func Names() []string { return namesIn(files, ".") }
+
+// namesIn lists the files of an embedded folder, without their ending.
+func namesIn(from embed.FS, dir string) (all []string) {
+	entries, err := from.ReadDir(dir)
 	if err != nil {
 		panic(err) // the folder is part of the program
 	}
@@ -33,3 +36,14 @@
 	}
 	return all
 }
+
+//go:embed scale/*.toml
+var scale embed.FS
+
+// Scale gives the text of a plan of a scale run by its name, with or without ".toml".
+func Scale(name string) ([]byte, error) {
+	return scale.ReadFile("scale/" + strings.TrimSuffix(name, ".toml") + ".toml")
+}
+
+// ScaleNames lists the plans of scale runs.
+func ScaleNames() []string { return namesIn(scale, "scale") }
