Check the shapes of control's costs by counts, and hold messages without taking slots

Messages that are held are for destinations that told to wait; a line whose slope may be zero is no fit; a hand-in that the relay leaves no room for counts as not answered and not as late.

--- a/internal/scale/bed.go
+++ b/internal/scale/bed.go
@@ -26,13 +26,14 @@
 	// listeners take the calls to all endpoints that answer. Each has an address of its own, so that a relay's idle
 	// connections are shared by the destinations of one listener alone.
 	listeners = 512
-	// silentListener never answers, and nothing listens at closedListener.
-	silentListener, closedListener = listeners, listeners + 1
+	// waitListener turns all calls away and tells to wait, and nothing listens at closedListener.
+	waitListener, closedListener = listeners, listeners + 1
 	// changing entries at the start of the list are those that changes take off it and put back. They are never down
 	// and get no messages.
 	changing = 32
-	// silentDestinations at the end of the list never answer, in a run that holds messages.
-	silentDestinations = 100
+	// heldDestinations at the end of the list tell to wait, in a run that holds messages: all messages that are held are
+	// for them, and no slot is.
+	heldDestinations = 2000
 	// leastDestinations is the shortest list that has room for those.
 	leastDestinations = 300
 	// lookEvery is the time between looks at the relay's counters.
@@ -89,7 +90,7 @@
 	for i := range listeners + 1 {
 		addresses = append(addresses, subnet.Host(0, i))
 	}
-	if b.endpoints, err = standin.OpenEndpoints(addresses, func(i int) bool { return i == silentListener }); err != nil {
+	if b.endpoints, err = standin.OpenEndpoints(addresses, func(i int) bool { return i == waitListener }); err != nil {
 		return b, err
 	}
 	if b.discovery, err = standin.OpenDiscovery(subnet.Discovery(0, 0), b.list); err != nil {
@@ -132,17 +133,17 @@
 	return float64(h.Sum64()%steps) < b.plan.Load.Down.Part()*steps
 }
 
-// silent tells whether the endpoint of a destination never answers.
-func (b *bed) silent(index int) bool {
-	return b.size.held > 0 && index >= b.size.destinations-silentDestinations
+// holds tells whether the endpoint of a destination turns all calls away.
+func (b *bed) holds(index int) bool {
+	return b.size.held > 0 && index >= b.size.destinations-heldDestinations
 }
 
 // entry is an entry of the list, as it is from the start.
 func (b *bed) entry(index int) platform.Entry {
 	listener := index % listeners
 	switch {
-	case b.silent(index):
-		listener = silentListener
+	case b.holds(index):
+		listener = waitListener
 	case b.down(index):
 		listener = closedListener
 	}
@@ -159,7 +160,10 @@
 		Memory: scenario.Duration(15 * time.Second)}
 	usual, held := class, class
 	usual.Name, usual.Deadline = usualClass, scenario.Duration(usualDeadline)
-	held.Name, held.Deadline = heldClass, scenario.Duration(heldDeadline)
+	// A relay refuses what would wait long before messages of as much value that can't: those that are held have the most,
+	// and lose none of it.
+	held.Name, held.Deadline, held.Aim, held.Worth = heldClass, scenario.Duration(heldDeadline), scenario.Duration(heldDeadline), 2
+	s.Rules.MaxRetryAfter = scenario.Duration(standin.Wait)
 	s.Classes = []scenario.Class{usual, held}
 	s.Destinations = []scenario.Destination{{Count: 1, Endpoints: 1, Bulk: 1}}
 	return &s
--- a/internal/scale/fit/fit.go
+++ b/internal/scale/fit/fit.go
@@ -105,6 +105,8 @@
 	switch {
 	case span <= constantSpan*math.Abs(stat.Mean(values, nil)):
 		return Constant
+	case r.Low <= 0 && r.High >= 0 && r.LogR2 < leastR2: // nor is a slope that may be zero
+		return None
 	case r.R2 >= sureR2 && r.Residual <= mostResidual*span:
 		return Linear
 	case r.LogR2 >= leastR2 && r.LogR2 > r.R2:
--- a/internal/scale/fit/fit_test.go
+++ b/internal/scale/fit/fit_test.go
@@ -29,6 +29,9 @@
 	if noise := Of(sizes, []float64{5, 900, 3, 700, 10}); noise.Usable() {
 		t.Errorf("noise: %+v", noise)
 	}
+	if wide := Of([]float64{1, 20, 100}, []float64{0, 15, 40}); wide.Usable() {
+		t.Errorf("a slope that may be zero: %+v", wide)
+	}
 	if few := Of(sizes[:2], []float64{1, 2}); few.Usable() {
 		t.Errorf("two points: %+v", few)
 	}
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -25,7 +25,7 @@
 	lateAfter = 50 * time.Millisecond
 	// messageBytes is the length of a message's body.
 	messageBytes = 200
-	// mostInFlight hand-ins are out at once.
+	// mostInFlight hand-ins are out at once; further ones count as not answered.
 	mostInFlight = 2000
 	// heldInFlight hand-ins of messages that are to be held are out at once.
 	heldInFlight = 256
@@ -119,12 +119,18 @@
 		if !sleep(ctx, time.Until(due)) {
 			break
 		}
-		room <- struct{}{}
 		c.due.Add(1)
 		if time.Since(due) > lateAfter {
 			c.late.Add(1)
 		}
 		to := destination()
+		select {
+		case room <- struct{}{}:
+		default: // the relay has long stopped answering: a client would have no answer either
+			c.failed.Add(1)
+			all.add(answerWait, 0)
+			continue
+		}
 		open.Go(func() {
 			defer func() { <-room }()
 			status := c.handIn(ctx, to, timeout)
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -165,6 +165,9 @@
 			return "points", fmt.Errorf("%d is not %d to %.0f", point, least, most)
 		}
 	}
+	if least := leastDestinations + heldDestinations; (p.Sweep == SweepHeld || p.Load.Held > 0) && p.Load.Destinations < least {
+		return "load.destinations", fmt.Errorf("%d is less than %d, which messages that are held need", p.Load.Destinations, least)
+	}
 	for _, b := range p.bounds() {
 		if !(b.value >= b.least && b.value <= b.most) {
 			return b.key, fmt.Errorf("%v is not %v to %v", b.value, b.least, b.most)
--- a/internal/scale/shapes_test.go
+++ b/internal/scale/shapes_test.go
@@ -115,6 +115,7 @@
 		t.Fatal(err)
 	}
 	defer b.close()
+	b.env = []string{"GODEBUG="} // no trace of collections, which is written in many calls
 	m := &single{bed: b}
 	ctx := t.Context()
 	if _, err := m.start(ctx); err != nil {
--- a/internal/scale/single.go
+++ b/internal/scale/single.go
@@ -105,7 +105,7 @@
 	random := generator(m.plan.Seed, 1)
 	usual := m.size.destinations - changing
 	if m.size.held > 0 {
-		usual -= silentDestinations
+		usual -= heldDestinations
 	}
 	m.draw = func() int { return changing + random.IntN(usual) }
 	progress("start")
@@ -156,8 +156,8 @@
 	holders := newClients(m.subnet.Clients(0), heldClass, uint64(time.Now().UnixNano()))
 	defer holders.close()
 	random := generator(m.plan.Seed, 2)
-	first := m.size.destinations - silentDestinations
-	took := holders.fill(ctx, m.size.held, m.plan.Relay.Fill.D(), heldDeadline, func() int { return first + random.IntN(silentDestinations) })
+	first := m.size.destinations - heldDestinations
+	took := holders.fill(ctx, m.size.held, m.plan.Relay.Fill.D(), heldDeadline, func() int { return first + random.IntN(heldDestinations) })
 	if err := ctx.Err(); err != nil {
 		return err
 	}
--- a/internal/scale/standin/endpoints.go
+++ b/internal/scale/standin/endpoints.go
@@ -4,13 +4,14 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 )
 
 // Endpoints are the endpoints of all destinations, which share some listeners. They answer each call 200 at once, but for
-// those that never answer.
+// those that turn all calls away and tell to wait.
 type Endpoints struct {
 	servers   []*http.Server
 	done      sync.WaitGroup
@@ -18,8 +19,8 @@
 	delivered atomic.Int64
 }
 
-// OpenEndpoints listens at addresses. Calls to those for which silent is true are never answered.
-func OpenEndpoints(addresses []string, silent func(index int) bool) (*Endpoints, error) {
+// OpenEndpoints listens at addresses. Those for which closed is true turn all calls away.
+func OpenEndpoints(addresses []string, closed func(index int) bool) (*Endpoints, error) {
 	e := &Endpoints{}
 	for i, address := range addresses {
 		listener, err := net.Listen("tcp", address)
@@ -28,8 +29,8 @@
 			return nil, err
 		}
 		handler := e.deliver
-		if silent(i) {
-			handler = hold
+		if closed(i) {
+			handler = turnAway
 		}
 		server := &http.Server{Handler: http.HandlerFunc(handler), ConnContext: withConn}
 		e.servers = append(e.servers, server)
@@ -60,17 +61,14 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// longestHold ends a call that is never answered.
-const longestHold = time.Hour
+// Wait is what endpoints that turn calls away tell the relay to wait.
+const Wait = 10 * time.Minute
 
-// hold keeps a call until the relay ends its connection.
-func hold(_ http.ResponseWriter, r *http.Request) {
-	_, _ = io.Copy(io.Discard, r.Body)
-	timer := time.NewTimer(longestHold)
-	defer timer.Stop()
-	select {
-	case <-r.Context().Done():
-	case <-timer.C:
+// turnAway answers that the call has not run, and when to come again.
+func turnAway(w http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		return
 	}
-	panic(http.ErrAbortHandler)
+	w.Header().Set("X-Retry-In-Ms", strconv.FormatInt(Wait.Milliseconds(), 10))
+	w.WriteHeader(http.StatusTooManyRequests)
 }
