Count the statements that a message and a change execute at 300 and 30,000 entries

Need: a loop over all entries that allocates and writes nothing is seen by no other check, and times on a busy machine show nothing. Change: the relay is built with counters on its statements, and run with and without work at both lengths of the list.

--- /dev/null
+++ b/internal/scale/statements_test.go
@@ -0,0 +1,158 @@
+package scale
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"milletsail/internal/lab/platform"
+)
+
+const (
+	// relayProgram is the relay, and countedPackages what is counted of it: all that is this project's.
+	relayProgram    = "milletsail/cmd/frostlink"
+	countedPackages = "milletsail/..."
+	// workRate of messages or changes a second for workSpan make workDone.
+	workRate = 50
+	workSpan = time.Second
+	workDone = workRate * int(workSpan/time.Second)
+)
+
+// buildCounted builds the relay so that it counts each statement that it executes.
+func buildCounted(t *testing.T) string {
+	t.Helper()
+	binary := filepath.Join(t.TempDir(), "relay")
+	build := exec.CommandContext(t.Context(), "go", "build", "-cover", "-covermode=atomic", "-coverpkg="+countedPackages, "-o", binary, relayProgram)
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return binary
+}
+
+// work is what a relay is given between its start and its end.
+type work func(ctx context.Context, b *bed) error
+
+func noWork(ctx context.Context, _ *bed) error { sleep(ctx, workSpan); return nil }
+
+func changeWork(ctx context.Context, b *bed) error {
+	_, err := b.change(ctx, workRate, workSpan)
+	return err
+}
+
+func messageWork(ctx context.Context, b *bed) error {
+	next := 0
+	draw := func() int { next = (next + 1) % (shortList - changing); return changing + next }
+	b.clients.steady(ctx, workRate, workSpan, usualDeadline, draw)
+	if accepted := b.clients.accepted.Load(); accepted < int64(workDone) {
+		return fmt.Errorf("%d of %d messages were accepted", accepted, workDone)
+	}
+	return nil
+}
+
+// statements counts what a relay executes from its start to its end, with some work between.
+func statements(ctx context.Context, binary, dir string, destinations int, do work) (count float64, err error) {
+	plan := DefaultPlan()
+	plan.Load.Down = Share{}
+	subnet, err := platform.TakeSubnet()
+	if err != nil {
+		return 0, err
+	}
+	defer subnet.Release()
+	counters := filepath.Join(dir, "counters")
+	if err := os.MkdirAll(counters, 0o700); err != nil {
+		return 0, err
+	}
+	b, err := newBed(&plan, size{destinations: destinations}, binary, dir, subnet)
+	if err != nil {
+		return 0, err
+	}
+	defer b.close()
+	b.env = []string{"GOCOVERDIR=" + counters}
+	if _, err := b.start(ctx); err != nil {
+		return 0, err
+	}
+	if err := do(ctx, b); err != nil {
+		return 0, err
+	}
+	if !b.settled(ctx) {
+		return 0, fmt.Errorf("changes were not taken in")
+	}
+	b.relay.End(syscall.SIGTERM, 2*endWait)
+	return executed(ctx, counters, filepath.Join(dir, "counts"))
+}
+
+// executed sums up the statements that were executed, from the counters that a process left.
+func executed(ctx context.Context, counters, text string) (sum float64, err error) {
+	if out, err := exec.CommandContext(ctx, "go", "tool", "covdata", "textfmt", "-i="+counters, "-o="+text).CombinedOutput(); err != nil {
+		return 0, fmt.Errorf("%w: %s", err, out)
+	}
+	file, err := os.Open(text)
+	if err != nil {
+		return 0, err
+	}
+	defer file.Close()
+	for lines := bufio.NewScanner(file); lines.Scan(); {
+		fields := strings.Fields(lines.Text()) // place, statements of the block, executions
+		if len(fields) != 3 {
+			continue
+		}
+		size, sizeErr := strconv.ParseFloat(fields[1], 64)
+		times, timesErr := strconv.ParseFloat(fields[2], 64)
+		if sizeErr == nil && timesErr == nil {
+			sum += size * times
+		}
+	}
+	if sum == 0 {
+		return 0, fmt.Errorf("the relay left no counts")
+	}
+	return sum, nil
+}
+
+// Neither a message nor a change executes more statements where the list has more entries that it does not touch.
+func TestStatementsAreTheSame(t *testing.T) {
+	binary := buildCounted(t)
+	works := map[string]work{"none": noWork, "change": changeWork, "message": messageWork}
+	sums := map[string]map[int]float64{}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for name, do := range works {
+		sums[name] = map[int]float64{}
+		for _, destinations := range []int{shortList, longList} {
+			dir := t.TempDir()
+			all.Go(func() {
+				sum, err := statements(t.Context(), binary, dir, destinations, do)
+				if err != nil {
+					t.Errorf("%s at %d entries: %v", name, destinations, err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				sums[name][destinations] = sum
+			})
+		}
+	}
+	all.Wait()
+	if t.Failed() {
+		return
+	}
+	for _, name := range []string{"change", "message"} {
+		each := func(destinations int) float64 {
+			return (sums[name][destinations] - sums["none"][destinations]) / float64(workDone)
+		}
+		short, long := each(shortList), each(longList)
+		t.Logf("a %s executes %.0f statements at %d entries and %.0f at %d", name, short, shortList, long, longList)
+		// How events fall into batches differs from run to run: half as much again is no growth, a hundred times the entries is.
+		const slack = 500
+		if long > 1.5*short+slack {
+			t.Errorf("a %s executes %.0f statements at %d entries and %.0f at %d", name, short, shortList, long, longList)
+		}
+	}
+}
