Tell by markers when a relay has taken in all changes

Change: forty entries are taken off and put back after each phase, which no number of the changes can be mistaken for.

--- a/internal/scale/bed.go
+++ b/internal/scale/bed.go
@@ -28,9 +28,11 @@
 	listeners = 512
 	// waitListener turns all calls away and tells to wait, and nothing listens at closedListener.
 	waitListener, closedListener = listeners, listeners + 1
-	// changing entries at the start of the list are those that changes take off it and put back. They are never down
-	// and get no messages.
+	// changing entries at the start of the list are those that changes take off it and put back, and marking ones after
+	// them, which are more, tell when a relay has taken in all changes. These are never down and get no messages.
 	changing = 32
+	marking  = 40
+	reserved = changing + marking
 	// heldDestinations at the end of the list tell to wait, in a run that holds messages: all messages that are held are
 	// for them, and no slot is.
 	heldDestinations = 2000
@@ -124,7 +126,7 @@
 
 // down tells whether the endpoint of a destination refuses connections: a share of them, by the seed.
 func (b *bed) down(index int) bool {
-	if index < changing {
+	if index < reserved {
 		return false
 	}
 	h := fnv.New64a()
--- a/internal/scale/changes.go
+++ b/internal/scale/changes.go
@@ -23,7 +23,7 @@
 	}
 	b.position = (b.position + 1) % (2 * changing)
 	at := time.Now()
-	listed, err := b.list.Set(index, health)
+	listed, err := b.list.Set(health, index)
 	return issued{at, listed}, err
 }
 
@@ -51,18 +51,36 @@
 // catchUp is how long a relay has after a phase to take in what discovery has told it.
 const catchUp = 10 * time.Second
 
-// settled waits until the relay has taken in all changes, and tells whether it has.
+// settled tells whether the relay takes in all changes within catchUp. The number of entries alone does not tell: it comes
+// again and again. So the markers are taken off the list, which leads to a number that no earlier change led to, and are put
+// back.
 func (b *bed) settled(ctx context.Context) bool {
-	const lookAgain = 50 * time.Millisecond
-	for end := time.Now().Add(catchUp); time.Now().Before(end); {
+	markers := make([]int, marking)
+	for i := range markers {
+		markers[i] = changing + i
+	}
+	limited, cancel := context.WithTimeout(ctx, catchUp)
+	defer cancel()
+	for _, health := range []string{standin.Deleted, standin.Serving} {
+		if _, err := b.list.Set(health, markers...); err != nil {
+			return false
+		}
+		b.counted(limited)
+	}
+	return limited.Err() == nil
+}
+
+// counted waits until the relay's counter shows the number of entries that are listed, or the context ends.
+func (b *bed) counted(ctx context.Context) {
+	const lookAgain = 20 * time.Millisecond
+	for {
 		if listed, err := b.members(); err == nil && listed == b.list.Listed() {
-			return true
+			return
 		}
 		if !sleep(ctx, lookAgain) {
-			return false
+			return
 		}
 	}
-	return false
 }
 
 // look is what the relay's counter said at a moment.
@@ -103,11 +121,3 @@
 	slices.Sort(took)
 	return took, len(changes) - next
 }
-
-// quantile gives a quantile of times in rising order; 0 for none.
-func quantile(sorted []time.Duration, q float64) time.Duration {
-	if len(sorted) == 0 {
-		return 0
-	}
-	return sorted[min(len(sorted)-1, int(q*float64(len(sorted))))]
-}
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -214,7 +214,7 @@
 	}
 	slices.Sort(took)
 	missing := b.plan.Fleet.Facts*hollows - len(took)
-	b.addTimes("fact in force", "ms", milliseconds, took, missing, factWait)
+	b.point.addTimes("fact in force", "ms", milliseconds, took, missing, factWait)
 	b.point.add("facts that did not arrive", "% of deliveries", 100*float64(missing)/float64(b.plan.Fleet.Facts*hollows))
 	return nil
 }
@@ -241,24 +241,6 @@
 		return err
 	}
 	slices.Sort(took)
-	b.addTimes("dead relay dropped", "s", time.Duration.Seconds, took, others-len(took), b.plan.Fleet.DeadWait.D())
+	b.point.addTimes("dead relay dropped", "s", time.Duration.Seconds, took, others-len(took), b.plan.Fleet.DeadWait.D())
 	return nil
 }
-
-// addTimes states the quantiles of times in rising order, of which some did not come within a bound.
-func (b *fleetBed) addTimes(name, unit string, in func(time.Duration) float64, took []time.Duration, missing int, bound time.Duration) {
-	all := append(slices.Clone(took), slices.Repeat([]time.Duration{bound}, missing)...)
-	for _, q := range []struct {
-		name  string
-		share float64
-	}{{"p50", 0.5}, {"p99", 0.99}, {"all", 1}} {
-		at := min(len(all)-1, int(q.share*float64(len(all))))
-		switch {
-		case at < 0:
-		case at >= len(took):
-			b.point.addBound(name+" "+q.name, unit, in(bound))
-		default:
-			b.point.add(name+" "+q.name, unit, in(all[at]))
-		}
-	}
-}
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -76,6 +76,24 @@
 	p.Figures = append(p.Figures, Figure{Name: name, Unit: unit, Value: value, AtLeast: true})
 }
 
+// addTimes adds the quantiles of times in rising order; further ones, which did not come within a bound, count as longer.
+func (p *Point) addTimes(name, unit string, in func(time.Duration) float64, took []time.Duration, missing int, bound time.Duration) {
+	count := len(took) + missing
+	for _, quantile := range []struct {
+		name  string
+		share float64
+	}{{"p50", 0.5}, {"p99", 0.99}, {"all", 1}} {
+		at := min(count-1, int(quantile.share*float64(count)))
+		switch {
+		case at < 0: // there is none
+		case at >= len(took):
+			p.addBound(name+" "+quantile.name, unit, in(bound))
+		default:
+			p.add(name+" "+quantile.name, unit, in(took[at]))
+		}
+	}
+}
+
 // Get gives a figure by its name.
 func (p *Point) Get(name string) (Figure, bool) {
 	for _, f := range p.Figures {
--- a/internal/scale/shapes_test.go
+++ b/internal/scale/shapes_test.go
@@ -138,7 +138,7 @@
 
 	// The same destinations get messages at both sizes, one after the other.
 	next := 0
-	draw := func() int { next = (next + 1) % (shortList - changing); return changing + next }
+	draw := func() int { next = (next + 1) % (shortList - reserved); return reserved + next }
 	_, before := m.memory(t)
 	messages, err := m.measure(ctx, func() (int, error) {
 		m.clients.steady(ctx, countedRate, countedMessages*time.Second/countedRate, usualDeadline, draw)
--- a/internal/scale/single.go
+++ b/internal/scale/single.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"syscall"
 	"time"
 
@@ -103,11 +104,11 @@
 // run goes through the phases of a point.
 func (m *single) run(ctx context.Context, progress func(string)) error {
 	random := generator(m.plan.Seed, 1)
-	usual := m.size.destinations - changing
+	usual := m.size.destinations - reserved
 	if m.size.held > 0 {
 		usual -= heldDestinations
 	}
-	m.draw = func() int { return changing + random.IntN(usual) }
+	m.draw = func() int { return reserved + random.IntN(usual) }
 	progress("start")
 	if err := m.measureStart(ctx); err != nil {
 		return err
@@ -289,26 +290,25 @@
 	go func() { done <- m.watchCounter(watching) }()
 	changes, err := m.change(ctx, m.size.changes, m.plan.Phases.InForce.D())
 	if err == nil {
-		m.settled(ctx)
+		limited, cancel := context.WithTimeout(ctx, catchUp)
+		m.counted(limited)
+		cancel()
 		sleep(ctx, 4*lookEvery)
 	}
 	stop()
 	looks := <-done
-	if err != nil {
+	if err != nil || len(changes) == 0 {
 		return err
 	}
 	took, missing := inForce(changes, looks)
-	if len(changes) == 0 {
-		return ctx.Err()
-	}
-	m.point.add("in force p50", "ms", milliseconds(quantile(took, 0.5)))
-	m.point.add("in force p99", "ms", milliseconds(quantile(took, 0.99)))
-	if missing > 0 {
-		m.point.addBound("in force all", "ms", milliseconds(catchUp))
-		m.point.add("changes never in force", "changes", float64(missing))
-		return ctx.Err()
+	if missing > 0 && m.settled(ctx) { // they are in force now
+		for _, c := range changes[len(changes)-missing:] {
+			took = append(took, time.Since(c.at))
+		}
+		slices.Sort(took)
+		missing = 0
 	}
-	m.point.add("in force all", "ms", milliseconds(quantile(took, 1)))
+	m.point.addTimes("in force", "ms", milliseconds, took, missing, catchUp)
 	return ctx.Err()
 }
 
--- a/internal/scale/standin/list.go
+++ b/internal/scale/standin/list.go
@@ -23,7 +23,7 @@
 	Deleted = "DELETED"
 )
 
-// change is one version of the list: the new form of one entry.
+// change is the new form of one entry. Each makes a version, also where several are made at once.
 type change struct {
 	index   int
 	encoded []byte
@@ -52,33 +52,41 @@
 	return l, nil
 }
 
-// Set changes the health of an entry and gives the number of entries that are listed then.
-func (l *List) Set(index int, health string) (listed int, err error) {
-	entry := l.entries(index)
-	entry.Health = health
-	encoded, err := json.Marshal(entry)
-	if err != nil {
-		return 0, err
+// Set changes the health of entries, as one change, and gives the number of entries that are listed then.
+func (l *List) Set(health string, indexes ...int) (listed int, err error) {
+	var changes []change
+	for _, index := range indexes {
+		entry := l.entries(index)
+		entry.Health = health
+		encoded, err := json.Marshal(entry)
+		if err != nil {
+			return 0, err
+		}
+		changes = append(changes, change{index, encoded})
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before := l.encoded[index] != nil
-	l.encoded[index] = encoded
-	if health == Deleted {
-		l.encoded[index] = nil
-	}
-	switch after := health != Deleted; {
-	case after && !before:
-		l.listed++
-	case before && !after:
-		l.listed--
+	for _, c := range changes {
+		l.apply(c, health != Deleted)
 	}
-	l.changes = append(l.changes, change{index, encoded})
 	close(l.changed)
 	l.changed = make(chan struct{})
 	return l.listed, nil
 }
 
+// apply makes one change; the lock is held.
+func (l *List) apply(c change, listed bool) {
+	l.changes = append(l.changes, c)
+	if l.encoded[c.index] != nil {
+		l.listed--
+	}
+	l.encoded[c.index] = nil
+	if listed {
+		l.encoded[c.index] = c.encoded
+		l.listed++
+	}
+}
+
 // Listed is the number of entries that are listed now.
 func (l *List) Listed() int {
 	l.mu.Lock()
--- a/internal/scale/standin/list_test.go
+++ b/internal/scale/standin/list_test.go
@@ -27,7 +27,7 @@
 		index  int
 		health string
 	}{{1, Deleted}, {2, Deleted}, {1, Serving}} {
-		if _, err := l.Set(c.index, c.health); err != nil {
+		if _, err := l.Set(c.health, c.index); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/scale/statements_test.go
+++ b/internal/scale/statements_test.go
@@ -50,7 +50,7 @@
 
 func messageWork(ctx context.Context, b *bed) error {
 	next := 0
-	draw := func() int { next = (next + 1) % (shortList - changing); return changing + next }
+	draw := func() int { next = (next + 1) % (shortList - reserved); return reserved + next }
 	b.clients.steady(ctx, workRate, workSpan, usualDeadline, draw)
 	if accepted := b.clients.accepted.Load(); accepted < int64(workDone) {
 		return fmt.Errorf("%d of %d messages were accepted", accepted, workDone)
