Use the new package and command names in the scale runs

Need: internal/scale was written beside the renames, and did not compile with them. Measured, GOMAXPROCS=4, -race: internal/scale passes in 27 s. Its three checks that fail on the version before pass now: a change of one host writes 25.4 bytes in 2 calls at 300 and at 30,000 entries, an idle entry keeps 104 bytes, and a message and a change execute 1,614 and 485 statements at 300 entries, 1,543 and 503 at 30,000.

--- a/cmd/milletsail/scale.go
+++ b/cmd/milletsail/scale.go
@@ -42,7 +42,7 @@
 	var r scaleRun
 	c := &cobra.Command{Use: "run PLAN", Short: "Run a plan (a file, or the name of one that comes with the program)", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error { return r.run(c, args[0]) }}
-	c.Flags().StringVar(&r.relay, "relay", "", "the relay's `binary` (default frostlink beside this program, else built from the source here)")
+	c.Flags().StringVar(&r.relay, "relay", "", "the relay's `binary` (default relay beside this program, else built from the source here)")
 	c.Flags().StringVar(&r.relayB, "relay-b", "", "`binary` of another version, measured in turn with the first at each point")
 	c.Flags().StringVar(&r.labelA, "label", firstLabel, "`name` of the version in the report")
 	c.Flags().StringVar(&r.labelB, "label-b", secondLabel, "`name` of the other version in the report")
--- a/internal/scale/bed.go
+++ b/internal/scale/bed.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"milletsail/internal/door"
+	"milletsail/internal/admin"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/relays"
 	"milletsail/internal/lab/scenario"
@@ -267,7 +267,7 @@
 
 // healthy tells whether the relay takes clients.
 func (b *bed) healthy() bool {
-	reply, err := door.Ask(b.subnet.Admin(0, 0), "health", adminWait)
+	reply, err := admin.Ask(b.subnet.Admin(0, 0), "health", adminWait)
 	return err == nil && strings.HasPrefix(reply, "OK")
 }
 
@@ -285,7 +285,7 @@
 
 // counter asks the relay for one of its counters.
 func (b *bed) counter(name string) (float64, error) {
-	reply, err := door.Ask(b.subnet.Admin(0, 0), "counters", adminWait)
+	reply, err := admin.Ask(b.subnet.Admin(0, 0), "counters", adminWait)
 	if err != nil {
 		return 0, err
 	}
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -13,7 +13,7 @@
 	"slices"
 	"time"
 
-	"milletsail/internal/strict"
+	"milletsail/internal/config"
 )
 
 // The dimensions that a plan can sweep.
@@ -125,7 +125,7 @@
 	if err := checkUnits(name, text); err != nil {
 		return nil, err
 	}
-	if err := strict.Decode(name, text, &p); err != nil {
+	if err := config.Decode(name, text, &p); err != nil {
 		return nil, err
 	}
 	if key, err := p.check(); err != nil {
--- a/internal/scale/statements_test.go
+++ b/internal/scale/statements_test.go
@@ -19,7 +19,7 @@
 
 const (
 	// relayProgram is the relay, and countedPackages what is counted of it: all that is this project's.
-	relayProgram    = "milletsail/cmd/frostlink"
+	relayProgram    = "milletsail/cmd/relay"
 	countedPackages = "milletsail/..."
 	// workRate of messages or changes a second for workSpan make workDone.
 	workRate = 50
