--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -57,7 +57,7 @@
 	prompt  bool // the first watch begins at once; set before run
 	asked   chan struct{}
 	seq     int64           // of the list as it stands; set before run
-	told    func(listBatch) // takes a batch in, sooner or later
+	onBatch func(listBatch) // has a batch applied, sooner or later
 	maxList int64           // bytes of one list; set before run
 	failed  func()
 
@@ -78,8 +78,8 @@
 	return min(time.Duration(s.NInstances-1)*askSpread, askWithin)
 }
 
-func newWatcher(discovery string, spread time.Duration, told func(listBatch), failed func()) *watcher {
-	w := &watcher{told: told, maxList: math.MaxInt64, failed: failed, silence: watchSilence, spread: spread,
+func newWatcher(discovery string, spread time.Duration, onBatch func(listBatch), failed func()) *watcher {
+	w := &watcher{onBatch: onBatch, maxList: math.MaxInt64, failed: failed, silence: watchSilence, spread: spread,
 		draw:   func(span time.Duration) time.Duration { return rand.N(span + 1) },
 		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, asked: make(chan struct{}, 1)}
 	w.redirect(discovery)
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -33,10 +33,10 @@
 		took    time.Duration
 		result
 	}
-	// listBatch is a part of an object that discovery sent. The watch goes on once taken is closed.
+	// listBatch is a part of an object that discovery sent. The watch goes on once applied is closed.
 	listBatch struct {
 		endpoints.Batch
-		taken chan struct{}
+		applied chan struct{}
 	}
 	// heard is a note of another relay.
 	heard struct{ note []byte }
--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -66,7 +66,7 @@
 	return e.Block, ok
 }
 
-// acceptBatch takes in a batch of the watch, or keeps it until the list before it is complete.
+// acceptBatch applies a batch of the watch, or keeps it until the list before it is complete.
 func (l *loop) acceptBatch(b listBatch) {
 	if l.list.removing != nil {
 		l.list.waiting = append(l.list.waiting, b)
@@ -78,7 +78,7 @@
 	l.updateList(b.Batch)
 	switch {
 	case !b.End:
-		close(b.taken)
+		close(b.applied)
 	case b.Whole && l.list.replacing:
 		l.list.removing = &b // the watch waits until the whole list is in force
 	default:
@@ -117,7 +117,7 @@
 	}
 }
 
-// updateList takes in the entries of a batch, and hands the module what is new in them.
+// updateList applies the entries of a batch, and hands the module what is new in them.
 func (l *loop) updateList(b endpoints.Batch) {
 	var changed []policy.Endpoint
 	var recalled []policy.Event
@@ -225,5 +225,5 @@
 	if l.list.changes > loggedChanges || last.Whole {
 		slog.Info("list changed", "seq", last.Seq, "whole", last.Whole, "changes", l.list.changes, "endpoints", l.list.table.Len())
 	}
-	close(last.taken)
+	close(last.applied)
 }
--- a/internal/relay/list_bench_test.go
+++ b/internal/relay/list_bench_test.go
@@ -35,7 +35,7 @@
 	for range b.N {
 		p := newPlatform(b)
 		p.disk, p.admin, p.hosts = 1000, closedAddress(b), filler(fullSize)
-		p.watch = func(a *watchAnswer) { a.rest() }
+		p.watch = func(a *watchAnswer) { a.keepAlive() }
 		for _, from := range []string{"configuration", "disk"} {
 			begun := time.Now()
 			c := p.start()
@@ -47,7 +47,7 @@
 			b.ReportMetric(memoryOf(b, c, "VmHWM"), from+"-most-MB")
 			p.kill(c)
 		}
-		b.ReportMetric(float64(folderSize(b, p.dir))/1e6, "disk-MB")
+		b.ReportMetric(float64(folderSize(b, p.dir))/1e6, "folder-MB")
 	}
 }
 
@@ -88,7 +88,7 @@
 			}, nil)
 			_, _ = w.follow(b.Context(), bytes.NewReader(text), time.AfterFunc(time.Hour, func() {}))
 			if w.seq != seq {
-				b.Fatal("the list was not taken in")
+				b.Fatal("the list was not applied")
 			}
 			for l.list.storing {
 				timed(l.step)
--- a/internal/relay/list_disk_test.go
+++ b/internal/relay/list_disk_test.go
@@ -55,7 +55,7 @@
 		}
 	}, nil)
 	if _, err := w.follow(t.Context(), bytes.NewReader(text), time.AfterFunc(long, func() {})); w.seq != m.Seq {
-		t.Fatalf("version %d of the list was not taken in: %v", m.Seq, err)
+		t.Fatalf("version %d of the list was not applied: %v", m.Seq, err)
 	}
 }
 
@@ -110,7 +110,7 @@
 		if a.index() == "40" {
 			a.send(wholeList(t, 50, append(filler(manyHosts), known)))
 		}
-		a.rest()
+		a.keepAlive()
 	}
 	c := p.start()
 	p.until("the list is on disk", func() bool {
@@ -167,7 +167,7 @@
 	p.watch = func(a *watchAnswer) {
 		indexes <- a.index()
 		a.send(wholeList(t, 50, append(filler(manyHosts), known)))
-		a.rest()
+		a.keepAlive()
 	}
 	c := p.start()
 	p.untilMembers(manyHosts + 1)
@@ -212,7 +212,7 @@
 		if a.index() == "45" {
 			a.send(hostLine(t, 46, known) + "\n")
 		}
-		a.rest()
+		a.keepAlive()
 	}
 	c := p.start()
 	if one := receive(t, indexes); one != "45" {
@@ -241,7 +241,7 @@
 		if a.index() == "40" {
 			a.send(wholeList(t, 50, append(filler(manyHosts), known)))
 		}
-		a.rest()
+		a.keepAlive()
 	}
 	p.inherits()
 	p.start()
@@ -268,7 +268,7 @@
 			t.Error(err)
 		}
 		a.send(string(many) + "\n" + hostLine(t, 51, known) + "\n")
-		a.rest()
+		a.keepAlive()
 	}
 	c := p.start()
 	p.until("the change is on disk", func() bool {
--- a/internal/relay/list_flow_test.go
+++ b/internal/relay/list_flow_test.go
@@ -28,14 +28,14 @@
 	first := receive(t, batches)
 	select {
 	case <-failed:
-		t.Fatal("the watch was given up while a batch was taken in")
+		t.Fatal("the watch was given up while a batch was applied")
 	case <-batches:
-		t.Fatal("another batch came while one was taken in")
+		t.Fatal("another batch came while one was applied")
 	case <-time.After(5 * silence):
 	}
-	close(first.taken)
+	close(first.applied)
 	for b := receive(t, batches); ; b = receive(t, batches) {
-		close(b.taken)
+		close(b.applied)
 		if b.End {
 			break
 		}
@@ -43,7 +43,7 @@
 	receive(t, failed) // now nothing comes any more
 }
 
-// Discovery may move while a batch is taken in: the watch at the new address begins at once, from the last version that
+// Discovery may move while a batch is applied: the watch at the new address begins at once, from the last version that
 // is whole.
 func TestDiscoveryMovesWhileABatchIsTakenIn(t *testing.T) {
 	list := wholeList(t, 50, filler(2*endpoints.BatchSize))
@@ -58,7 +58,7 @@
 	indexes := make(chan string, 1)
 	p.watch = func(a *watchAnswer) {
 		indexes <- a.index()
-		a.rest()
+		a.keepAlive()
 	}
 	w.redirect(strings.TrimPrefix(p.discovery.URL, "http://"))
 	if index := receive(t, indexes); index != "40" {
@@ -73,18 +73,18 @@
 	l := listLoop(t, dir, 100)
 	hosts := filler(manyHosts)
 	l.object(t, Members{Seq: 50, Whole: true, Hosts: hosts})
-	whole := listBatch{taken: make(chan struct{})}
+	whole := listBatch{applied: make(chan struct{})}
 	whole.Entries, whole.First, whole.End = hosts[:1], true, true
 	whole.Seq, whole.Whole, whole.WholeKnown = 51, true, true
-	next := listBatch{taken: make(chan struct{})}
+	next := listBatch{applied: make(chan struct{})}
 	next.Entries, next.First, next.End = hosts[manyHosts-1:], true, true
 	next.Seq, next.WholeKnown = 52, true
 	l.accept(whole)
 	l.accept(next)
 	for steps := 1; l.list.removing != nil; steps++ {
 		before := l.list.table.Len()
-		if _, seq := storedList(t, dir); seq != 50 || taken(whole) || taken(next) {
-			t.Fatalf("version %d is on disk, taken in %v and %v, with entries to be removed", seq, taken(whole), taken(next))
+		if _, seq := storedList(t, dir); seq != 50 || applied(whole) || applied(next) {
+			t.Fatalf("version %d is on disk, applied %v and %v, with entries to be removed", seq, applied(whole), applied(next))
 		}
 		l.step()
 		if removed := before - l.list.table.Len(); removed > sweepSize {
@@ -94,7 +94,7 @@
 			t.Fatal("no end of it")
 		}
 	}
-	if !taken(whole) || !taken(next) {
+	if !applied(whole) || !applied(next) {
 		t.Error("the watch is not told to go on")
 	}
 	listed, seq := storedList(t, dir)
@@ -103,10 +103,10 @@
 	}
 }
 
-// taken tells whether a batch has been taken in.
-func taken(b listBatch) bool {
+// applied tells whether a batch has been applied.
+func applied(b listBatch) bool {
 	select {
-	case <-b.taken:
+	case <-b.applied:
 		return true
 	default:
 		return false
@@ -118,7 +118,7 @@
 func TestEventsOfAList(t *testing.T) {
 	l := listLoop(t, t.TempDir(), 100)
 	host := filler(1)[0]
-	b := listBatch{taken: make(chan struct{})}
+	b := listBatch{applied: make(chan struct{})}
 	b.Entries = []Member{host}
 	events := func() (text string) {
 		l.events = nil
--- a/internal/relay/list_platform_test.go
+++ b/internal/relay/list_platform_test.go
@@ -29,8 +29,8 @@
 	a.rw.(http.Flusher).Flush()
 }
 
-// rest tells that nothing changes until the relay leaves.
-func (a *watchAnswer) rest() {
+// keepAlive tells that nothing changes until the relay leaves.
+func (a *watchAnswer) keepAlive() {
 	for {
 		a.send("\n")
 		select {
--- a/internal/relay/list_watch_test.go
+++ b/internal/relay/list_watch_test.go
@@ -37,7 +37,7 @@
 		a.send(`{"seq":49,"whole":false,"hosts":[]}` + "\n" + half)
 		a.await(served)
 		a.send(rest)
-		a.rest()
+		a.keepAlive()
 	}
 	p.start()
 	if one, two := receive(t, indexes), receive(t, indexes); one != "40" || two != "40" {
@@ -72,12 +72,12 @@
 			first = false
 			half, rest := halves(list)
 			a.send(half + strings.Replace(rest, `"block":`, `"block":"x`, 1))
-			a.rest()
+			a.keepAlive()
 			return
 		}
 		a.await(served)
 		a.send(list)
-		a.rest()
+		a.keepAlive()
 	}
 	p.start()
 	if one, two := receive(t, indexes), receive(t, indexes); one != "40" || two != "0" {
@@ -107,11 +107,11 @@
 			half, _ := halves(list)
 			a.send(half)
 			silent <- time.Now()
-			a.rest()
+			a.keepAlive()
 			return
 		}
 		a.send(list)
-		a.rest()
+		a.keepAlive()
 	}
 	p.start()
 	one, from, two := receive(t, asks), receive(t, silent), receive(t, asks)
@@ -139,7 +139,7 @@
 			a.send(rest[:size])
 			rest = rest[size:]
 		}
-		a.rest()
+		a.keepAlive()
 	}
 	p.start()
 	p.until("the list and the change are on disk", func() bool {
@@ -169,10 +169,10 @@
 			}
 		}
 		a.send(rest)
-		a.rest()
+		a.keepAlive()
 	}
 	p.start()
-	p.until("much of the list is taken in", func() bool { return p.members() > manyHosts/3 })
+	p.until("much of the list is applied", func() bool { return p.members() > manyHosts/3 })
 	for i := range 20 {
 		p.take("status", fmt.Sprint("m", i), "20")
 		p.called()
@@ -193,7 +193,7 @@
 	p.watch = func(a *watchAnswer) {
 		a.await(served)
 		a.send(wholeList(t, 50, append(filler(manyHosts), stays)))
-		a.rest()
+		a.keepAlive()
 	}
 	c := p.start()
 	p.take("status", "before", "20") // the module knows the destination
--- a/internal/relay/liststart.go
+++ b/internal/relay/liststart.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"math"
 	"path/filepath"
+	"runtime/debug"
 
 	"milletsail/internal/endpoints"
 	"milletsail/internal/journal"
@@ -41,6 +42,7 @@
 		}
 	}
 	l.journal.DropList()
+	debug.FreeOSMemory() // what reading a long list needed once is not needed again
 	slog.Info("list of endpoints", "source", source.name, "seq", l.list.seq, "endpoints", table.Len())
 }
 
@@ -68,7 +70,7 @@
 	}}
 }
 
-// replace takes in a batch of a list that replaces all there is, while the loop does not run yet.
+// replace applies a batch of a list that replaces all there is, while the loop does not run yet.
 func (list *endpointList) replace(b endpoints.Batch) error {
 	if b.First {
 		list.table.BeginReplacement()
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -111,7 +111,7 @@
 			object.Seq, object.Whole = b.Seq, b.Whole
 			told(object)
 		}
-		close(b.taken)
+		close(b.applied)
 	}
 }
 
--- a/internal/relay/watch.go
+++ b/internal/relay/watch.go
@@ -28,7 +28,7 @@
 func (e *busyError) Error() string { return "discovery answered " + e.status }
 
 // watch follows one watch to its end and returns how many lists it brought. It hands on one batch of entries at a time,
-// and reads no further until that one is taken in.
+// and reads no further until that one is applied.
 func (w *watcher) watch(ctx context.Context, base string) (lists int, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
@@ -53,7 +53,7 @@
 	return w.follow(ctx, body, dead)
 }
 
-// follow reads a watch to its end. The timer is reset whenever more comes, and stands while a batch is taken in: a relay
+// follow reads a watch to its end. The timer is reset whenever more comes, and stands while a batch is applied: a relay
 // that is busy says nothing about the watch.
 func (w *watcher) follow(ctx context.Context, body io.Reader, dead *time.Timer) (lists int, err error) {
 	stream := &boundedStream{Reader: body, most: w.maxList}
@@ -109,12 +109,12 @@
 	return err
 }
 
-// deliver hands a batch on and waits until it is taken in.
+// deliver hands a batch on and waits until it is applied.
 func (w *watcher) deliver(ctx context.Context, batch endpoints.Batch) error {
-	taken := make(chan struct{})
-	w.told(listBatch{Batch: batch, taken: taken})
+	applied := make(chan struct{})
+	w.onBatch(listBatch{Batch: batch, applied: applied})
 	select {
-	case <-taken:
+	case <-applied:
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
