--- /dev/null
+++ b/internal/fleet/live/view_capacity_bench_test.go
@@ -0,0 +1,69 @@
+package live
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"milletsail/internal/fleet"
+)
+
+// BenchmarkReceivedFact measures a datagram with one new fact that a service takes in, with what follows from it: a summary of
+// what the fleet says, and this relay's rank among the live members.
+func BenchmarkReceivedFact(b *testing.B) {
+	for _, relays := range []int{60, 300, 1200} {
+		b.Run(fmt.Sprint(relays), func(b *testing.B) {
+			reported := 0
+			s := New(Options{Size: relays, Version: "v", Send: func(int, []byte) {}, Said: func(Said) { reported++ },
+				Heard: func(fleet.Fact, time.Duration) {}})
+			sender := fleet.NewNode(1, relays, 1, "v", 0, 1, 0)
+			var datagrams [][]byte
+			now := time.Duration(0)
+			for len(datagrams) < 10_000 {
+				sender.Learn(fleet.Closed, fmt.Sprint(len(datagrams)), 1000, false, now, now)
+				for _, send := range sender.Tick(now + 20*time.Millisecond) {
+					if send.To == fleet.All {
+						datagrams = append(datagrams, send.Note)
+					}
+				}
+				now += time.Minute // each is told in a datagram of its own
+				sender.Sweep(now)
+			}
+			i := 0
+			for b.Loop() {
+				if i%len(datagrams) == 0 {
+					b.StopTimer()
+					s = New(s.o)
+					b.StartTimer()
+				}
+				s.Heard(1, datagrams[i%len(datagrams)])
+				i++
+			}
+			if reported == 0 {
+				b.Fatal("no fact was new")
+			}
+			b.ReportMetric(float64(reported)/float64(b.N), "updates/datagram")
+		})
+	}
+}
+
+// BenchmarkView measures what an operator's look at a relay costs it by the number of facts: the time for which the service is
+// locked and the text is made, and the bytes of the answer.
+func BenchmarkView(b *testing.B) {
+	for _, facts := range []int{490, 4_900, 49_000} {
+		b.Run(fmt.Sprint(facts), func(b *testing.B) {
+			s := New(Options{Size: 1200, Version: "v"})
+			now := time.Since(s.begun)
+			for i := range facts {
+				id := fleet.ID{Kind: fleet.Out, Origin: uint16(1 + i%1199), Key: fmt.Sprint("s-", i/5)}
+				s.node.Merge(fleet.Fact{ID: id, Stamp: fleet.Stamp{Incarnation: 1, Seq: uint32(i)}, Seen: now}, now)
+			}
+			size := 0
+			for b.Loop() {
+				size = len(s.Text())
+			}
+			b.ReportMetric(float64(size)/float64(facts), "B/fact")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(facts), "ns/fact")
+		})
+	}
+}
--- /dev/null
+++ b/internal/journal/live_capacity_bench_test.go
@@ -0,0 +1,52 @@
+package journal
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// BenchmarkLiveMessages measures what live messages cost a journal, each with a body of 200 bytes and one attempt: memory and
+// bytes on disk by the message, the room that is set aside, and the time in which a new segment is written with all of them.
+func BenchmarkLiveMessages(b *testing.B) {
+	for _, live := range []int{1_000, 10_000, 100_000, 500_000} {
+		b.Run(fmt.Sprint(live), func(b *testing.B) {
+			before := heapInUse()
+			j, _, err := Open(b.TempDir(), Options{DiskMB: benchMB})
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer j.Close()
+			for i := range live {
+				e := message(i)
+				j.Take(e)
+				j.Begin(e, "s-3740d6df", time.Unix(1e9, 0))
+				j.End(e, true)
+				if err := j.Commit(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			memory := heapInUse() - before
+			for b.Loop() {
+				if err := j.begin(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			messages := float64(live)
+			b.ReportMetric(memory/messages, "B-memory/message")
+			b.ReportMetric(float64(j.size)/messages, "B-disk/message")
+			b.ReportMetric(2*float64(j.live)/messages, "B-room/message")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/messages, "ns/message")
+			runtime.KeepAlive(j)
+		})
+	}
+}
+
+// heapInUse is how many bytes are in use.
+func heapInUse() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
--- /dev/null
+++ b/internal/relay/notices_capacity_bench_test.go
@@ -0,0 +1,44 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"milletsail/internal/journal"
+)
+
+// BenchmarkNoticesAtOnce measures how fast notices go out that are all owed at once, to a platform that answers at once.
+func BenchmarkNoticesAtOnce(b *testing.B) {
+	for _, notices := range []int{1_000, 10_000, 100_000} {
+		b.Run(fmt.Sprint(notices), func(b *testing.B) {
+			var posts, size atomic.Int64
+			platform := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				n, _ := io.Copy(io.Discard, r.Body)
+				posts.Add(1)
+				size.Add(n)
+				w.WriteHeader(http.StatusNoContent)
+			}))
+			defer platform.Close()
+			arrived := make(chan int, notices)
+			n := newNotifier(strings.TrimPrefix(platform.URL, "http://"), func(ids []string) { arrived <- len(ids) })
+			go n.run(b.Context())
+			for b.Loop() {
+				for i := range notices {
+					n.owe(journal.Notice{ID: fmt.Sprintf("%016x", i), Status: deferred, AgainMS: 500})
+				}
+				for left := notices; left > 0; {
+					left -= <-arrived
+				}
+			}
+			all := float64(notices) * float64(b.N)
+			b.ReportMetric(all/b.Elapsed().Seconds(), "notices/s")
+			b.ReportMetric(float64(size.Load())/all, "B/notice")
+			b.ReportMetric(all/float64(posts.Load()), "notices/post")
+		})
+	}
+}
--- /dev/null
+++ b/policy/messages_capacity_bench_test.go
@@ -0,0 +1,110 @@
+package policy
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// queuedMessages is how many messages the destinations have in the mean that queuedDispatcher gives.
+const queuedMessages = 10
+
+// queuedDispatcher is a dispatcher that has queued messages for destinations that told all callers to wait for a day.
+func queuedDispatcher(b *testing.B, messages int) *Dispatcher {
+	b.Helper()
+	const day = 24 * time.Hour
+	destinations := max(1, messages/queuedMessages)
+	s := onDemandSettings()
+	s.Directory, s.HoldRoom = oneEach(destinations), 2*messages
+	for i := range s.Classes {
+		s.Classes[i].Deadline = day
+	}
+	d, err := New(s, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	d.Handle(0, []Event{Listed{}})
+	var events []Event
+	for no := range destinations {
+		endpoint := LearnedEndpoint{ID: fmt.Sprint("e", no)}
+		events = append(events, Learned{Endpoints: []LearnedEndpoint{endpoint}, Wait: day})
+	}
+	d.Handle(0, events)
+	events = nil
+	for i := range messages {
+		id := fmt.Sprintf("%016x", i)
+		events = append(events, Arrived{ID: id, Destination: i % destinations, Left: day, Size: 200, Resumed: true})
+	}
+	d.Handle(0, events)
+	if len(d.live) != messages || d.out > 0 {
+		b.Fatalf("%d messages, %d calls out", len(d.live), d.out)
+	}
+	return d
+}
+
+// BenchmarkQueuedMessages measures an empty batch with many messages queued, ten a destination: its time and its memory by
+// the message.
+func BenchmarkQueuedMessages(b *testing.B) {
+	for _, messages := range []int{1_000, 10_000, 100_000, 1_000_000} {
+		b.Run(fmt.Sprint(messages), func(b *testing.B) {
+			before := heap()
+			d := queuedDispatcher(b, messages)
+			memory := heap() - before
+			now := time.Second
+			for b.Loop() {
+				now += 5 * ms
+				d.Handle(now, []Event{Woken{}})
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(messages), "ns/message")
+			b.ReportMetric(memory/float64(messages), "B/message")
+			runtime.KeepAlive(d)
+		})
+	}
+}
+
+// BenchmarkQueuedMessagesByPart measures the parts of an empty batch that go over all messages or all queues.
+func BenchmarkQueuedMessagesByPart(b *testing.B) {
+	const messages = 100_000
+	d := queuedDispatcher(b, messages)
+	parts := []struct {
+		name string
+		work func()
+	}{{"expire", d.expire}, {"dispatch", d.dispatch}, {"reap", d.reap}, {"rest", d.rest}, {"arm", d.arm}}
+	for _, part := range parts {
+		b.Run(part.name, func(b *testing.B) {
+			for b.Loop() {
+				d.actions = nil
+				part.work()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/messages, "ns/message")
+		})
+	}
+}
+
+// BenchmarkListedState measures the state that is kept for all listed destinations where it is not kept on demand, as with
+// zones: its memory, and the time of the whole list.
+func BenchmarkListedState(b *testing.B) {
+	for _, destinations := range []int{10_000, 100_000, 490_000} {
+		b.Run(fmt.Sprint(destinations), func(b *testing.B) {
+			list := make([]Endpoint, destinations)
+			for i := range list {
+				list[i] = Endpoint{ID: fmt.Sprint("e", i), Destination: i, Weight: 100}
+			}
+			s := onDemandSettings()
+			var d *Dispatcher
+			before := heap()
+			for b.Loop() {
+				var err error
+				if d, err = New(s, 1); err != nil {
+					b.Fatal(err)
+				}
+				d.Handle(0, []Event{Listed{Whole: true, Endpoints: list}})
+			}
+			b.ReportMetric((heap()-before)/float64(destinations), "B/destination")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(destinations), "ns/destination")
+			runtime.KeepAlive(d)
+			runtime.KeepAlive(list)
+		})
+	}
+}
