--- a/internal/fleet/gossip_capacity_bench_test.go
+++ b/internal/fleet/gossip_capacity_bench_test.go
@@ -142,3 +142,42 @@
 	runtime.ReadMemStats(&m)
 	return float64(m.HeapAlloc)
 }
+
+// BenchmarkHeal measures in virtual time how long a fleet of 60 that was cut in two takes until all have one view again, by the
+// number of facts that each side learned meanwhile, and the bytes that each relay gets until then. Facts that are about to pass
+// their bound of 30 s would drop out first, so that half of a minute is the longest.
+func BenchmarkHeal(b *testing.B) {
+	const relays = 60
+	for _, facts := range []int{10, 100, 300, 1_000} {
+		b.Run(fmt.Sprint(facts), func(b *testing.B) {
+			var seconds, received float64
+			for seed := uint64(1); b.Loop(); seed++ {
+				m := newModel(relays, 0, seed)
+				m.run(2*time.Second, nil)
+				m.cut = func(from, to int) bool { return (from < relays/2) != (to < relays/2) }
+				for i := range facts {
+					m.nodes[i%(relays/2)].Learn(Out, fmt.Sprint("left", i), 1, false, m.now, m.now)
+					m.nodes[relays/2+i%(relays/2)].Learn(Out, fmt.Sprint("right", i), 1, false, m.now, m.now)
+				}
+				m.run(m.now+2*time.Second, nil)
+				m.cut = func(int, int) bool { return false }
+				healed, before := m.now, m.bytes
+				at, whole := m.run(healed+25*time.Second, func() bool {
+					for _, n := range m.nodes {
+						if n.Digest(m.now) != m.nodes[0].Digest(m.now) {
+							return false
+						}
+					}
+					return true
+				})
+				if !whole {
+					b.Logf("%d facts a side: no one view %v after the heal", facts, at-healed)
+				}
+				seconds += (at - healed).Seconds()
+				received += float64(m.bytes-before) / relays
+			}
+			b.ReportMetric(seconds/float64(b.N), "s-healed")
+			b.ReportMetric(received/seconds, "B-received/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/relay/calls_capacity_bench_test.go
@@ -0,0 +1,59 @@
+package relay
+
+import (
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"milletsail/policy"
+)
+
+// BenchmarkCallConnection measures a call to an endpoint on the same machine, on a connection that is kept and on a new one, and
+// the processor time of this process for it, the endpoint's part included.
+func BenchmarkCallConnection(b *testing.B) {
+	for _, c := range []struct {
+		name string
+		room int
+	}{{"kept", 4}, {"new", 0}} {
+		b.Run(c.name, func(b *testing.B) {
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer listener.Close()
+			serve := answering("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer conn.Close()
+						serve(conn)
+					}()
+				}
+			}()
+			p := newPool(time.Second, 10*time.Second, c.room, &atomic.Int64{})
+			call := testCall(listener.Addr().String())
+			before := processorTime(b)
+			for b.Loop() {
+				if got := p.call(b.Context(), call); got[0].outcome != policy.OK {
+					b.Fatal(got)
+				}
+			}
+			b.ReportMetric(float64((processorTime(b)-before).Nanoseconds())/float64(b.N), "cpu-ns/call")
+		})
+	}
+}
+
+// processorTime is what this process has spent in all.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/policy/messages_capacity_bench_test.go
+++ b/policy/messages_capacity_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 	"time"
@@ -108,3 +109,57 @@
 		})
 	}
 }
+
+// BenchmarkUnevenArrivals measures the state in use at a relay with a multiple of the mean of 208 messages a second, for 490,000
+// destinations in turn or with sizes that follow Zipf's law, after six minutes of them.
+func BenchmarkUnevenArrivals(b *testing.B) {
+	const destinations, mean, span = 490_000, 208, 6 * time.Minute
+	for _, factor := range []int{1, 3, 9} {
+		for _, exponent := range []float64{0, 1.1, 1.5} {
+			b.Run(fmt.Sprintf("%dx/zipf %v", factor, exponent), func(b *testing.B) {
+				for b.Loop() {
+					s := onDemandSettings()
+					s.Directory = unlimited{destinations}
+					d, err := New(s, 1)
+					if err != nil {
+						b.Fatal(err)
+					}
+					before := heap()
+					d.Handle(0, []Event{Listed{}})
+					draw := destinationSizes(destinations, exponent)
+					step := time.Second / time.Duration(factor*mean)
+					for now := step; now < span; now += step {
+						serve(b, d, now, draw())
+					}
+					b.ReportMetric(float64(len(d.dests)), "destinations")
+					b.ReportMetric((heap()-before)/1e6, "MB")
+					runtime.KeepAlive(d)
+				}
+			})
+		}
+	}
+}
+
+// unlimited is a Directory whose endpoints list no rate, so that every message is sent at once.
+type unlimited struct{ oneEach }
+
+func (u unlimited) Endpoints(destination int) []Endpoint {
+	list := u.oneEach.Endpoints(destination)
+	for i := range list {
+		list[i].Weight = 0
+	}
+	return list
+}
+
+// destinationSizes draws destinations: each in turn, or by Zipf's law where the exponent is above 1.
+func destinationSizes(destinations int, exponent float64) func() int {
+	if exponent > 1 {
+		zipf := rand.NewZipf(rand.New(rand.NewPCG(1, 2)), exponent, 1, uint64(destinations-1))
+		return func() int { return int(zipf.Uint64()) }
+	}
+	no := 0
+	return func() int {
+		no = (no + 7919) % destinations
+		return no
+	}
+}
