--- a/cmd/milletsail/lab.go
+++ b/cmd/milletsail/lab.go
@@ -126,14 +126,20 @@
 	return scenario.Parse(name+".toml", text)
 }
 
+// namedBinary gives the absolute path of a binary that a flag names: relays are started in folders of their own.
+func namedBinary(flag, named string) (string, error) {
+	if _, err := os.Stat(named); err != nil {
+		return "", fmt.Errorf("%s: %w", flag, err)
+	}
+	return filepath.Abs(named)
+}
+
 // binary finds the relay, or builds it into a folder that done removes.
 func binary(ctx context.Context, named string) (path string, done func(), err error) {
 	done = func() {}
 	if named != "" {
-		if _, err := os.Stat(named); err != nil {
-			return "", done, fmt.Errorf("--relay: %w", err)
-		}
-		return named, done, nil
+		path, err = namedBinary("--relay", named)
+		return path, done, err
 	}
 	if self, err := os.Executable(); err == nil {
 		beside := filepath.Join(filepath.Dir(self), "relay")
--- a/cmd/milletsail/scale.go
+++ b/cmd/milletsail/scale.go
@@ -86,10 +86,11 @@
 	}
 	o := scale.Options{Versions: []scale.Version{{Label: r.labelA, Binary: path}}, Out: r.out, Program: programRevision(), Self: self}
 	if r.relayB != "" {
-		if _, err := os.Stat(r.relayB); err != nil {
-			return fmt.Errorf("--relay-b: %w", err)
+		pathB, err := namedBinary("--relay-b", r.relayB)
+		if err != nil {
+			return err
 		}
-		o.Versions = append(o.Versions, scale.Version{Label: r.labelB, Binary: r.relayB})
+		o.Versions = append(o.Versions, scale.Version{Label: r.labelB, Binary: pathB})
 	}
 	if !r.quiet {
 		o.Progress = func(line string) { fmt.Fprintln(c.ErrOrStderr(), line) }
