--- a/internal/scale/bed.go
+++ b/internal/scale/bed.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"milletsail/internal/admin"
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/relays"
 	"milletsail/internal/lab/scenario"
@@ -258,7 +259,7 @@
 		if time.Now().After(end) {
 			return fmt.Errorf("not within %v; the relay's last line: %q", b.plan.Relay.Ready.D(), strings.TrimSpace(b.relay.LastLine()))
 		}
-		if !sleep(ctx, lookEvery) {
+		if !clock.Sleep(ctx, lookEvery) {
 			return ctx.Err()
 		}
 	}
--- a/internal/scale/changes.go
+++ b/internal/scale/changes.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/scale/standin"
 )
 
@@ -30,12 +31,12 @@
 // change changes the list at a steady rate for a time.
 func (b *bed) change(ctx context.Context, rate float64, span time.Duration) (all []issued, err error) {
 	if rate <= 0 {
-		sleep(ctx, span)
+		clock.Sleep(ctx, span)
 		return nil, nil
 	}
 	begun, gap := time.Now(), time.Duration(float64(time.Second)/rate)
 	for due := begun; due.Before(begun.Add(span)); due = due.Add(gap) {
-		if !sleep(ctx, time.Until(due)) {
+		if !clock.Sleep(ctx, time.Until(due)) {
 			return all, ctx.Err()
 		}
 		one, err := b.changeOne()
@@ -44,7 +45,7 @@
 		}
 		all = append(all, one)
 	}
-	sleep(ctx, time.Until(begun.Add(span)))
+	clock.Sleep(ctx, time.Until(begun.Add(span)))
 	return all, nil
 }
 
@@ -77,7 +78,7 @@
 		if listed, err := b.members(); err == nil && listed == b.list.Listed() {
 			return
 		}
-		if !sleep(ctx, lookAgain) {
+		if !clock.Sleep(ctx, lookAgain) {
 			return
 		}
 	}
@@ -96,7 +97,7 @@
 		if err == nil && (len(all) == 0 || all[len(all)-1].listed != listed) {
 			all = append(all, look{time.Now(), listed})
 		}
-		if !sleep(ctx, lookEvery) {
+		if !clock.Sleep(ctx, lookEvery) {
 			return all
 		}
 	}
--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/history"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/relays"
@@ -112,7 +113,7 @@
 
 // run measures a fleet at rest, then facts that spread, then a relay that dies.
 func (b *fleetBed) run(ctx context.Context, progress func(string)) error {
-	sleep(ctx, b.plan.Phases.Settle.D())
+	clock.Sleep(ctx, b.plan.Phases.Settle.D())
 	progress("at rest")
 	if err := b.measureRest(ctx); err != nil {
 		return err
@@ -159,7 +160,7 @@
 	if err != nil {
 		return err
 	}
-	if !sleep(ctx, b.plan.Fleet.Measure.D()) {
+	if !clock.Sleep(ctx, b.plan.Fleet.Measure.D()) {
 		return ctx.Err()
 	}
 	after, err := b.read(ctx)
--- a/internal/scale/load.go
+++ b/internal/scale/load.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"milletsail/internal/clock"
 )
 
 const (
@@ -109,14 +111,14 @@
 func (c *clients) steady(ctx context.Context, rate float64, span time.Duration, timeout time.Duration, destination func() int) *answers {
 	all := newAnswers()
 	if rate <= 0 {
-		sleep(ctx, span)
+		clock.Sleep(ctx, span)
 		return all
 	}
 	var open sync.WaitGroup
 	room := make(chan struct{}, mostInFlight)
 	begun, gap := time.Now(), time.Duration(float64(time.Second)/rate)
 	for due := begun; due.Before(begun.Add(span)); due = due.Add(gap) {
-		if !sleep(ctx, time.Until(due)) {
+		if !clock.Sleep(ctx, time.Until(due)) {
 			break
 		}
 		c.due.Add(1)
@@ -173,20 +175,5 @@
 	return time.Since(begun)
 }
 
-// sleep waits for a time and tells whether the context lasts.
-func sleep(ctx context.Context, span time.Duration) bool {
-	if span <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(span)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // generator gives random numbers for one purpose; the same seed and purpose give the same ones.
 func generator(seed, purpose uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, purpose)) }
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -8,6 +8,7 @@
 	"path/filepath"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/platform"
 )
 
@@ -119,7 +120,7 @@
 // guardMemory ends a point that uses too much memory.
 func guardMemory(ctx context.Context, allowedMB float64, stop context.CancelCauseFunc) {
 	const lookEvery = 500 * time.Millisecond
-	for sleep(ctx, lookEvery) {
+	for clock.Sleep(ctx, lookEvery) {
 		if usedMB(children(os.Getpid())) > allowedMB {
 			stop(errMemory)
 			return
--- a/internal/scale/shapes_test.go
+++ b/internal/scale/shapes_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/relay"
 	"milletsail/internal/scale/hollow"
@@ -104,7 +105,7 @@
 		ownNote = 1 << 10 // bytes that a runtime writes to itself
 	)
 	last := int64(0)
-	for end := time.Now().Add(mostIn); time.Now().Before(end); sleep(ctx, still) {
+	for end := time.Now().Add(mostIn); time.Now().Before(end); clock.Sleep(ctx, still) {
 		usage, err := b.relay.Usage()
 		if err != nil {
 			return err
--- a/internal/scale/single.go
+++ b/internal/scale/single.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/scale/process"
 	"milletsail/internal/scale/standin"
@@ -119,7 +120,7 @@
 			return err
 		}
 	}
-	sleep(ctx, m.plan.Phases.Settle.D())
+	clock.Sleep(ctx, m.plan.Phases.Settle.D())
 	if err := m.measurePhases(ctx, progress); err != nil {
 		return err
 	}
@@ -180,7 +181,7 @@
 func (m *single) measurePhases(ctx context.Context, progress func(string)) error {
 	phases := m.plan.Phases
 	progress("idle")
-	idle, err := m.measure(ctx, func() (int, error) { sleep(ctx, phases.Idle.D()); return 0, nil })
+	idle, err := m.measure(ctx, func() (int, error) { clock.Sleep(ctx, phases.Idle.D()); return 0, nil })
 	if err != nil {
 		return err
 	}
@@ -293,7 +294,7 @@
 		limited, cancel := context.WithTimeout(ctx, catchUp)
 		m.counted(limited)
 		cancel()
-		sleep(ctx, 4*lookEvery)
+		clock.Sleep(ctx, 4*lookEvery)
 	}
 	stop()
 	looks := <-done
--- a/internal/scale/statements_test.go
+++ b/internal/scale/statements_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/lab/platform"
 )
 
@@ -41,7 +42,7 @@
 // work is what a relay is given between its start and its end.
 type work func(ctx context.Context, b *bed) error
 
-func noWork(ctx context.Context, _ *bed) error { sleep(ctx, workSpan); return nil }
+func noWork(ctx context.Context, _ *bed) error { clock.Sleep(ctx, workSpan); return nil }
 
 func changeWork(ctx context.Context, b *bed) error {
 	_, err := b.change(ctx, workRate, workSpan)
