Call the relay's admin endpoint by that name

Change: internal/relay/door.go becomes admin.go, its type adminServer, and its constants, tests and log lines follow. Nothing else; calls and replies keep their bytes.

--- a/internal/relay/door.go
+++ b/internal/relay/admin.go
@@ -14,25 +14,25 @@
 )
 
 const (
-	// doorRoom connections of operators are open at once; with all taken, the longest silent one goes.
-	doorRoom = 8
-	// doorTime is how long a caller has for its call, and again for taking the reply.
-	doorTime = 2 * time.Second
+	// adminConnections connections of operators are open at once; with all taken, the longest silent one goes.
+	adminConnections = 8
+	// adminTimeout is how long a caller has for its call, and again for taking the reply.
+	adminTimeout = 2 * time.Second
 	// maxCall bounds the line of a call.
 	maxCall = 128
-	// doorWait bounds how long an operator's line waits for the loop.
-	doorWait = time.Second
+	// adminLoopWait bounds how long an operator's line waits for the loop.
+	adminLoopWait = time.Second
 )
 
-// doorCall is an operator's line: the loop gives the answer, which it alone can.
-type doorCall struct {
+// adminCall is an operator's line: the loop gives the answer, which it alone can.
+type adminCall struct {
 	answer func() string
 	reply  chan string // room for one
 }
 
-// door answers operators: a connection carries one line, and gets one reply. It stands apart from the clients'
+// adminServer answers operators: a connection carries one line, and gets one reply. It stands apart from the clients'
 // side, so that no crowd there keeps an operator out.
-type door struct {
+type adminServer struct {
 	listener net.Listener
 	figures  *figures
 	offers   sync.Map // by its first word, what answers a call of a part that is on: func(rest string) string
@@ -50,10 +50,10 @@
 // unknownCall answers what is no call here.
 const unknownCall = "ERR unknown call"
 
-// offer has calls that begin with a word answered. Without a door there is nobody to answer.
-func (d *door) offer(word string, answer func(rest string) string) {
-	if d != nil {
-		d.offers.Store(word, answer)
+// offer has calls that begin with a word answered. Without an endpoint there is nobody to answer.
+func (s *adminServer) offer(word string, answer func(rest string) string) {
+	if s != nil {
+		s.offers.Store(word, answer)
 	}
 }
 
@@ -67,83 +67,83 @@
 	}
 }
 
-// openDoor listens at an address.
-func openDoor(addr string, f *figures) (*door, error) {
+// openAdmin listens at an address.
+func openAdmin(addr string, f *figures) (*adminServer, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, fmt.Errorf("operators' door: %w", err)
+		return nil, fmt.Errorf("admin endpoint: %w", err)
 	}
-	return &door{listener: l, figures: f}, nil
+	return &adminServer{listener: l, figures: f}, nil
 }
 
 // serve answers calls until the listener is closed.
-func (d *door) serve() {
+func (s *adminServer) serve() {
 	for {
-		c, err := d.listener.Accept()
+		c, err := s.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil { // out of descriptors, or the caller has left again
-			slog.Warn("operators' door", "err", err)
+			slog.Warn("admin endpoint", "err", err)
 			time.Sleep(askIdle)
 			continue
 		}
-		if caller := d.enter(c); caller != nil {
-			go d.answer(caller)
+		if caller := s.enter(c); caller != nil {
+			go s.answer(caller)
 		}
 	}
 }
 
 // enter makes room for a caller, at the cost of the one that has been silent longest. With every place taken by
 // one that is being replied to, it closes the connection and gives nil.
-func (d *door) enter(conn net.Conn) *caller {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if len(d.open) >= doorRoom {
-		i := slices.IndexFunc(d.open, func(c *caller) bool { return !c.called })
+func (s *adminServer) enter(conn net.Conn) *caller {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.open) >= adminConnections {
+		i := slices.IndexFunc(s.open, func(c *caller) bool { return !c.called })
 		if i < 0 {
 			_ = conn.Close()
 			return nil
 		}
-		_ = d.open[i].Close()
-		d.open = slices.Delete(d.open, i, i+1)
+		_ = s.open[i].Close()
+		s.open = slices.Delete(s.open, i, i+1)
 	}
 	c := &caller{Conn: conn}
-	d.open = append(d.open, c)
+	s.open = append(s.open, c)
 	return c
 }
 
 // called notes that a caller's line is here, and tells whether it still has its place.
-func (d *door) called(c *caller) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
+func (s *adminServer) called(c *caller) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	c.called = true
-	return slices.Contains(d.open, c)
+	return slices.Contains(s.open, c)
 }
 
-func (d *door) leave(c *caller) {
+func (s *adminServer) leave(c *caller) {
 	_ = c.Close()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.open = slices.DeleteFunc(d.open, func(o *caller) bool { return o == c })
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.open = slices.DeleteFunc(s.open, func(o *caller) bool { return o == c })
 }
 
 // answer reads a caller's line and replies.
-func (d *door) answer(c *caller) {
-	defer d.leave(c)
-	_ = c.SetDeadline(time.Now().Add(doorTime))
+func (s *adminServer) answer(c *caller) {
+	defer s.leave(c)
+	_ = c.SetDeadline(time.Now().Add(adminTimeout))
 	line, err := bufio.NewReader(io.LimitReader(c, maxCall)).ReadString('\n')
-	if !d.called(c) {
+	if !s.called(c) {
 		return
 	}
-	_ = c.SetDeadline(time.Now().Add(doorTime))
+	_ = c.SetDeadline(time.Now().Add(adminTimeout))
 	whole := err == nil || errors.Is(err, io.EOF) && len(line) < maxCall // the caller may end its line by ending its side
 	reply := []byte("ERR no call in one line of at most 128 bytes\n")
 	if whole {
-		reply = d.reply(strings.TrimSpace(line))
+		reply = s.reply(strings.TrimSpace(line))
 	}
 	if _, err := c.Write(reply); err != nil {
-		slog.Debug("operators' door", "err", err)
+		slog.Debug("admin endpoint", "err", err)
 	}
 	// Closing with bytes unread would reset the connection, and the reply with it: the sending side ends first, and what the
 	// caller has sent behind its line is read off.
@@ -155,30 +155,30 @@
 }
 
 // reply answers one call.
-func (d *door) reply(call string) []byte {
+func (s *adminServer) reply(call string) []byte {
 	switch call {
 	case "health":
-		if why := d.figures.unwritten.Load(); why != nil {
+		if why := s.figures.unwritten.Load(); why != nil {
 			return []byte("ERR nothing is taken on: " + *why + "\n")
 		}
-		if d.figures.taking.Load() {
+		if s.figures.taking.Load() {
 			return []byte("OK\n")
 		}
 		return []byte("ERR this process takes no clients now\n")
 	case "counters":
-		return append(d.figures.text(), "END\n"...)
+		return append(s.figures.text(), "END\n"...)
 	}
 	word, rest, _ := strings.Cut(call, " ")
-	if answer, ok := d.offers.Load(word); ok {
+	if answer, ok := s.offers.Load(word); ok {
 		return []byte(answer.(func(string) string)(rest) + "\n")
 	}
 	return []byte(unknownCall + "\n")
 }
 
-// ask has the loop answer an operator's line; for goroutines of the door.
+// ask has the loop answer an operator's line; for goroutines of the admin endpoint.
 func (l *loop) ask(answer func() string) string {
-	c := doorCall{answer, make(chan string, 1)}
-	timer := time.NewTimer(doorWait)
+	c := adminCall{answer, make(chan string, 1)}
+	timer := time.NewTimer(adminLoopWait)
 	defer timer.Stop()
 	select {
 	case l.inbox <- c:
--- a/internal/relay/door_test.go
+++ b/internal/relay/admin_test.go
@@ -10,12 +10,12 @@
 	"milletsail/policy"
 )
 
-// testDoor opens a door whose process takes clients.
-func testDoor(t *testing.T) *door {
+// testAdmin opens an admin endpoint whose process takes clients.
+func testAdmin(t *testing.T) *adminServer {
 	t.Helper()
 	f := newFigures([]policy.Class{{Name: "a"}, {Name: "b"}})
 	f.taking.Store(true)
-	d, err := openDoor("127.0.0.1:0", f)
+	d, err := openAdmin("127.0.0.1:0", f)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -42,8 +42,8 @@
 	return string(reply)
 }
 
-func TestDoorReplies(t *testing.T) {
-	d := testDoor(t)
+func TestAdminReplies(t *testing.T) {
+	d := testAdmin(t)
 	d.figures.end(1, rejected)
 	d.figures.written.Add(3)
 	want := `relay_downstream_requests{lane="a",result="completed"} 0
@@ -77,11 +77,11 @@
 }
 
 // Callers that say nothing, or stop in the middle of a line, take no place from others.
-func TestDoorWithSilentCallers(t *testing.T) {
-	d := testDoor(t)
+func TestAdminWithSilentCallers(t *testing.T) {
+	d := testAdmin(t)
 	addr := d.listener.Addr().String()
 	var silent []net.Conn
-	for i := range 3 * doorRoom {
+	for i := range 3 * adminConnections {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -20,7 +20,7 @@
 type Config struct {
 	Name      string `json:"name"`
 	Listen    string `json:"listen"`
-	Admin     string `json:"admin"` // the operators' door; empty for none
+	Admin     string `json:"admin"` // the admin endpoint; empty for none
 	Discovery string `json:"discovery"`
 	Seed      string `json:"seed"` // hexadecimal
 	Limits    Limits `json:"limits"`
@@ -33,9 +33,9 @@
 	Durability string `json:"durability"`
 
 	// Fleet has this relay share what it learns with the others, where notes between relays are allowed, and show it at
-	// the operators' door. Off by default.
+	// the admin endpoint. Off by default.
 	Fleet bool `json:"fleet"`
-	// Zones has this relay decide by zones, and take operators' orders about them at their door.
+	// Zones has this relay decide by zones, and take operators' orders about them at the admin endpoint.
 	Zones bool `json:"zones"`
 	// Newcomers has endpoints that are new on the list prove themselves before they get their share. Off by default.
 	Newcomers bool `json:"newcomers"`
--- a/internal/relay/endings_admin_test.go
+++ b/internal/relay/endings_admin_test.go
@@ -12,7 +12,7 @@
 // close over unread bytes would reset the connection, and with it what the caller has not read yet.
 func TestAdminReplyOutlivesTheClose(t *testing.T) {
 	const replyLength = 256 << 10
-	d := testDoor(t)
+	d := testAdmin(t)
 	replying := make(chan bool, 1)
 	for word, length := range map[string]int{"short": 2, "long": replyLength} {
 		d.offer(word, func(string) string {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -75,7 +75,7 @@
 
 func (e fleetSaid) apply(l *loop) { l.events = append(l.events, said(e.Said)...) }
 
-func (e doorCall) apply(*loop) { e.reply <- e.answer() }
+func (e adminCall) apply(*loop) { e.reply <- e.answer() }
 
 func (watchEnded) apply(l *loop) { l.events = append(l.events, policy.ListFailed{}) }
 
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -19,7 +19,7 @@
 var endNames = [nEnds]string{"completed", "rejected", "failed"}
 
 // figures are what the operators see of a process, counted from its start. All of it is atomic: a reply at the
-// door never waits for the loop.
+// admin endpoint never waits for the loop.
 type figures struct {
 	classes []string
 	ends    [][nEnds]atomic.Int64 // by class
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -118,7 +118,7 @@
 	}
 }
 
-// While discovery is down idle clients may fill the descriptors: calls, notices, the journal, the operators' door and honest
+// While discovery is down idle clients may fill the descriptors: calls, notices, the journal, the admin endpoint and honest
 // clients still get theirs, and the list is followed at once when discovery is back.
 func TestDescriptorsWhileDiscoveryIsDown(t *testing.T) {
 	p := newPlatform(t)
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -424,7 +424,7 @@
 			busy = busy || m.cancel != nil && !l.orphaned
 		}
 		e.idle <- !busy
-	case doorCall:
+	case adminCall:
 		e.reply <- "ERR a newer process has taken over"
 	case takeover:
 		e.link.close()
--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -133,7 +133,7 @@
 	t         testing.TB
 	discovery *httptest.Server
 	addr      string   // the relay's
-	admin     string   // its door for operators; empty for none
+	admin     string   // its admin endpoint; empty for none
 	shared    *os.File // the clients' socket, where the platform holds it
 	dir       string
 	memory    float64
--- a/internal/relay/proving.go
+++ b/internal/relay/proving.go
@@ -2,7 +2,7 @@
 
 import "encoding/json"
 
-// ServersStatus is what a relay says, at its operators' door, of endpoints that are new on the list.
+// ServersStatus is what a relay says, at its admin endpoint, of endpoints that are new on the list.
 type ServersStatus struct {
 	Self    int            `json:"self"`
 	Servers []ServerReport `json:"servers"`
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -40,9 +40,9 @@
 		return err
 	}
 	figures := newFigures(cfg.policy.Classes)
-	var operators *door
+	var operators *adminServer
 	if cfg.Admin != "" {
-		if operators, err = openDoor(cfg.Admin, figures); err != nil {
+		if operators, err = openAdmin(cfg.Admin, figures); err != nil {
 			return err
 		}
 		defer operators.listener.Close()
--- a/internal/relay/zoning.go
+++ b/internal/relay/zoning.go
@@ -18,7 +18,7 @@
 	pending []zones.Order // of an earlier process, until endpoints are listed that they are about
 }
 
-// ZoneStatus is what a relay says of zones at its operators' door.
+// ZoneStatus is what a relay says of zones at its admin endpoint.
 type ZoneStatus struct {
 	Self   int          `json:"self"`
 	Zone   string       `json:"zone"`    // of this relay
@@ -49,7 +49,7 @@
 	l.zoning = &zoning{book: book, pending: book.InForce(l.wall(l.now()))}
 }
 
-// askZones has the loop answer an operator's line; for goroutines of the door.
+// askZones has the loop answer an operator's line; for goroutines of the admin endpoint.
 func (l *loop) askZones(text string) string {
 	line, err := zones.ParseLine(text)
 	if err != nil {
