--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -265,6 +265,8 @@
 		return t.relays(ctx, struck, f, func(r *relays.Relay) error { return r.Restart(ctx) })
 	case "upgrade":
 		return t.relays(ctx, struck, f, func(r *relays.Relay) error { return r.Upgrade(ctx) })
+	case "clock", "clock-back", "calls-fail", "short-io":
+		return t.relays(ctx, struck, f, func(r *relays.Relay) error { return shimmed(ctx, r, f) })
 	case "evacuate", "restore":
 		line := "zone " + f.Kind + " " + f.Of
 		if f.Kind == "evacuate" {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -17,12 +17,16 @@
 	"milletsail/internal/lab/checker"
 	"milletsail/internal/lab/report"
 	"milletsail/internal/lab/scenario"
+	"milletsail/internal/lab/shim"
 	"milletsail/scenarios"
 )
 
 // The programs that the tests play with, built as they are released.
 var relayBinary, faultyBinary, labBinary string
 
+// shimBinary is the relay with a wall clock that can be stepped and system calls that can be made to fail.
+var shimBinary string
+
 func TestMain(m *testing.M) {
 	os.Exit(func() int {
 		dir, err := os.MkdirTemp("", "lab-test-")
@@ -38,6 +42,11 @@
 				return 1
 			}
 		}
+		shimBinary = filepath.Join(dir, "relay-shim")
+		if err := shim.Build(dir, "milletsail/cmd/relay", shimBinary); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
 		return m.Run()
 	}())
 }
--- a/internal/lab/relays/relays.go
+++ b/internal/lab/relays/relays.go
@@ -31,6 +31,7 @@
 	"milletsail/internal/lab/history"
 	"milletsail/internal/lab/platform"
 	"milletsail/internal/lab/scenario"
+	"milletsail/internal/lab/shim"
 	"milletsail/internal/procfs"
 )
 
@@ -68,6 +69,7 @@
 // Relay is one relay over its processes.
 type Relay struct {
 	No    int
+	Shim  *shim.Control // of all its processes; only a relay built with package shim heeds it
 	fleet *Fleet
 	dir   string
 
@@ -105,6 +107,9 @@
 				return nil, err
 			}
 		}
+		if r.Shim, err = shim.NewControl(filepath.Join(r.dir, "shim")); err != nil {
+			return nil, err
+		}
 		if s.Fleet.SharedSocket {
 			if err := r.holdSocket(); err != nil {
 				return nil, err
@@ -196,7 +201,8 @@
 	p.cmd.Dir, p.cmd.Stdout, p.cmd.Stderr = r.dir, log, log
 	p.cmd.Env = append([]string{"PATH=" + os.Getenv("PATH"), "TMPDIR=" + filepath.Join(r.dir, "tmp"), "NODE_NAME=" + fmt.Sprintf("n%d", r.No),
 		"NODE_LISTEN=" + f.subnet.Clients(r.No), "NODE_DISCOVERY=" + f.p.DiscoveryAddress(r.No),
-		"NODE_STATE=" + filepath.Join(r.dir, "state"), "NODE_CONFIG=" + r.configPath(), "NODE_ADMIN=" + p.admin}, f.env...)
+		"NODE_STATE=" + filepath.Join(r.dir, "state"), "NODE_CONFIG=" + r.configPath(), "NODE_ADMIN=" + p.admin,
+		shim.Variable + "=" + r.Shim.Path()}, f.env...)
 	if r.socket != nil {
 		p.cmd.ExtraFiles, p.cmd.Env = []*os.File{r.socket}, append(p.cmd.Env, "NODE_FD=3")
 	}
--- a/internal/lab/scenario/faults.go
+++ b/internal/lab/scenario/faults.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"milletsail/internal/lab/shim"
 )
 
 // Fault is one entry of the timeline. What it strikes is named by Relays, Destinations, Endpoints or Zone, or drawn
@@ -25,6 +27,9 @@
 	Wait         Duration `toml:"wait"`      // told by a destination that is shut; 0 for none
 	Of           string   `toml:"of"`        // the zone of an order to leave or to return to it
 	Direction    string   `toml:"direction"` // of a cut: "both", "to" the endpoints or "from" them
+	Call         string   `toml:"call"`      // of the system calls that fail, as package shim names it
+	Errno        string   `toml:"errno"`     // that they fail with, such as "ENFILE"
+	Count        int      `toml:"count"`     // so many calls fail; 0 for all of them in For
 }
 
 // strikes is what a kind of fault is aimed at.
@@ -56,6 +61,12 @@
 	"reload":  {at: atRelays}, // discovery moves to another address: a new file and SIGHUP
 	"upgrade": {at: atRelays}, // a new process beside the old one, by the inherited socket
 
+	// These need a relay that is built with package shim.
+	"clock":      {at: atRelays, sized: "the seconds that the wall clock goes forward; back again after For, where that is not 0"},
+	"clock-back": {at: atRelays, sized: "the seconds that the wall clock goes back; forward again after For, where that is not 0"},
+	"calls-fail": {at: atRelays},                // Count system calls, or all in For
+	"short-io":   {at: atRelays, lasting: true}, // transfers move one byte at a time, and every second one is interrupted
+
 	"evacuate": {at: atRelays, lasting: true}, // operators order the zone Of to be left
 	"restore":  {at: atRelays},                // or to be returned to
 
@@ -199,6 +210,8 @@
 			return path + "zone", fmt.Errorf("there is no zone %q", f.Zone)
 		case (f.Kind == "evacuate" || f.Kind == "restore") && (!s.Fleet.Zoned || !slices.Contains(s.Fleet.Zones, f.Of)):
 			return path + "of", fmt.Errorf("an order needs fleet.zoned = true and a zone of the fleet, not %q", f.Of)
+		case f.Kind == "calls-fail" && f.Count <= 0 && f.For <= 0:
+			return path + "count", errors.New("neither count nor for is above 0")
 		case f.Kind == "upgrade" && !s.Fleet.SharedSocket:
 			return path + "kind", errors.New("an upgrade needs fleet.shared_socket = true")
 		case k.at != atHosts && k.at != atLinks && (len(f.Endpoints) > 0 || len(f.Destinations) > 0):
@@ -206,6 +219,14 @@
 		case k.at == atHosts && len(f.Relays) > 0:
 			return path + "relays", fmt.Errorf("a fault of the kind %q strikes no relay", f.Kind)
 		}
+		if f.Kind == "calls-fail" {
+			if _, err := shim.ParseCall(f.Call); err != nil {
+				return path + "call", err
+			}
+			if _, err := shim.ParseErrno(f.Errno); err != nil {
+				return path + "errno", err
+			}
+		}
 		for _, r := range f.Relays {
 			if r < 0 || r >= s.Fleet.Relays {
 				return path + "relays", fmt.Errorf("there is no relay %d: they are 0 to %d", r, s.Fleet.Relays-1)
--- /dev/null
+++ b/internal/lab/shimmed.go
@@ -0,0 +1,49 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/lab/relays"
+	"milletsail/internal/lab/scenario"
+	"milletsail/internal/lab/shim"
+)
+
+// shimmed brings about a fault of the machine's clock or system calls at one relay, and takes it back where it is bounded
+// in time.
+func shimmed(ctx context.Context, r *relays.Relay, f *scenario.Fault) error {
+	switch f.Kind {
+	case "clock", "clock-back":
+		by := time.Duration(f.Size * float64(time.Second))
+		if f.Kind == "clock-back" {
+			by = -by
+		}
+		if err := r.Shim.StepWall(by); err != nil || f.For <= 0 {
+			return err
+		}
+		clock.Sleep(ctx, f.For.D())
+		return r.Shim.StepWall(-by)
+	case "short-io":
+		if err := r.Shim.Short(true); err != nil {
+			return err
+		}
+		clock.Sleep(ctx, f.For.D())
+		return r.Shim.Short(false)
+	}
+	call, err := shim.ParseCall(f.Call)
+	if err != nil {
+		return err
+	}
+	errno, err := shim.ParseErrno(f.Errno)
+	if err != nil {
+		return err
+	}
+	if f.Count > 0 {
+		return r.Shim.Fail(call, errno, f.Count)
+	}
+	err = r.Shim.FailAll(call, errno)
+	clock.Sleep(ctx, f.For.D())
+	return errors.Join(err, r.Shim.Clear(call))
+}
