--- a/cmd/milletsail/journal.go
+++ b/cmd/milletsail/journal.go
@@ -4,10 +4,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/spf13/cobra"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
 )
 
@@ -29,7 +29,7 @@
 		if err := free(dir); err != nil {
 			return nil, err
 		}
-		return journal.Stat(dir, time.Now())
+		return journal.Stat(dir, clock.Now())
 	}
 	c.AddCommand(&cobra.Command{Use: "verify FOLDER", Short: "Say whether all can be read; exit status 1 where not", Args: cobra.ExactArgs(1),
 		RunE: func(c *cobra.Command, args []string) error {
--- a/cmd/relay/main.go
+++ b/cmd/relay/main.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"log/slog"
 	"math"
 	"os"
 	"os/signal"
@@ -26,7 +27,11 @@
 	configPath := flag.String("config", os.Getenv("NODE_CONFIG"), "configuration `file` (default $NODE_CONFIG)")
 	state := flag.String("state", os.Getenv("NODE_STATE"), "`folder` that outlasts the process (default $NODE_STATE)")
 	show := flag.Bool(compat.Flag, false, "print which formats of journals and of gossip between relays this version reads and writes, and exit")
+	debugLog := flag.Bool("debug", os.Getenv("NODE_LOG") == "debug", "log each message that arrives, and each request that is rejected (default on where $NODE_LOG is \"debug\")")
 	flag.Parse()
+	if *debugLog {
+		slog.SetLogLoggerLevel(slog.LevelDebug)
+	}
 	if *show {
 		if err := json.NewEncoder(os.Stdout).Encode(relay.FormatVersions()); err != nil {
 			fmt.Fprintln(os.Stderr, "relay:", err)
--- /dev/null
+++ b/internal/fleet/live/incarnation_test.go
@@ -0,0 +1,32 @@
+package live
+
+import (
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+)
+
+// Each process of a folder has a higher incarnation than the one before, also where the wall clock was set back; what can't
+// be read counts for nothing.
+func TestNextIncarnation(t *testing.T) {
+	dir := t.TempDir()
+	first := NextIncarnation(dir)
+	if second := NextIncarnation(dir); second <= first {
+		t.Errorf("%d comes after %d", second, first)
+	}
+	ahead := first + 3600
+	path := filepath.Join(dir, incarnationFile)
+	if err := os.WriteFile(path, []byte(strconv.FormatUint(uint64(ahead), 10)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if next := NextIncarnation(dir); next != ahead+1 {
+		t.Errorf("%d comes after %d", next, ahead)
+	}
+	if err := os.WriteFile(path, []byte("nonsense"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if next := NextIncarnation(dir); next < first {
+		t.Errorf("%d comes after what can't be read, at %d", next, first)
+	}
+}
--- a/internal/fleet/live/live.go
+++ b/internal/fleet/live/live.go
@@ -26,11 +26,12 @@
 
 // Options are what a Service is made with.
 type Options struct {
-	Self, Size int    // number of this relay, and how many there are
-	Version    string // of the program
-	Zone       int
-	Seed       uint64
-	Send       func(to int, note []byte) // to a relay, or to all (fleet.All); it must not block
+	Incarnation uint32 // of this process; above that of the one before
+	Self, Size  int    // number of this relay, and how many there are
+	Version     string // of the program
+	Zone        int
+	Seed        uint64
+	Send        func(to int, note []byte) // to a relay, or to all (fleet.All); it must not block
 	// Said is called with what the fleet says of a thing, when it says something new, and Heard with what another relay
 	// has just observed. They must not block.
 	Said  func(Said)
@@ -63,7 +64,7 @@
 func New(o Options) *Service {
 	begun := time.Now()
 	return &Service{o: o, begun: begun, wake: make(chan struct{}, 1),
-		node: fleet.NewNode(o.Self, o.Size, uint32(begun.Unix()), o.Version, o.Zone, o.Seed, 0)}
+		node: fleet.NewNode(o.Self, o.Size, o.Incarnation, o.Version, o.Zone, o.Seed, 0)}
 }
 
 // Run sends what is due until ctx ends.
--- a/internal/journal/bench_test.go
+++ b/internal/journal/bench_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"milletsail/internal/clock"
 )
 
 // The version before wrote format 1, whose code is still here: it is measured in the same run.
@@ -16,7 +18,7 @@
 
 func message(i int) *Entry {
 	return &Entry{ID: fmt.Sprintf("%016x", i), Class: "payment", Dest: 7, Key: "5c0f6e1a2b3d4c59a8b7c6d5e4f30211",
-		Expires: time.Unix(2e9, 0), Taken: time.Unix(1e9, 0), Body: make([]byte, 200)}
+		Expires: clock.Now().Add(time.Hour), Taken: clock.Now(), Body: make([]byte, 200)}
 }
 
 // sink is the log of format 1.
@@ -51,7 +53,7 @@
 			for b.Loop() {
 				for i := range n {
 					e := message(i)
-					s.add(recordV1{Op: "taken", Entry: &entryV1{e.ID, e.Class, e.Dest, e.Key, e.Expires}}, e.Body)
+					s.add(recordV1{Op: "taken", Entry: &entryV1{e.ID, e.Class, e.Dest, e.Key, time.Unix(2e9, 0)}}, e.Body)
 				}
 				s.commit(b)
 				for i := range n {
@@ -88,7 +90,7 @@
 					}
 					commit()
 					for _, e := range all {
-						j.Begin(e, host, time.Now())
+						j.Begin(e, host, clock.Now())
 					}
 					commit()
 					for _, e := range all {
@@ -110,7 +112,7 @@
 		for b.Loop() {
 			for i := range 64 {
 				e := message(i)
-				for _, step := range []func(){func() { j.Take(e) }, func() { j.Begin(e, host, time.Now()) }, func() { j.End(e, false); j.Over(e) }} {
+				for _, step := range []func(){func() { j.Take(e) }, func() { j.Begin(e, host, clock.Now()) }, func() { j.End(e, false); j.Over(e) }} {
 					step()
 					if err := j.Commit(); err != nil {
 						b.Fatal(err)
@@ -139,19 +141,19 @@
 		for i := range live {
 			e := message(i)
 			s.apply(&record{op: opTaken, ref: uint64(i + 1), entry: e})
-			e.Attempts = []Attempt{{Host: "s-3740d6df", Begun: time.Unix(1e9, 0)}}
+			e.Attempts = []Attempt{{Host: "s-3740d6df", Begun: clock.Now()}}
 		}
 		old, err := s.encodeV1()
 		if err != nil {
 			b.Fatal(err)
 		}
-		j := &Journal{state: s, o: Options{Boot: bootID()}}
-		now := header{format: Format, segment: 1, first: 1, boot: bootID()}.encode()
+		j := &Journal{state: s, o: Options{Boot: clock.BootID()}}
+		now := header{format: Format, segment: 1, first: 1, boot: clock.BootID()}.encode()
 		var seq uint64
 		var before uint32
 		add := func(r record) {
 			seq++
-			now, _ = frame(now, &r, seq, before)
+			now, _ = frame(now, &r, seq, before, unknownPair)
 			before = r.gist()
 		}
 		add(record{op: opSnapshot})
@@ -202,7 +204,7 @@
 						got.replayV1(raw, &Report{})
 					} else {
 						var err error
-						if got, _, err = load(Disk, dir, bootID()); err != nil {
+						if got, _, err = load(Disk, dir, clock.BootID(), SystemClocks); err != nil {
 							b.Fatal(err)
 						}
 					}
--- a/internal/journal/format.go
+++ b/internal/journal/format.go
@@ -7,13 +7,15 @@
 	"hash/crc32"
 	"strconv"
 	"strings"
-	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 )
 
 // A segment is a file segment-N: a header, a snapshot of what was live when it was begun, closed by a record that
 // counts and sums it up, and then the log, one record for each change. All numbers in heads are little-endian.
 //
-//	header:  magic 8 | format 4 | length of the rest 4 | rest: segment, first sequence, mode, boot, relay | CRC-32C 4
+//	header:  magic 8 | format 4 | length of the rest 4 | rest: segment, first sequence, mode, boot, relay, clocks | CRC-32C 4
 //	record:  marker 4 | length of the payload 4 | sequence 8 | gist of the record before 4 | CRC-32C 4 | payload
 //
 // The marker is there so that records after damage are found again; the sequence tells what is missing between; the
@@ -77,7 +79,7 @@
 	ref    uint64 // number of the message
 	entry  *Entry // taken, kept
 	host   string
-	at     time.Time
+	at     instant.Time
 	flag   bool // ended: unrun; health: sick
 	notice Notice
 	list   List
@@ -93,10 +95,14 @@
 	power   bool   // durability
 	boot    string
 	relay   string
+	clocks  clock.Pair // when the segment was begun; zero in one of a program that wrote none
 }
 
 // fields is a payload as it is written.
-type fields struct{ b []byte }
+type fields struct {
+	b      []byte
+	clocks clock.Pair // of the segment
+}
 
 func (f *fields) num(v uint64) { f.b = binary.AppendUvarint(f.b, v) }
 
@@ -115,19 +121,14 @@
 	f.b = append(f.b, v...)
 }
 
-// time writes a time in nanoseconds since 1970; the zero time is 0.
-func (f *fields) time(t time.Time) {
-	if t.IsZero() {
-		f.signed(0)
-		return
-	}
-	f.signed(t.UnixNano())
-}
+// time writes a moment on the segment's scale, in nanoseconds since 1970; the zero Time is 0.
+func (f *fields) time(t instant.Time) { f.signed(int64(f.clocks.WallOf(t))) }
 
 // input is a payload as it is read. After an error its values mean nothing.
 type input struct {
-	b   []byte
-	bad bool
+	b      []byte
+	bad    bool
+	clocks clock.Pair // of the segment
 }
 
 func (in *input) num() uint64 {
@@ -174,12 +175,7 @@
 
 func (in *input) text() string { return string(in.bytes()) }
 
-func (in *input) time() time.Time {
-	if v := in.signed(); v != 0 {
-		return time.Unix(0, v)
-	}
-	return time.Time{}
-}
+func (in *input) time() instant.Time { return in.clocks.InstantOf(boundedWall(in.signed())) }
 
 // names gives strings that come again and again one place in memory.
 type names map[string]string
@@ -195,9 +191,9 @@
 	return s
 }
 
-// append adds the payload of a record to b.
-func (r *record) append(b []byte) []byte {
-	f := fields{append(b, byte(r.op))}
+// append adds the payload of a record to b, with times on a segment's scale.
+func (r *record) append(b []byte, clocks clock.Pair) []byte {
+	f := fields{append(b, byte(r.op)), clocks}
 	switch r.op {
 	case opTaken, opKept:
 		e := r.entry
@@ -253,12 +249,12 @@
 
 var errPayload = errors.New("the payload makes no sense")
 
-// parse reads a payload. What it gives shares nothing with the bytes.
-func (r *record) parse(payload []byte, known names) error {
+// parse reads a payload of a segment with such clocks. What it gives shares nothing with the bytes.
+func (r *record) parse(payload []byte, known names, clocks clock.Pair) error {
 	if len(payload) == 0 {
 		return errPayload
 	}
-	in := input{b: payload[1:]}
+	in := input{b: payload[1:], clocks: clocks}
 	*r = record{op: op(payload[0])}
 	switch r.op {
 	case opTaken, opKept:
@@ -310,14 +306,14 @@
 func (r *record) gist() uint32 { return uint32(r.op)<<24 | uint32(r.ref)&0xffffff }
 
 // frame adds a record with its head to b, and gives its checksum as well.
-func frame(b []byte, r *record, seq uint64, before uint32) ([]byte, uint32) {
+func frame(b []byte, r *record, seq uint64, before uint32, clocks clock.Pair) ([]byte, uint32) {
 	start := len(b)
 	b = binary.LittleEndian.AppendUint32(b, marker)
 	b = append(b, 0, 0, 0, 0)
 	b = binary.LittleEndian.AppendUint64(b, seq)
 	b = binary.LittleEndian.AppendUint32(b, before)
 	b = append(b, 0, 0, 0, 0)
-	b = r.append(b)
+	b = r.append(b, clocks)
 	binary.LittleEndian.PutUint32(b[start+4:], uint32(len(b)-start-recordHead))
 	sum := checksum(b[start:])
 	binary.LittleEndian.PutUint32(b[start+20:], sum)
@@ -337,6 +333,8 @@
 	f.flag(h.power)
 	f.text(h.boot)
 	f.text(h.relay)
+	f.signed(int64(h.clocks.At))
+	f.signed(int64(h.clocks.Wall))
 	b := append([]byte(magic), 0, 0, 0, 0, 0, 0, 0, 0)
 	binary.LittleEndian.PutUint32(b[8:], h.format)
 	binary.LittleEndian.PutUint32(b[12:], uint32(len(f.b)))
--- a/internal/journal/fs.go
+++ b/internal/journal/fs.go
@@ -70,12 +70,3 @@
 func (disk) SyncDir(dir string) error {
 	return atomicfile.SyncDir(dir)
 }
-
-// bootID tells one start of the machine from another; empty where the system does not say.
-func bootID() string {
-	text, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
-	if err != nil || len(text) < 36 {
-		return ""
-	}
-	return string(text[:36])
-}
--- a/internal/journal/fuzz_test.go
+++ b/internal/journal/fuzz_test.go
@@ -5,7 +5,8 @@
 	"os"
 	"path/filepath"
 	"testing"
-	"time"
+
+	"milletsail/internal/instant"
 )
 
 // life gives the segment of a short life.
@@ -17,15 +18,15 @@
 		t.Fatal(err)
 	}
 	for _, id := range []string{"a", "b", "c"} {
-		e := &Entry{ID: id, Class: "order", Dest: 7, Key: "k", Expires: time.Unix(9, 0), Body: []byte("body")}
+		e := &Entry{ID: id, Class: "order", Dest: 7, Key: "k", Expires: instant.Time(9e9), Body: []byte("body")}
 		j.Take(e)
-		j.Begin(e, "h1", time.Unix(5, 0))
+		j.Begin(e, "h1", instant.Time(5e9))
 		j.End(e, true)
 	}
 	j.Owe(j.Get("b"), Notice{ID: "b", Status: "deferred", AgainMS: 30})
 	j.Over(j.Get("c"))
 	j.List(List{Text: []byte(`{"seq":3}`), Hosts: 1})
-	j.Remember("h1", Health{Sick: true, At: time.Unix(5, 0)})
+	j.Remember("h1", Health{Sick: true, At: instant.Time(5e9)})
 	if err := j.Commit(); err != nil {
 		t.Fatal(err)
 	}
@@ -111,12 +112,12 @@
 	}
 	f.Fuzz(func(t *testing.T, payload []byte) {
 		var r, again record
-		if r.parse(payload, names{}) != nil {
+		if r.parse(payload, names{}, unknownPair) != nil {
 			return
 		}
-		first := r.append(nil)
-		if err := again.parse(first, names{}); err != nil || !bytes.Equal(again.append(nil), first) {
-			t.Fatalf("%q is read as %q, and that as %q (%v)", payload, first, again.append(nil), err)
+		first := r.append(nil, unknownPair)
+		if err := again.parse(first, names{}, unknownPair); err != nil || !bytes.Equal(again.append(nil, unknownPair), first) {
+			t.Fatalf("%q is read as %q, and that as %q (%v)", payload, first, again.append(nil, unknownPair), err)
 		}
 	})
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -20,6 +20,9 @@
 	"path/filepath"
 	"strings"
 	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 )
 
 const (
@@ -41,15 +44,15 @@
 
 // Entry is a message that was taken on and has not come to its end.
 type Entry struct {
-	ID       string    `json:"id"`
-	Class    string    `json:"class,omitempty"`
-	Dest     int       `json:"dest,omitempty"`
-	Key      string    `json:"key,omitempty"`
-	Expires  time.Time `json:"expires,omitzero"`
-	Taken    time.Time `json:"taken,omitzero"` // set by Take where it is zero
-	Body     []byte    `json:"-"`
-	Attempts []Attempt `json:"-"`
-	Owed     *Notice   `json:"-"` // its end, until the platform has it
+	ID       string
+	Class    string
+	Dest     int
+	Key      string
+	Expires  instant.Time
+	Taken    instant.Time // set by Take where it is zero
+	Body     []byte
+	Attempts []Attempt
+	Owed     *Notice // its end, until the platform has it
 
 	ref uint64
 }
@@ -57,7 +60,7 @@
 // Attempt is one call made for a message.
 type Attempt struct {
 	Host  string
-	Begun time.Time
+	Begun instant.Time
 	Ended bool
 	Unrun bool // proved never to have run
 	Doubt bool // no record of it was read, but one may have been lost: Host is empty, Begun the earliest it can have been
@@ -78,18 +81,18 @@
 
 // Health is what is remembered of a host's outage.
 type Health struct {
-	Sick bool      `json:"sick,omitempty"`
-	At   time.Time `json:"at,omitzero"`
+	Sick bool
+	At   instant.Time
 }
 
 // Options are what a journal is opened with.
 type Options struct {
-	DiskMB float64          // limit of the folder, in 10^6 bytes
-	Relay  string           // whose folder it is; empty for any
-	Power  bool             // durability: Power; else Process
-	Files  FS               // nil for Disk
-	Boot   string           // tells one start of the machine from another; empty for the system's own
-	Now    func() time.Time // nil for time.Now
+	DiskMB float64 // limit of the folder, in 10^6 bytes
+	Relay  string  // whose folder it is; empty for any
+	Power  bool    // durability: Power; else Process
+	Files  FS      // nil for Disk
+	Boot   string  // tells one start of the machine from another; empty for the system's own
+	Clocks Clocks  // SystemClocks where Now is nil
 }
 
 // Journal is the journal of a running relay. It is not safe for concurrent use.
@@ -105,9 +108,10 @@
 	before   uint32 // gist of the last record
 	reserved int    // for messages that may be taken on before the next Commit
 	pending  []byte
-	old      []string // files to remove once the next segment is durable
-	broken   error    // why the segment can't be written on
-	tried    time.Time
+	old      []string   // files to remove once the next segment is durable
+	broken   error      // why the segment can't be written on
+	clocks   clock.Pair // of the segment
+	tried    instant.Time
 	snapshot []byte // room that is used again
 }
 
@@ -117,13 +121,16 @@
 	if o.Files == nil {
 		o.Files = Disk
 	}
-	if o.Boot == "" {
-		o.Boot = bootID()
+	if o.Clocks.Now == nil {
+		o.Clocks = SystemClocks
+		if o.Boot != "" { // a stand-in's boot began whenever it says
+			o.Clocks.Uptime = func() time.Duration { return 0 }
+		}
 	}
-	if o.Now == nil {
-		o.Now = time.Now
+	if o.Boot == "" {
+		o.Boot = clock.BootID()
 	}
-	s, r, err := load(o.Files, dir, o.Boot)
+	s, r, err := load(o.Files, dir, o.Boot, o.Clocks)
 	if err != nil {
 		return nil, r, fmt.Errorf("journal: %w", err)
 	}
@@ -147,14 +154,14 @@
 	var r *Report
 	var err error
 	for range readTries { // a relay that runs may take a segment away just then
-		if s, r, err = load(Disk, dir, bootID()); !errors.Is(err, fs.ErrNotExist) {
+		if s, r, err = load(Disk, dir, clock.BootID(), SystemClocks); !errors.Is(err, fs.ErrNotExist) {
 			break
 		}
 	}
 	if err != nil {
 		return nil, r, fmt.Errorf("journal: %w", err)
 	}
-	return &Journal{state: s, o: Options{Files: Disk, Now: time.Now}, dir: dir, broken: errors.New("opened to be read")}, r, nil
+	return &Journal{state: s, o: Options{Files: Disk, Clocks: SystemClocks}, dir: dir, broken: errors.New("opened to be read")}, r, nil
 }
 
 // clear removes what a process left that ended while it began a segment, and notes the segments there are.
@@ -253,13 +260,13 @@
 // Take notes a message taken on.
 func (j *Journal) Take(e *Entry) {
 	if e.Taken.IsZero() {
-		e.Taken = j.o.Now()
+		e.Taken = j.o.Clocks.Now()
 	}
 	j.note(record{op: opTaken, ref: j.seq + 1, entry: e})
 }
 
 // Begin notes an attempt; it must be committed before the attempt's first byte goes out.
-func (j *Journal) Begin(e *Entry, host string, at time.Time) {
+func (j *Journal) Begin(e *Entry, host string, at instant.Time) {
 	j.note(record{op: opBegun, ref: e.ref, host: host, at: at})
 }
 
@@ -288,7 +295,7 @@
 	j.apply(&r)
 	j.seq++
 	if j.broken == nil { // else the next segment begins with all that is live
-		j.pending, _ = frame(j.pending, &r, j.seq, j.before)
+		j.pending, _ = frame(j.pending, &r, j.seq, j.before, j.clocks)
 	}
 	j.before = r.gist()
 }
@@ -301,7 +308,7 @@
 	if n == 0 && j.broken == nil {
 		return nil
 	}
-	if j.broken != nil && j.o.Now().Sub(j.tried) < tryAgain {
+	if j.broken != nil && j.o.Clocks.Now().Sub(j.tried) < tryAgain {
 		j.pending = j.pending[:0]
 		return fmt.Errorf("journal: %w", j.broken)
 	}
@@ -335,9 +342,9 @@
 func (j *Journal) fail(err error) {
 	if j.broken == nil {
 		slog.Error("journal: nothing is taken on until it can be written", "err", err)
-		j.tried = time.Time{} // the reason may be gone with a new file
+		j.tried = 0 // the reason may be gone with a new file
 	} else {
-		j.tried = j.o.Now()
+		j.tried = j.o.Clocks.Now()
 	}
 	j.broken = err
 	j.leave()
@@ -367,7 +374,8 @@
 func (j *Journal) begin() error {
 	next := j.segment + 1
 	path := filepath.Join(j.dir, segmentFile(next))
-	b, seq, before := j.encode(next)
+	clocks := j.o.Clocks.pair()
+	b, seq, before := j.encode(next, clocks)
 	f, err := j.o.Files.Create(path + newSuffix)
 	if err != nil {
 		return err
@@ -397,7 +405,7 @@
 	if j.broken != nil {
 		slog.Warn("journal: it can be written again", "segment", next)
 	}
-	j.file, j.segment, j.size, j.seq, j.before, j.broken = f, next, len(b), seq, before, nil
+	j.file, j.segment, j.size, j.seq, j.before, j.broken, j.clocks = f, next, len(b), seq, before, nil, clocks
 	var stay []string
 	for _, path := range j.old {
 		if err := j.o.Files.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
@@ -410,17 +418,17 @@
 }
 
 // encode gives a segment that begins with what is live.
-func (j *Journal) encode(number uint64) (b []byte, seq uint64, before uint32) {
+func (j *Journal) encode(number uint64, clocks clock.Pair) (b []byte, seq uint64, before uint32) {
 	j.order = j.all()
 	seq = j.seq
-	h := header{format: Format, segment: number, first: seq + 1, power: j.o.Power, boot: j.o.Boot, relay: j.o.Relay}
+	h := header{format: Format, segment: number, first: seq + 1, power: j.o.Power, boot: j.o.Boot, relay: j.o.Relay, clocks: clocks}
 	b = append(j.snapshot[:0], h.encode()...)
 	var count uint64
 	var sum uint32
 	add := func(r record) {
 		var one uint32
 		seq++
-		b, one = frame(b, &r, seq, before)
+		b, one = frame(b, &r, seq, before, clocks)
 		before, sum = r.gist(), mix(sum, one)
 		count++
 	}
--- a/internal/journal/journal_test.go
+++ b/internal/journal/journal_test.go
@@ -8,6 +8,9 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 )
 
 // maxBody is the largest body of a message.
@@ -31,7 +34,7 @@
 }
 
 // fill notes three messages: one over, one tried twice, one that owes a notice.
-func fill(t *testing.T, j *Journal, at time.Time) {
+func fill(t *testing.T, j *Journal, at instant.Time) {
 	t.Helper()
 	for _, id := range []string{"over", "tried", "owing"} {
 		j.Take(&Entry{ID: id, Class: "order", Dest: 7, Key: "k", Expires: at.Add(time.Minute), Body: []byte("body\x00" + id)})
@@ -48,7 +51,7 @@
 }
 
 func TestReplay(t *testing.T) {
-	dir, at := t.TempDir(), time.Now()
+	dir, at := t.TempDir(), clock.Now().Add(-time.Second)
 	fill(t, openJournal(t, dir, 3), at)
 	for range 2 { // from the log, and from its compaction
 		j := openJournal(t, dir, 3)
@@ -57,18 +60,18 @@
 			t.Fatalf("entries: %v", list)
 		}
 		e := list[0]
-		if e.Class != "order" || e.Dest != 7 || e.Key != "k" || !e.Expires.Equal(at.Add(time.Minute)) ||
+		if e.Class != "order" || e.Dest != 7 || e.Key != "k" || e.Expires != at.Add(time.Minute) ||
 			!bytes.Equal(e.Body, []byte("body\x00tried")) {
 			t.Errorf("entry: %+v", e)
 		}
 		if len(e.Attempts) != 2 || !e.Attempts[0].Unrun || e.Attempts[1].Ended || e.Attempts[1].Host != "h2" ||
-			!e.Attempts[1].Begun.Equal(at.Add(time.Second)) {
+			e.Attempts[1].Begun != at.Add(time.Second) {
 			t.Errorf("attempts: %+v", e.Attempts)
 		}
 		if n := list[1].Owed; n == nil || *n != (Notice{ID: "owing", Status: "deferred", AgainMS: 30}) {
 			t.Errorf("notice: %v", n)
 		}
-		if h := j.Health()["h2"]; !h.Sick || !h.At.Equal(at) {
+		if h := j.Health()["h2"]; !h.Sick || h.At != at {
 			t.Errorf("health: %v", j.Health())
 		}
 	}
@@ -140,7 +143,7 @@
 	for i := range n {
 		e := &Entry{ID: fmt.Sprintf("m%02d", i), Class: "order", Body: []byte("body")}
 		j.Take(e)
-		j.Begin(e, "h1", time.Now())
+		j.Begin(e, "h1", clock.Now())
 		j.End(e, i%3 == 0)
 		switch i % 4 {
 		case 1:
@@ -299,7 +302,7 @@
 
 // The form of before is carried over and can be given back.
 func TestFormat1(t *testing.T) {
-	dir, at := t.TempDir(), time.Now()
+	dir, at := t.TempDir(), clock.Now().Add(-time.Second)
 	old := openJournal(t, t.TempDir(), 3)
 	fill(t, old, at)
 	raw, err := old.encodeV1()
@@ -314,7 +317,7 @@
 		t.Error("the old file stays")
 	}
 	back, err := j.encodeV1()
-	if err != nil || !bytes.Equal(raw, back) {
+	if err != nil || !sameV1(raw, back) {
 		t.Errorf("carried over and back: %v\n%q\n%q", err, raw, back)
 	}
 }
@@ -335,7 +338,7 @@
 		}
 		j.Take(e)
 		for range 12 {
-			j.Begin(e, "a-host-with-a-rather-long-name", time.Now())
+			j.Begin(e, "a-host-with-a-rather-long-name", clock.Now())
 			j.End(e, true)
 		}
 		commit(t, j)
--- a/internal/journal/live_capacity_bench_test.go
+++ b/internal/journal/live_capacity_bench_test.go
@@ -4,7 +4,8 @@
 	"fmt"
 	"runtime"
 	"testing"
-	"time"
+
+	"milletsail/internal/clock"
 )
 
 // BenchmarkLiveMessages measures what live messages cost a journal, each with a body of 200 bytes and one attempt: memory and
@@ -21,7 +22,7 @@
 			for i := range live {
 				e := message(i)
 				j.Take(e)
-				j.Begin(e, "s-3740d6df", time.Unix(1e9, 0))
+				j.Begin(e, "s-3740d6df", clock.Now())
 				j.End(e, true)
 				if err := j.Commit(); err != nil {
 					b.Fatal(err)
--- a/internal/journal/model_test.go
+++ b/internal/journal/model_test.go
@@ -14,6 +14,9 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 )
 
 func TestMain(m *testing.M) {
@@ -252,8 +255,10 @@
 
 // workload runs a journal through a short life, and notes what was promised. answerEarly plants a fault.
 func workload(files FS, p *promises, answerEarly bool, rounds int) {
-	at := time.Unix(1000, 0)
-	j, _, err := Open("/d", Options{DiskMB: 3, Power: p.power, Files: files, Boot: "one", Now: func() time.Time { at = at.Add(time.Second); return at }})
+	at := instant.Boot.Add(1000 * time.Second)
+	clocks := Clocks{Now: func() instant.Time { at = at.Add(time.Second); return at }, Wall: func() clock.Wall { return clock.Wall(at - instant.Boot) },
+		Uptime: func() time.Duration { return 0 }}
+	j, _, err := Open("/d", Options{DiskMB: 3, Power: p.power, Files: files, Boot: "one", Clocks: clocks})
 	if err != nil {
 		return
 	}
--- a/internal/journal/replay.go
+++ b/internal/journal/replay.go
@@ -10,6 +10,10 @@
 	"io/fs"
 	"path/filepath"
 	"slices"
+	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 )
 
 // Report is what was found in a folder.
@@ -27,7 +31,9 @@
 	Rebooted bool     `json:"rebooted,omitempty"`
 	Partial  bool     `json:"partial,omitempty"` // its snapshot is not whole, and there is no older one
 	Passed   []string `json:"passed,omitempty"`  // segments whose snapshot is not whole, passed over for an older one
+	ByWall   bool     `json:"by_wall,omitempty"` // its moments were carried over by the wall clock: another boot's, or a program's that kept no clocks
 	segment  uint64
+	clocks   clock.Pair // of the segment; zero for none
 }
 
 // Damage is a range of a file that can't be read, with good records behind it or not.
@@ -259,6 +265,10 @@
 	if in.bad {
 		return h, bad
 	}
+	h.clocks = clock.Pair{At: instant.Time(in.signed()), Wall: clock.Wall(in.signed())}
+	if in.bad { // of a program that wrote none
+		h.clocks = clock.Pair{}
+	}
 	w.skip(end + 4)
 	return h, nil
 }
@@ -271,7 +281,11 @@
 	if newer := new(NewerError); errors.As(err, &newer) {
 		return nil, r, false, err
 	}
-	r.Format, r.Relay, r.Power, r.Boot, r.segment = Format, h.relay, h.power, h.boot, h.segment
+	r.Format, r.Relay, r.Power, r.Boot, r.segment, r.clocks = Format, h.relay, h.power, h.boot, h.segment, h.clocks
+	clocks := h.clocks
+	if clocks == (clock.Pair{}) {
+		clocks = unknownPair
+	}
 	last := h.first - 1
 	if err != nil {
 		last = 0
@@ -306,7 +320,7 @@
 		}
 		seq := binary.LittleEndian.Uint64(b[8:])
 		var rec record
-		if err := rec.parse(b[recordHead:], known); err != nil { // its checksum is right: this program can't know it
+		if err := rec.parse(b[recordHead:], known, clocks); err != nil { // its checksum is right: this program can't know it
 			r.Damage = append(r.Damage, Damage{Offset: w.pos, Length: int64(len(b)), First: seq, Missing: 1, What: err.Error(), file: name})
 			s.doubtAll()
 			last = seq
@@ -346,8 +360,32 @@
 // mix adds a checksum to the sum of a snapshot's checksums.
 func mix(sum, next uint32) uint32 { return sum*31 + next }
 
-// load finds the newest state in a folder.
-func load(files FS, dir, boot string) (*state, *Report, error) {
+// load finds the newest state in a folder, with its moments on this boot's clock.
+func load(files FS, dir, boot string, clocks Clocks) (*state, *Report, error) {
+	s, r, err := newest(files, dir, boot)
+	if err != nil {
+		return s, r, err
+	}
+	now := clocks.Now()
+	known := r.clocks != (clock.Pair{})
+	if known && boot != "" && r.Boot == boot && max(s.latest(), r.clocks.At) <= now {
+		return s, r, nil
+	}
+	scale := r.clocks
+	if !known {
+		scale = unknownPair
+	}
+	uptime := time.Duration(0)
+	if r.Rebooted {
+		uptime = clocks.Uptime()
+	}
+	r.ByWall = r.File != ""
+	s.rebase(scale.InstantOf(clocks.Wall()), now, uptime)
+	return s, r, nil
+}
+
+// newest reads the newest state in a folder, with its moments as they were written.
+func newest(files FS, dir, boot string) (*state, *Report, error) {
 	found, err := files.List(dir)
 	if err != nil {
 		return nil, nil, err
--- /dev/null
+++ b/internal/journal/timescale_test.go
@@ -0,0 +1,179 @@
+package journal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
+)
+
+// clockError is how far two readings of both clocks may lie apart: the form of before knows the wall clock alone, so its
+// times go from one clock to the other and back.
+const clockError = time.Millisecond
+
+// sameV1 tells whether two files of the form of before hold the same records, times but for clockError.
+func sameV1(a, b []byte) bool {
+	for len(a) > 0 && len(b) > 0 {
+		one, oneBody, oneLength, err := readV1(a)
+		if err != nil {
+			return false
+		}
+		two, twoBody, twoLength, err := readV1(b)
+		if err != nil {
+			return false
+		}
+		for _, pair := range timesV1(&one, &two) {
+			if pair[0].Sub(*pair[1]).Abs() > clockError {
+				return false
+			}
+			*pair[0] = *pair[1]
+		}
+		if !reflect.DeepEqual(one, two) || !bytes.Equal(oneBody, twoBody) {
+			return false
+		}
+		a, b = a[oneLength:], b[twoLength:]
+	}
+	return len(a) == 0 && len(b) == 0
+}
+
+// timesV1 pairs the times of two records.
+func timesV1(one, two *recordV1) (pairs [][2]*time.Time) {
+	pairs = append(pairs, [2]*time.Time{&one.At, &two.At})
+	if one.Entry != nil && two.Entry != nil {
+		pairs = append(pairs, [2]*time.Time{&one.Entry.Expires, &two.Entry.Expires})
+	}
+	if one.Health != nil && two.Health != nil {
+		pairs = append(pairs, [2]*time.Time{&one.Health.At, &two.Health.At})
+	}
+	return pairs
+}
+
+// machine is a machine whose clocks a test sets.
+type machine struct {
+	now  instant.Time
+	wall clock.Wall
+	boot string
+}
+
+// passes lets time pass.
+func (m *machine) passes(d time.Duration) {
+	m.now = m.now.Add(d)
+	m.wall += clock.Wall(d)
+}
+
+// steps steps the wall clock alone.
+func (m *machine) steps(d time.Duration) { m.wall += clock.Wall(d) }
+
+// boots starts the machine anew, after a while of which its monotonic clock knows nothing.
+func (m *machine) boots(uptime time.Duration) {
+	m.now, m.boot = instant.Boot.Add(uptime), m.boot+"+"
+}
+
+func (m *machine) open(t *testing.T, dir string) *Journal {
+	t.Helper()
+	j, _, err := Open(dir, Options{DiskMB: 3, Boot: m.boot, Clocks: Clocks{Now: func() instant.Time { return m.now },
+		Wall: func() clock.Wall { return m.wall }, Uptime: func() time.Duration { return m.now.Sub(instant.Boot) }}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return j
+}
+
+// What a later process reads of a message's time: exact within a boot, whatever the wall clock does; after another boot
+// by the wall clock, which lengthens neither a deadline nor a window, and where it tells nothing all time is up.
+func TestMomentsOverProcesses(t *testing.T) {
+	const deadline, sentAfter, gone = 10 * time.Second, time.Second, 3 * time.Second
+	const left, sentAgo = deadline - sentAfter - gone, gone
+	for _, c := range []struct {
+		name   string
+		after  func(m *machine) // beside gone, which passes
+		left   time.Duration
+		ago    time.Duration // since the attempt
+		sickAt time.Duration // ago
+	}{
+		{"no step", func(*machine) {}, left, sentAgo, sentAgo},
+		{"an hour forward", func(m *machine) { m.steps(time.Hour) }, left, sentAgo, sentAgo},
+		{"an hour back", func(m *machine) { m.steps(-time.Hour) }, left, sentAgo, sentAgo},
+		{"a second back", func(m *machine) { m.steps(-time.Second) }, left, sentAgo, sentAgo},
+		{"there and back", func(m *machine) { m.steps(time.Hour); m.steps(-time.Hour) }, left, sentAgo, sentAgo},
+		{"another boot", func(m *machine) { m.boots(time.Second) }, left, sentAgo, sentAgo},
+		{"another boot, forward", func(m *machine) { m.boots(time.Second); m.steps(5 * time.Second) }, left - 5*time.Second, sentAgo + 5*time.Second, sentAgo + 5*time.Second},
+		{"another boot, back by less than it was gone", func(m *machine) { m.boots(2 * time.Second); m.steps(-2 * time.Second) }, left + time.Second, sentAgo - time.Second, sentAgo - time.Second},
+		{"another boot, an hour back", func(m *machine) { m.boots(time.Second); m.steps(-time.Hour) }, 0, 1 << 40, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m, dir := &machine{now: instant.Boot.Add(time.Hour), wall: 1.7e18, boot: "one"}, t.TempDir()
+			j := m.open(t, dir)
+			m.steps(20 * time.Minute) // within the first process: its times do not show it
+			e := &Entry{ID: "m", Expires: m.now.Add(deadline)}
+			j.Take(e)
+			m.passes(sentAfter)
+			j.Begin(e, "h", m.now)
+			j.Remember("h", Health{Sick: true, At: m.now})
+			commit(t, j)
+			_ = j.Close()
+			m.steps(-20 * time.Minute)
+			m.passes(gone)
+			c.after(m)
+			for range 2 { // from the log, and from its compaction
+				j = m.open(t, dir)
+				e = j.Get("m")
+				if got := e.Expires.Sub(m.now); got > c.left || got < c.left-time.Millisecond {
+					t.Errorf("%v are left, want %v", got, c.left)
+				}
+				if got := m.now.Sub(e.Attempts[0].Begun); got < c.ago {
+					t.Errorf("the attempt was %v ago, want %v", got, c.ago)
+				}
+				if got := m.now.Sub(j.Health()["h"].At); got < c.sickAt || got > c.sickAt+time.Millisecond {
+					t.Errorf("the outage began %v ago, want %v", got, c.sickAt)
+				}
+				_ = j.Close()
+			}
+		})
+	}
+}
+
+// A folder of a program that kept no clocks is read by the wall clock.
+func TestFolderWithoutClocks(t *testing.T) {
+	m, dir := &machine{now: instant.Boot.Add(time.Hour), wall: 1.7e18, boot: "one"}, t.TempDir()
+	j := m.open(t, dir)
+	e := &Entry{ID: "m", Expires: m.now.Add(10 * time.Second)}
+	j.Take(e)
+	commit(t, j)
+	_ = j.Close()
+	dropClocks(t, segmentOf(t, dir))
+	m.passes(2 * time.Second)
+	j = m.open(t, dir)
+	if got := j.Get("m").Expires.Sub(m.now); got != 8*time.Second {
+		t.Errorf("%v are left", got)
+	}
+}
+
+// dropClocks takes the clocks out of a segment's header, as a program wrote it that knew none.
+func dropClocks(t *testing.T, path string) {
+	t.Helper()
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	length := int(binary.LittleEndian.Uint32(raw[12:]))
+	in := input{b: raw[headerHead : headerHead+length]}
+	in.num()
+	in.num()
+	in.flag()
+	in.text()
+	in.text()
+	kept := length - len(in.b)
+	head := bytes.Clone(raw[:headerHead+kept])
+	binary.LittleEndian.PutUint32(head[12:], uint32(kept))
+	head = binary.LittleEndian.AppendUint32(head, crc32.Checksum(head, castagnoli))
+	if err := os.WriteFile(path, append(head, raw[headerHead+length+4:]...), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/journal/tools.go
+++ b/internal/journal/tools.go
@@ -9,6 +9,9 @@
 	"path/filepath"
 	"slices"
 	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 )
 
 // Summary is what a folder holds, in figures.
@@ -28,7 +31,7 @@
 }
 
 // Stat sums up what a folder holds at a moment.
-func Stat(dir string, now time.Time) (*Summary, error) {
+func Stat(dir string, now instant.Time) (*Summary, error) {
 	j, r, err := Read(dir)
 	if err != nil {
 		return nil, err
@@ -47,7 +50,7 @@
 		if slices.ContainsFunc(e.Attempts, func(a Attempt) bool { return a.Doubt }) {
 			s.InDoubt++
 		}
-		if !e.Expires.After(now) {
+		if e.Expires <= now {
 			s.Expired++
 		}
 	}
@@ -59,13 +62,35 @@
 	return s, nil
 }
 
-// dumped is one live message as Dump writes it.
+// dumped is one live message as Dump writes it, with wall times for the reader's eye.
 type dumped struct {
-	*Entry
-	Attempts []Attempt `json:"attempts,omitempty"`
-	Owed     *Notice   `json:"owed,omitempty"`
-	Bytes    int       `json:"body_bytes"`
-	Body     []byte    `json:"body,omitempty"`
+	ID       string          `json:"id"`
+	Class    string          `json:"class,omitempty"`
+	Dest     int             `json:"dest,omitempty"`
+	Key      string          `json:"key,omitempty"`
+	Expires  time.Time       `json:"expires,omitzero"`
+	Taken    time.Time       `json:"taken,omitzero"`
+	Attempts []dumpedAttempt `json:"attempts,omitempty"`
+	Owed     *Notice         `json:"owed,omitempty"`
+	Bytes    int             `json:"body_bytes"`
+	Body     []byte          `json:"body,omitempty"`
+}
+
+// dumpedAttempt is one attempt as Dump writes it.
+type dumpedAttempt struct {
+	Host  string
+	Begun time.Time
+	Ended bool
+	Unrun bool
+	Doubt bool
+}
+
+// wallTime gives the wall time of a moment, as the clocks stand now; the zero Time gives the zero one.
+func wallTime(clocks clock.Pair, t instant.Time) time.Time {
+	if t.IsZero() {
+		return time.Time{}
+	}
+	return clocks.WallOf(t).Time()
 }
 
 // Dump writes the live messages of a folder, a line of JSON each, in the order in which they were taken on.
@@ -75,8 +100,13 @@
 		return err
 	}
 	out := json.NewEncoder(to)
+	clocks := clock.ReadPair()
 	for _, e := range j.Entries() {
-		d := dumped{Entry: e, Attempts: e.Attempts, Owed: e.Owed, Bytes: len(e.Body)}
+		d := dumped{ID: e.ID, Class: e.Class, Dest: e.Dest, Key: e.Key, Expires: wallTime(clocks, e.Expires), Taken: wallTime(clocks, e.Taken),
+			Owed: e.Owed, Bytes: len(e.Body)}
+		for _, a := range e.Attempts {
+			d.Attempts = append(d.Attempts, dumpedAttempt{a.Host, wallTime(clocks, a.Begun), a.Ended, a.Unrun, a.Doubt})
+		}
 		if bodies {
 			d.Body = e.Body
 		}
@@ -104,7 +134,7 @@
 		return nil, fmt.Errorf("%s is not empty: a repair goes into a folder of its own", to)
 	}
 	out := &Journal{state: j.state, dir: to, segment: r.segment, seq: r.Last,
-		o: Options{Relay: r.Relay, Power: true, Files: Disk, Boot: bootID(), Now: time.Now}}
+		o: Options{Relay: r.Relay, Power: true, Files: Disk, Boot: clock.BootID(), Clocks: SystemClocks}}
 	if err := out.begin(); err != nil {
 		return nil, err
 	}
@@ -114,12 +144,12 @@
 // Convert gives a folder another form, in place: 1 for a program of before, Format for this one. The files of the form
 // before go once the new ones are durable. The caller has to own the folder.
 func Convert(dir string, format int) (*Report, error) {
-	s, r, err := load(Disk, dir, bootID())
+	s, r, err := load(Disk, dir, clock.BootID(), SystemClocks)
 	if err != nil {
 		return r, err
 	}
 	j := &Journal{state: s, dir: dir, segment: r.segment, seq: r.Last,
-		o: Options{Relay: r.Relay, Power: true, Files: Disk, Boot: bootID(), Now: time.Now}}
+		o: Options{Relay: r.Relay, Power: true, Files: Disk, Boot: clock.BootID(), Clocks: SystemClocks}}
 	if err := j.clear(); err != nil {
 		return r, err
 	}
--- a/internal/journal/tools_test.go
+++ b/internal/journal/tools_test.go
@@ -7,11 +7,13 @@
 	"strings"
 	"testing"
 	"time"
+
+	"milletsail/internal/clock"
 )
 
 // A folder whose log is damaged is told so, is left as it is by a repair, and what comes of that is whole.
 func TestRepair(t *testing.T) {
-	dir, at := t.TempDir(), time.Now()
+	dir, at := t.TempDir(), clock.Now().Add(-time.Second)
 	fill(t, openJournal(t, dir, 3), at)
 	path := segmentOf(t, dir)
 	raw, err := os.ReadFile(path)
@@ -50,7 +52,7 @@
 func TestConvert(t *testing.T) {
 	dir := t.TempDir()
 	j := openJournal(t, dir, 3)
-	fill(t, j, time.Now())
+	fill(t, j, clock.Now().Add(-time.Second))
 	want, err := j.encodeV1()
 	if err != nil {
 		t.Fatal(err)
@@ -68,7 +70,7 @@
 		if err != nil || int(r.Format) != format || !r.Whole() {
 			t.Fatalf("format %d: %v, %+v", format, err, r)
 		}
-		if now, err := got.encodeV1(); err != nil || !bytes.Equal(now, want) {
+		if now, err := got.encodeV1(); err != nil || !sameV1(now, want) {
 			t.Errorf("format %d: %v\n%q\n%q", format, err, now, want)
 		}
 	}
--- a/internal/journal/v1.go
+++ b/internal/journal/v1.go
@@ -8,6 +8,9 @@
 	"hash/crc32"
 	"slices"
 	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 )
 
 // The form of before, format 1: one file "journal" of records with a head (lengths of the JSON and of the body, and
@@ -23,11 +26,16 @@
 	At     time.Time       `json:"at,omitzero"`
 	Unrun  bool            `json:"unrun,omitempty"`
 	Notice *Notice         `json:"notice,omitempty"`
-	Health *Health         `json:"health,omitempty"`
+	Health *healthV1       `json:"health,omitempty"`
 	List   json.RawMessage `json:"list,omitempty"`
 	Hosts  int             `json:"hosts,omitempty"`
 }
 
+type healthV1 struct {
+	Sick bool      `json:"sick,omitempty"`
+	At   time.Time `json:"at,omitzero"`
+}
+
 type entryV1 struct {
 	ID      string    `json:"id"`
 	Class   string    `json:"class,omitempty"`
@@ -62,9 +70,9 @@
 	switch {
 	case v.Op == "taken" && v.Entry != nil:
 		e := v.Entry
-		return record{op: opTaken, ref: seq, entry: &Entry{ID: e.ID, Class: e.Class, Dest: e.Dest, Key: e.Key, Expires: e.Expires}}
+		return record{op: opTaken, ref: seq, entry: &Entry{ID: e.ID, Class: e.Class, Dest: e.Dest, Key: e.Key, Expires: instantV1(e.Expires)}}
 	case v.Op == "health" && v.Health != nil:
-		return record{op: opHealth, host: v.Host, flag: v.Health.Sick, at: v.Health.At}
+		return record{op: opHealth, host: v.Host, flag: v.Health.Sick, at: instantV1(v.Health.At)}
 	case v.Op == "list" && v.List != nil:
 		return record{op: opList, list: List{v.List, v.Hosts}}
 	}
@@ -75,7 +83,7 @@
 	r.ref = e.ref
 	switch {
 	case v.Op == "begun":
-		r.op, r.host, r.at = opBegun, v.Host, v.At
+		r.op, r.host, r.at = opBegun, v.Host, instantV1(v.At)
 	case v.Op == "ended":
 		r.op, r.flag = opEnded, v.Unrun
 	case v.Op == "owed" && v.Notice != nil:
@@ -126,17 +134,26 @@
 	return b, nil
 }
 
+// instantV1 reads a time of that form, which knows the wall clock alone: rebase has to follow.
+func instantV1(t time.Time) instant.Time {
+	if t.IsZero() {
+		return 0
+	}
+	return unknownPair.InstantOf(boundedWall(t.UnixNano()))
+}
+
 // encodeV1 gives a state in the form of before.
 func (s *state) encodeV1() (b []byte, err error) {
+	clocks := clock.ReadPair()
 	add := func(r recordV1, body []byte) {
 		var failed error
 		b, failed = appendV1(b, r, body)
 		err = errors.Join(err, failed)
 	}
 	for _, e := range s.all() {
-		add(recordV1{Op: "taken", Entry: &entryV1{e.ID, e.Class, e.Dest, e.Key, e.Expires}}, e.Body)
+		add(recordV1{Op: "taken", Entry: &entryV1{e.ID, e.Class, e.Dest, e.Key, wallTime(clocks, e.Expires)}}, e.Body)
 		for _, a := range e.Attempts {
-			add(recordV1{Op: "begun", ID: e.ID, Host: a.Host, At: a.Begun}, nil)
+			add(recordV1{Op: "begun", ID: e.ID, Host: a.Host, At: wallTime(clocks, a.Begun)}, nil)
 			if a.Ended {
 				add(recordV1{Op: "ended", ID: e.ID, Unrun: a.Unrun}, nil)
 			}
@@ -149,7 +166,7 @@
 		add(recordV1{Op: "list", List: s.list.Text, Hosts: s.list.Hosts}, nil)
 	}
 	for host, h := range s.health {
-		add(recordV1{Op: "health", Host: host, Health: &h}, nil)
+		add(recordV1{Op: "health", Host: host, Health: &healthV1{h.Sick, wallTime(clocks, h.At)}}, nil)
 	}
 	return b, err
 }
--- a/internal/relay/actions.go
+++ b/internal/relay/actions.go
@@ -5,13 +5,15 @@
 	"log/slog"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/endpoints"
+	"milletsail/internal/instant"
 	"milletsail/internal/journal"
 	"milletsail/policy"
 )
 
 // act carries out one action other than an end.
-func (l *loop) act(now time.Duration, a policy.Action) {
+func (l *loop) act(now instant.Time, a policy.Action) {
 	switch a := a.(type) {
 	case policy.Send:
 		l.send(now, a)
@@ -29,14 +31,14 @@
 		}
 	case policy.Wake:
 		// The module has one timer and asks anew only where the one it has is no use to it any more.
-		l.wakeAt = now + a.After
+		l.wakeAt = now.Add(a.After)
 	case policy.Subscribe:
 		l.watch.ask()
 	case policy.Tell:
 		l.effects = append(l.effects, func() { l.tell(a.Note) })
 	case policy.Remember:
 		if _, ok := l.list.table.Get(a.Endpoint); ok {
-			l.journal.Remember(a.Endpoint, journal.Health{Sick: a.Sick, At: l.wall(a.At)})
+			l.journal.Remember(a.Endpoint, journal.Health{Sick: a.Sick, At: a.At})
 			if !a.Hearsay {
 				l.shared.Health(a.Endpoint, a.Sick)
 			}
@@ -44,7 +46,7 @@
 	case policy.Zoned:
 		slog.Info("zone", "zone", a.Zone, "state", a.State)
 	case policy.Proved:
-		slog.Info("new endpoint", "host", a.Endpoint, "share", a.Share, "held", max(0, a.Held-now))
+		slog.Info("new endpoint", "host", a.Endpoint, "share", a.Share, "held", max(0, a.Held.Sub(now)))
 	case policy.Share:
 		l.shared.Paced(a.Destination, a.Pace, a.Traffic)
 	}
@@ -58,22 +60,22 @@
 	host    endpoints.Entry
 	timeout time.Duration
 	within  time.Duration // to be written in; 0 for no bound
-	expires time.Time     // when the message is given up
+	expires instant.Time  // when the message is given up
 }
 
 // send notes an attempt and makes it ready to go.
-func (l *loop) send(now time.Duration, a policy.Send) {
+func (l *loop) send(now instant.Time, a policy.Send) {
 	m := l.messages[a.ID]
 	if m == nil || m.over {
 		return
 	}
 	h, ok := l.list.table.Get(a.Endpoint)
-	left := l.clock(m.Expires) - now
-	s := send{m: m, call: a.Call, attempt: len(m.Attempts), host: h, timeout: left, within: a.Within, expires: l.instant(now + left)}
+	left := m.Expires.Sub(now)
+	s := send{m: m, call: a.Call, attempt: len(m.Attempts), host: h, timeout: left, within: a.Within, expires: m.Expires}
 	if a.Timeout > 0 {
 		s.timeout = min(left, a.Timeout)
 	}
-	l.journal.Begin(m.Entry, a.Endpoint, l.wall(now))
+	l.journal.Begin(m.Entry, a.Endpoint, now)
 	if !ok || h.Block != m.Dest {
 		// Guards the protocol's rule that a message goes only to a listed host of its destination.
 		slog.Error("send to a host that is not of the destination", "host", a.Endpoint, "dest", m.Dest)
@@ -95,10 +97,10 @@
 
 // answerBy is when the answer to a call with several messages has to be read to count: answerMargin before the time of
 // any of them is up. A message with little time left keeps half of it for the call.
-func answerBy(now time.Time, sends []send) (by time.Time) {
+func answerBy(now instant.Time, sends []send) (by instant.Time) {
 	for _, s := range sends {
 		due := s.expires.Add(-min(answerMargin, s.expires.Sub(now)/2))
-		if by.IsZero() || due.Before(by) {
+		if by.IsZero() || due < by {
 			by = due
 		}
 	}
@@ -107,7 +109,7 @@
 
 // sharedTimeout is how long a call with several messages may last: until two ticks before the time of any of them is up,
 // which is when the module gives up a message that it holds.
-func sharedTimeout(now time.Time, sends []send, tick time.Duration) time.Duration {
+func sharedTimeout(now instant.Time, sends []send, tick time.Duration) time.Duration {
 	left := sends[0].timeout
 	for _, s := range sends {
 		left = max(left, s.timeout)
@@ -129,7 +131,7 @@
 	waiting := len(sends)
 	r.timeout = sends[0].timeout
 	if len(sends) > 1 {
-		now := time.Now()
+		now := clock.Now()
 		r.timeout, r.answerBy = sharedTimeout(now, sends, l.cfg.policy.Tick), answerBy(now, sends)
 	}
 	for _, s := range sends {
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -22,6 +22,8 @@
 	"syscall"
 	"time"
 
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 	"milletsail/policy"
 )
 
@@ -51,11 +53,11 @@
 	within  time.Duration // to be written in, or not at all; 0 for no bound
 	// answerBy is when the answer to several messages has to be read whole to count for any of them; zero for no bound.
 	// It is checked once the answer is read, since a timer may fire late.
-	answerBy time.Time
+	answerBy instant.Time
 }
 
 // late tells whether an answer that has been read by now counts for nothing.
-func (r request) late() bool { return !r.answerBy.IsZero() && !time.Now().Before(r.answerBy) }
+func (r request) late() bool { return !r.answerBy.IsZero() && clock.Now() >= r.answerBy }
 
 // parcel is one message of a call, as it goes on the wire where there are several.
 type parcel struct {
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -2,8 +2,8 @@
 
 import (
 	"log/slog"
-	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
 	"milletsail/policy"
 )
@@ -13,6 +13,7 @@
 	m := l.messages[e.id] // stays as long as a call is out
 	m.cancel = nil
 	if e.outcome != policy.OK {
+		l.figures.why.count("relay_calls_without_delivery", e.outcome)
 		slog.Info("call without delivery", "id", e.id, "dest", m.Dest, "host", e.host, "attempt", e.attempt,
 			"outcome", e.outcome, "took", e.took, "wait", e.wait)
 	}
@@ -34,12 +35,13 @@
 }
 
 // refuse ends a message undelivered: by its answer if that is still due, else by a notice.
-func (l *loop) refuse(m *message, v verdict, status string) {
+func (l *loop) refuse(m *message, v verdict, status string, why policy.Reason) {
 	if m == nil || m.over {
 		return
 	}
-	slog.Info("undelivered", "id", m.ID, "dest", m.Dest, "class", m.Class, "status", status, "attempts", len(m.Attempts),
-		"taken", m.replies == nil, "left", time.Until(m.Expires), "after", v.after)
+	slog.Info("undelivered", "id", m.ID, "dest", m.Dest, "class", m.Class, "status", status, "why", why, "attempts", len(m.Attempts),
+		"taken", m.replies == nil, "left", clock.Until(m.Expires), "after", v.after)
+	l.figures.why.count("relay_undelivered", why)
 	how := failed
 	if status == deferred {
 		how = rejected
--- a/internal/relay/endings_test.go
+++ b/internal/relay/endings_test.go
@@ -94,7 +94,7 @@
 	g.changed.L = &g.mu
 	c := &Config{}
 	c.policy.Classes = []policy.Class{{Name: "status", Deadline: time.Minute}}
-	s := newServer(c, admit, gone)
+	s := newServer(c, new(diagnostics), admit, gone)
 	go func() { _ = s.http.Serve(g) }()
 	t.Cleanup(func() { _ = s.http.Close() })
 	return g
--- a/internal/relay/expiry_test.go
+++ b/internal/relay/expiry_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 	"milletsail/policy"
 )
 
@@ -26,12 +28,12 @@
 	delivered := result{outcome: policy.OK, over: true, wait: 250 * time.Millisecond}
 	for _, c := range []struct {
 		name string
-		by   time.Time
+		by   instant.Time
 		want result
 	}{
-		{"the time is up", time.Now(), late},
-		{"in time", time.Now().Add(long), delivered},
-		{"no bound", time.Time{}, delivered},
+		{"the time is up", clock.Now(), late},
+		{"in time", clock.Now().Add(long), delivered},
+		{"no bound", 0, delivered},
 	} {
 		ctx, cancel := context.WithTimeout(t.Context(), long)
 		defer cancel()
@@ -62,7 +64,7 @@
 
 // An answer has to be read ahead of the time of the message with the least left, by the margin or half of what is left.
 func TestAnswerBy(t *testing.T) {
-	now := time.Now()
+	now := clock.Now()
 	sends := func(left ...time.Duration) (all []send) {
 		for _, d := range left {
 			all = append(all, send{expires: now.Add(d)})
--- a/internal/relay/figures.go
+++ b/internal/relay/figures.go
@@ -28,6 +28,7 @@
 	members atomic.Int64          // hosts on the list
 	avoided atomic.Int64          // of these, those that the module now sends nothing to
 	taking  atomic.Bool           // this process takes clients
+	why     diagnostics
 	// unwritten is why the journal can't be written, empty while it can.
 	unwritten atomic.Pointer[string]
 }
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 	"milletsail/internal/journal"
 	"milletsail/policy"
 )
@@ -68,6 +69,9 @@
 	Out     []attemptOut     `json:"out"`
 	Learned []policy.Learned `json:"learned"`
 	Clients int              `json:"clients"`
+	// Clocks translate the moments on the link, which are wall times there as programs of before wrote and read them: the
+	// same pair of readings is used at both ends, so that steps of the wall clock don't show. A program of before has none.
+	Clocks *clock.Pair `json:"clocks,omitempty"`
 }
 
 // attemptOut is an attempt that the old process has out.
@@ -84,7 +88,7 @@
 // agree brings what a journal tells of a message's attempts in line with the one that is out. The process that has it
 // out made them all and knows their number: an attempt that the reading of a damaged journal has added, in case its
 // record is missing, is none, and one whose record is missing is there.
-func (o attemptOut) agree(e *journal.Entry) {
+func (o attemptOut) agree(e *journal.Entry, begun instant.Time) {
 	n := o.Attempt + 1
 	for i := len(e.Attempts) - 1; i >= 0 && len(e.Attempts) > n; i-- {
 		if e.Attempts[i].Doubt {
@@ -95,15 +99,24 @@
 		e.Attempts = append(e.Attempts, journal.Attempt{Begun: e.Taken, Doubt: true})
 	}
 	if len(e.Attempts) == n {
-		e.Attempts[o.Attempt] = journal.Attempt{Host: o.Host, Begun: o.Begun}
+		e.Attempts[o.Attempt] = journal.Attempt{Host: o.Host, Begun: begun}
 	}
 }
 
 // handedOver is a message that a client handed in to the old process after the handover.
 type handedOver struct {
-	No    int            `json:"no"`
-	Entry *journal.Entry `json:"entry"`
-	Body  []byte         `json:"body"`
+	No    int          `json:"no"`
+	Entry *handedEntry `json:"entry"`
+	Body  []byte       `json:"body"`
+}
+
+// handedEntry is what is known of such a message.
+type handedEntry struct {
+	ID      string    `json:"id"`
+	Class   string    `json:"class,omitempty"`
+	Dest    int       `json:"dest,omitempty"`
+	Key     string    `json:"key,omitempty"`
+	Expires time.Time `json:"expires,omitzero"`
 }
 
 // ruling is the answer to such a message.
@@ -128,11 +141,30 @@
 
 // link joins the old and the new process.
 type link struct {
-	conn net.Conn
-	in   *json.Decoder
-	out  chan line
-	done chan bool // closed once the link is down
-	down sync.Once
+	conn   net.Conn
+	in     *json.Decoder
+	out    chan line
+	done   chan bool // closed once the link is down
+	down   sync.Once
+	clocks clock.Pair // of the offer
+}
+
+// wallOf gives a moment as it goes on the link.
+func (k *link) wallOf(t instant.Time) time.Time { return k.clocks.WallOf(t).Time() }
+
+// instantOf reads a moment that came on the link.
+func (k *link) instantOf(t time.Time) instant.Time {
+	if t.IsZero() {
+		return 0
+	}
+	return k.clocks.InstantOf(clock.Wall(t.UnixNano()))
+}
+
+// toLink and fromLink translate the moments of what was learned, which go on the link as numbers.
+func (k *link) toLink(t instant.Time) instant.Time { return instant.Time(k.clocks.WallOf(t)) }
+
+func (k *link) fromLink(t instant.Time) instant.Time {
+	return max(0, k.clocks.InstantOf(clock.Wall(t)))
 }
 
 func newLink(c net.Conn) *link {
@@ -271,6 +303,9 @@
 	if err != nil || l.Offer == nil {
 		return nil, fmt.Errorf("no offer: %w", err)
 	}
+	if k.clocks = clock.ReadPair(); l.Offer.Clocks != nil {
+		k.clocks = *l.Offer.Clocks
+	}
 	if err := k.step(line{Step: stepReady}, by); err != nil {
 		return nil, err
 	}
@@ -319,12 +354,16 @@
 	for l.step(); len(l.events) > 0; {
 		l.step()
 	}
-	off := &offer{Learned: l.d.Learned(), Clients: l.gate.clients()}
+	k.clocks = clock.ReadPair()
+	off := &offer{Clients: l.gate.clients(), Clocks: &k.clocks}
+	for _, learned := range l.d.Learned() {
+		off.Learned = append(off.Learned, learned.Translate(k.toLink))
+	}
 	for _, m := range l.messages {
 		if m.cancel != nil {
 			a := m.Attempts[len(m.Attempts)-1]
 			off.Out = append(off.Out, attemptOut{ID: m.ID, Attempt: len(m.Attempts) - 1, Call: m.call, Class: m.Class, Dest: m.Dest,
-				Host: a.Host, Begun: a.Begun})
+				Host: a.Host, Begun: k.wallOf(a.Begun)})
 		}
 	}
 	err := k.step(line{Offer: off}, time.Now().Add(offerTime))
@@ -374,7 +413,9 @@
 			return
 		}
 		l.asked[l.arrivals] = e
-		l.heir.put(line{Arrival: &handedOver{No: l.arrivals, Entry: e.entry, Body: e.entry.Body}})
+		m := e.entry
+		l.heir.put(line{Arrival: &handedOver{No: l.arrivals, Body: m.Body,
+			Entry: &handedEntry{ID: m.ID, Class: m.Class, Dest: m.Dest, Key: m.Key, Expires: l.heir.wallOf(m.Expires)}}})
 	case departure:
 		for no, a := range l.asked {
 			if a == e.arrival {
@@ -450,8 +491,7 @@
 		}
 		switch {
 		case in.Arrival != nil && in.Arrival.Entry != nil:
-			a := &arrival{entry: in.Arrival.Entry, verdict: make(chan verdict, 1), left: make(chan bool)}
-			a.entry.Body = in.Arrival.Body
+			a := &arrival{entry: l.handedOver(k, in.Arrival), verdict: make(chan verdict, 1), left: make(chan bool)}
 			asked[in.Arrival.No] = a
 			l.put(a)
 			go l.reply(a, k, in.Arrival.No)
@@ -492,6 +532,16 @@
 	slog.Info("the process before is gone", "calls", len(out))
 }
 
+// handedOver is a message that was handed in at the process before. No class gives it more than its deadline, whatever
+// that process says.
+func (l *loop) handedOver(k *link, h *handedOver) *journal.Entry {
+	e := &journal.Entry{ID: h.Entry.ID, Class: h.Entry.Class, Dest: h.Entry.Dest, Key: h.Entry.Key, Expires: k.instantOf(h.Entry.Expires), Body: h.Body}
+	if class := l.class(e.Class); class >= 0 {
+		e.Expires = min(e.Expires, clock.Now().Add(l.cfg.policy.Classes[class].Deadline))
+	}
+	return e
+}
+
 // reply gives the process before the answer to a message that was handed in there.
 func (l *loop) reply(a *arrival, k *link, no int) {
 	select {
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -16,6 +16,7 @@
 	"testing"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
 )
 
@@ -362,7 +363,7 @@
 			p.addHost("h1", 7)
 			p.inherits()
 			j := openJournal(t, p.dir, 3)
-			j.Take(&journal.Entry{ID: "m", Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)})
+			j.Take(&journal.Entry{ID: "m", Class: "status", Dest: 7, Expires: clock.Now().Add(time.Minute)})
 			commit(t, j)
 			c := exec.Command(os.Args[0])
 			c.Env = append(os.Environ(), childDies+"="+step, childState+"="+p.dir)
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
 	"milletsail/policy"
 )
@@ -34,14 +35,21 @@
 	if !l.list.table.Known(a.entry.Dest) || !l.journal.Reserve(a.entry) {
 		// Guards the module against destinations that no list has named, and the disk against overflow.
 		l.figures.end(l.class(a.entry.Class), rejected)
+		why := "no such destination"
+		if l.list.table.Known(a.entry.Dest) {
+			why = "no room in the folder, or it can't be written"
+		}
+		l.figures.why.add("relay_refused_unseen", why, 1)
+		slog.Info("refused", "id", a.entry.ID, "dest", a.entry.Dest, "class", a.entry.Class, "why", why)
 		a.verdict <- verdict{status: http.StatusServiceUnavailable, after: l.cfg.policy.MaxStayAway}
 		return
 	}
+	slog.Debug("arrived", "id", a.entry.ID, "dest", a.entry.Dest, "class", a.entry.Class, "left", clock.Until(a.entry.Expires))
 	m := &message{Entry: a.entry, replies: []chan verdict{a.verdict}}
 	l.messages[m.ID] = m
 	l.fresh = append(l.fresh, m)
 	l.events = append(l.events, policy.Arrived{ID: m.ID, Class: l.class(m.Class), Destination: m.Dest,
-		Left: l.clock(m.Expires) - l.now(), Size: bundled(m.Entry)})
+		Left: clock.Until(m.Expires), Size: bundled(m.Entry)})
 }
 
 // mayHaveRun tells whether an attempt of a message may have run that must not be made again elsewhere.
@@ -64,6 +72,7 @@
 	if m == nil || m.over || m.Entry != a.entry || m.copied || len(m.replies) > 1 {
 		return
 	}
+	l.figures.why.add("relay_withdrawn", "the client left", 1)
 	slog.Info("withdrawn", "id", m.ID, "dest", m.Dest, "attempts", len(m.Attempts))
 	l.events = append(l.events, policy.Withdrawn{ID: m.ID})
 	l.end(m)
--- a/internal/relay/list.go
+++ b/internal/relay/list.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/endpoints"
 	"milletsail/internal/settings"
 	"milletsail/policy"
@@ -30,6 +31,7 @@
 	store    *endpoints.Store // nil for none
 	storing  bool             // the store has more to do
 	seq      int64            // of the last object that is complete
+	clocks   clock.Pair       // as of the start: what translates the wall times in the list, which all machines read from one clock
 
 	replacing bool        // the entries of the present object are marked, since it may be a whole list
 	changes   int         // of the present object
@@ -39,14 +41,14 @@
 
 // endpoint translates an entry into the policy's terms.
 func (list *endpointList) endpoint(e endpoints.Entry) policy.Endpoint {
-	born := time.Duration(max(0, min(e.BornMS, maxBornMS))) * time.Millisecond
+	born := clock.Wall(time.Duration(max(0, min(e.BornMS, maxBornMS))) * time.Millisecond)
 	return policy.Endpoint{
 		ID:          e.Host,
 		Destination: e.Block,
 		Kind:        slices.Index(list.settings.Shapes, e.Class),
 		Zone:        slices.Index(list.settings.Localities, e.Site),
 		Weight:      e.Share,
-		Born:        born,
+		Born:        max(0, list.clocks.InstantOf(born)),
 		Draining:    e.Health == endpoints.Draining,
 		Gone:        e.Health == endpoints.Deleted,
 	}
@@ -168,7 +170,7 @@
 	if !ok {
 		return events
 	}
-	return append(events, policy.Recalled{Endpoint: host, Sick: health.Sick, At: l.clock(health.At)})
+	return append(events, policy.Recalled{Endpoint: host, Sick: health.Sick, At: health.At})
 }
 
 // logChange logs a change of an entry, as long as the object does not bring many.
--- a/internal/relay/list_disk_test.go
+++ b/internal/relay/list_disk_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/endpoints"
 	"milletsail/internal/journal"
 	"milletsail/internal/settings"
@@ -31,7 +32,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &loop{cfg: cfg, d: d, list: list, figures: newFigures([]policy.Class{{Name: "status"}}), journal: kept, start: time.Now(), messages: map[string]*message{},
+	l := &loop{cfg: cfg, d: d, list: list, figures: newFigures([]policy.Class{{Name: "status"}}), journal: kept, messages: map[string]*message{},
 		pool: newPool(time.Second, time.Second, 10, nil)}
 	l.openList(dir)
 	t.Cleanup(func() {
@@ -147,7 +148,7 @@
 	l.object(t, Members{Seq: 50, Whole: true, Hosts: hosts})
 	stays, goes := hosts[17].Host, hosts[manyHosts-1].Host
 	for _, host := range []string{stays, goes, "never listed"} {
-		l.journal.Remember(host, journal.Health{Sick: true, At: time.Now()})
+		l.journal.Remember(host, journal.Health{Sick: true, At: clock.Now()})
 	}
 	l.object(t, Members{Seq: 51, Whole: true, Hosts: hosts[:manyHosts-1]})
 	if l.list.table.Len() != manyHosts-1 {
--- a/internal/relay/list_flow_test.go
+++ b/internal/relay/list_flow_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/endpoints"
 	"milletsail/internal/journal"
 	"milletsail/policy"
@@ -147,7 +148,7 @@
 	if got := events(); got != "policy.Listed 2000 true " {
 		t.Errorf("deleted: %s", got)
 	}
-	l.journal.Remember(host.Host, journal.Health{Sick: true, At: time.Now()})
+	l.journal.Remember(host.Host, journal.Health{Sick: true, At: clock.Now()})
 	b.Entries[0].Health = "SERVING"
 	if got := events(); got != "policy.Listed 2000 false policy.Recalled " {
 		t.Errorf("back: %s", got)
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/fleet/live"
+	"milletsail/internal/instant"
 	"milletsail/internal/journal"
 	"milletsail/policy"
 )
@@ -22,6 +24,7 @@
 	cancel  context.CancelFunc // ends the wait for the call out; nil while there is none
 	over    bool               // ended, but a call is still out
 	pending bool               // taken on and not ended, as the figures have it
+	overdue bool               // reported as held past its time
 }
 
 // loop owns the dispatcher and the journal: nothing else touches their state. It batches events by tick,
@@ -38,11 +41,11 @@
 	shared   *live.Service // nil where nothing is shared
 	zoning   *zoning       // nil where zones are off
 	figures  *figures
-	start    time.Time
 	messages map[string]*message
+	clocks   clock.Pair // as last read, to tell steps of the wall clock
 	list     *endpointList
-	wakeAt   time.Duration
-	stepped  time.Duration // when the last batch was handled
+	wakeAt   instant.Time
+	stepped  instant.Time // when the last batch was handled
 	calls    context.Context
 	events   []policy.Event
 	fresh    []*message // arrivals of this batch
@@ -61,21 +64,6 @@
 	orphaned  bool             // the heir is gone
 }
 
-// now is the module's clock: the time since 1970 as of the start, and steady from there on, so that the
-// times in the journal and the module's are of one kind.
-func (l *loop) now() time.Duration { return time.Duration(l.start.UnixNano()) + time.Since(l.start) }
-
-// clock turns a wall time into the module's.
-func (l *loop) clock(t time.Time) time.Duration { return time.Duration(t.UnixNano()) }
-
-// instant turns the module's time into a time of this process, which steps of the system's clock do not move.
-func (l *loop) instant(t time.Duration) time.Time {
-	return l.start.Add(t - time.Duration(l.start.UnixNano()))
-}
-
-// wall turns the module's time into a wall time.
-func (l *loop) wall(t time.Duration) time.Time { return time.Unix(0, int64(t)) }
-
 // put hands the loop an event.
 func (l *loop) put(e event) { l.inbox <- e }
 
@@ -92,9 +80,11 @@
 			return
 		case <-sweep.C:
 			l.pool.sweep()
+			l.checkClocks()
 			if l.heir == nil {
 				l.stored(l.journal.Retry())
 				l.list.maintainStore()
+				l.checkOverdue()
 			}
 			continue
 		case e := <-l.inbox:
@@ -109,7 +99,7 @@
 			}
 		}
 		// What comes within a tick of the last batch is one batch.
-		tick := time.NewTimer(l.stepped + l.cfg.policy.Tick - l.now())
+		tick := time.NewTimer(clock.Until(l.stepped.Add(l.cfg.policy.Tick)))
 		for more := true; more; {
 			select {
 			case e := <-l.inbox:
@@ -139,7 +129,7 @@
 	case len(l.events) > 0 || l.list.removing != nil:
 		return 0
 	}
-	wait := max(0, l.wakeAt-l.now())
+	wait := max(0, clock.Until(l.wakeAt))
 	if l.list.storing {
 		return min(wait, storeEvery)
 	}
@@ -161,10 +151,10 @@
 
 // step lets the module act on a batch, and carries its actions out once what they need is in the journal.
 func (l *loop) step() {
-	now := l.now()
+	now := clock.Now()
 	l.stepped = now
 	if l.wakeAt <= now {
-		l.wakeAt = now + time.Hour
+		l.wakeAt = now.Add(time.Hour)
 		l.events = append(l.events, policy.Woken{})
 	}
 	l.removeUnlisted()
@@ -174,9 +164,9 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case policy.Refuse:
-			l.refuse(l.messages[a.ID], verdict{http.StatusTooManyRequests, a.StayAway}, deferred)
+			l.refuse(l.messages[a.ID], verdict{http.StatusTooManyRequests, a.StayAway}, deferred, a.Reason)
 		case policy.Fail:
-			l.refuse(l.messages[a.ID], verdict{status: http.StatusBadGateway}, undeliverable)
+			l.refuse(l.messages[a.ID], verdict{status: http.StatusBadGateway}, undeliverable, a.Reason)
 		}
 	}
 	l.admitted()
--- a/internal/relay/proving.go
+++ b/internal/relay/proving.go
@@ -1,6 +1,10 @@
 package relay
 
-import "encoding/json"
+import (
+	"encoding/json"
+
+	"milletsail/internal/clock"
+)
 
 // ServersStatus is what a relay says, at its admin endpoint, of endpoints that are new on the list.
 type ServersStatus struct {
@@ -23,10 +27,10 @@
 
 // servers says how new endpoints fare.
 func (l *loop) servers() string {
-	s, now := ServersStatus{Self: l.cfg.Settings.Ordinal, Servers: []ServerReport{}}, l.now()
+	s, now := ServersStatus{Self: l.cfg.Settings.Ordinal, Servers: []ServerReport{}}, clock.Now()
 	for _, n := range l.d.Newcomers() {
 		s.Servers = append(s.Servers, ServerReport{Endpoint: n.Endpoint, Destination: n.Destination, Stage: n.Stage, Share: n.Share,
-			Proving: n.Proving, ForS: max(0, now-n.Since).Seconds(), HeldS: max(0, n.Held-now).Seconds(), Holds: n.Holds, Doubt: n.Doubt})
+			Proving: n.Proving, ForS: max(0, now.Sub(n.Since)).Seconds(), HeldS: max(0, n.Held.Sub(now)).Seconds(), Holds: n.Holds, Doubt: n.Doubt})
 	}
 	text, err := json.Marshal(s)
 	if err != nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -33,7 +33,7 @@
 // clients may still come, and leaves what is not delivered by then to the journal in dir. Each address that
 // comes on discovery takes the place of the one in cfg.
 func Run(ctx context.Context, cfg *Config, dir string, discovery <-chan string) error {
-	list := &endpointList{settings: &cfg.Settings}
+	list := &endpointList{settings: &cfg.Settings, clocks: clock.ReadPair()}
 	cfg.policy.Directory = list
 	d, err := policy.New(cfg.policy, cfg.seed)
 	if err != nil {
@@ -68,7 +68,7 @@
 	}
 	defer kept.Close()
 	if found.Records > 0 {
-		slog.Info("journal read", "file", found.File, "records", found.Records, "live", len(kept.Entries()), "torn", found.Torn)
+		slog.Info("journal read", "file", found.File, "records", found.Records, "live", len(kept.Entries()), "torn", found.Torn, "by wall clock", found.ByWall)
 	}
 
 	live, stop := context.WithCancel(context.Background())
@@ -76,7 +76,7 @@
 	deciding, retired := context.WithCancel(live)
 	defer retired()
 	s := cfg.Settings
-	l := &loop{cfg: cfg, d: d, journal: kept, figures: figures, inbox: make(chan event, inboxSize), start: time.Now(), calls: live,
+	l := &loop{cfg: cfg, d: d, journal: kept, figures: figures, inbox: make(chan event, inboxSize), calls: live,
 		messages: map[string]*message{}, list: list,
 		pool: newPool(settings.Seconds(s.Limits.ConnTimeoutS), cfg.policy.ConnIdle,
 			max(1, int(hostShare*float64(cfg.Limits.Sockets))), &figures.written),
@@ -96,10 +96,10 @@
 		}
 	})
 	if cfg.Fleet && l.peers != nil {
-		l.shared = l.share()
+		l.shared = l.share(dir)
 		operators.offer("fleet", alone(l.shared.Text))
 	}
-	srv := newServer(cfg, func(a *arrival) { l.put(a) }, func(a *arrival) { l.put(departure{a}) })
+	srv := newServer(cfg, &figures.why, func(a *arrival) { l.put(a) }, func(a *arrival) { l.put(departure{a}) })
 	if err := heir(deciding, dir, func(k *link) { l.put(takeover{k}) }); err != nil {
 		slog.Error("no newer process can take over", "err", err)
 	}
@@ -112,6 +112,7 @@
 	if cfg.Newcomers {
 		operators.offer("servers", alone(func() string { return l.ask(l.servers) }))
 	}
+	operators.offer("diagnostics", alone(figures.why.text))
 	l.restore(before, off) // clients wait to be served until this is done
 	var work sync.WaitGroup
 	work.Go(func() { l.run(live) })
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
 	"milletsail/policy"
 )
@@ -425,7 +426,7 @@
 func TestClassGone(t *testing.T) {
 	dir := t.TempDir()
 	j := openJournal(t, dir, 3)
-	j.Take(&journal.Entry{ID: "m", Class: "parcel", Dest: 7, Expires: time.Now().Add(time.Minute)})
+	j.Take(&journal.Entry{ID: "m", Class: "parcel", Dest: 7, Expires: clock.Now().Add(time.Minute)})
 	commit(t, j)
 	p := newPlatform(t)
 	p.dir = dir
@@ -441,7 +442,7 @@
 	p := newPlatform(t)
 	p.addHost("h1", 7)
 	j := openJournal(t, p.dir, 3)
-	j.Take(&journal.Entry{ID: "m", Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)})
+	j.Take(&journal.Entry{ID: "m", Class: "status", Dest: 7, Expires: clock.Now().Add(time.Minute)})
 	commit(t, j)
 	taken, err := net.Listen("tcp", p.addr)
 	if err != nil {
@@ -472,7 +473,7 @@
 	t.Helper()
 	j := openJournal(t, p.dir, 3)
 	for _, id := range ids {
-		j.Take(&journal.Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute), Body: []byte(id)})
+		j.Take(&journal.Entry{ID: id, Class: "status", Dest: 7, Expires: clock.Now().Add(time.Minute), Body: []byte(id)})
 	}
 	commit(t, j)
 }
@@ -517,7 +518,7 @@
 		class string
 		left  time.Duration
 	}{"short": {"status", time.Second}, "other": {"status", time.Minute}, "once": {"order", time.Minute}} {
-		j.Take(&journal.Entry{ID: id, Class: e.class, Dest: 7, Expires: time.Now().Add(e.left)})
+		j.Take(&journal.Entry{ID: id, Class: e.class, Dest: 7, Expires: clock.Now().Add(e.left)})
 	}
 	commit(t, j)
 	p.start()
@@ -591,12 +592,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3), start: time.Now(), inbox: make(chan event, 1),
+	l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3), inbox: make(chan event, 1),
 		messages: map[string]*message{}, list: listAt(7)}
 	l.cfg.policy.Classes = []policy.Class{{Name: "status"}}
 	copyOf := func(id string) *arrival {
 		return &arrival{verdict: make(chan verdict, 1),
-			entry: &journal.Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(time.Minute)}}
+			entry: &journal.Entry{ID: id, Class: "status", Dest: 7, Expires: clock.Now().Add(time.Minute)}}
 	}
 	status := func(a *arrival) int {
 		select {
@@ -644,7 +645,7 @@
 		l.accept(gone)
 		l.step()
 		m := l.messages[id]
-		l.journal.Begin(m.Entry, "h1", time.Now())
+		l.journal.Begin(m.Entry, "h1", clock.Now())
 		m.cancel = func() {}
 		l.accept(departure{gone})
 		l.accept(again)
@@ -661,8 +662,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3), start: time.Now(), messages: map[string]*message{}, list: listAt()}
-	timer := l.now() + time.Minute
+	l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3), messages: map[string]*message{}, list: listAt()}
+	timer := clock.Now().Add(time.Minute)
 	l.wakeAt = timer
 	m := &message{Entry: &journal.Entry{ID: "m"}}
 	l.messages["m"] = m
@@ -687,10 +688,11 @@
 			t.Fatal(err)
 		}
 		l := &loop{cfg: &Config{}, d: d, figures: newFigures([]policy.Class{{Name: "status"}}), journal: openJournal(t, t.TempDir(), 3),
-			start: time.Now(), messages: map[string]*message{}, list: listAt(7), notices: &notifier{}}
+			messages: map[string]*message{}, list: listAt(7), notices: &notifier{}}
 		l.cfg.policy.Classes = []policy.Class{{Name: "status"}}
+		start := time.Now()
 		hand := func(id string, left time.Duration) *arrival {
-			a := &arrival{verdict: make(chan verdict, 1), entry: &journal.Entry{ID: id, Class: "status", Dest: 7, Expires: time.Now().Add(left)}}
+			a := &arrival{verdict: make(chan verdict, 1), entry: &journal.Entry{ID: id, Class: "status", Dest: 7, Expires: clock.Now().Add(left)}}
 			l.accept(a)
 			return a
 		}
@@ -702,7 +704,7 @@
 		l.events = append(l.events, policy.Withdrawn{ID: first.entry.ID})
 		l.step()
 		for range 3 { // as far as the timers wake the relay before the second message's time is up
-			time.Sleep(min(l.due(), 2*time.Second-time.Since(l.start)))
+			time.Sleep(min(l.due(), 2*time.Second-time.Since(start)))
 			if l.due() == 0 {
 				l.step()
 			}
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -2,8 +2,8 @@
 
 import (
 	"slices"
-	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
 	"milletsail/policy"
 )
@@ -22,7 +22,7 @@
 			out[a.ID] = a
 		}
 		for _, learned := range off.Learned {
-			l.events = append(l.events, learned)
+			l.events = append(l.events, learned.Translate(k.fromLink))
 		}
 		l.gate.lend(off.Clients)
 	}
@@ -31,7 +31,7 @@
 		l.messages[e.ID] = m
 		l.pend(m)
 		if o, ok := out[e.ID]; ok {
-			o.agree(e)
+			o.agree(e, k.instantOf(o.Begun))
 		}
 		if e.Owed != nil {
 			m.over = true
@@ -41,15 +41,15 @@
 		}
 		class := l.class(e.Class)
 		if class < 0 { // the settings have changed, and the module could not end it
-			l.refuse(m, verdict{}, undeliverable)
+			l.refuse(m, verdict{}, undeliverable, policy.ReasonNone)
 			continue
 		}
-		// A clock that was set back over the restart gives no message more time than its class has.
+		// Whatever the folder says, no message has more time than its class.
 		a := policy.Arrived{ID: e.ID, Class: class, Destination: e.Dest, Resumed: true,
-			Left: min(l.clock(e.Expires)-l.now(), l.cfg.policy.Classes[class].Deadline), Size: bundled(e)}
+			Left: min(clock.Until(e.Expires), l.cfg.policy.Classes[class].Deadline), Size: bundled(e)}
 		for _, t := range e.Attempts {
 			// An attempt that was out when the process ended may have run.
-			a.Tried = append(a.Tried, policy.Tried{Endpoint: t.Host, Sent: l.sentAt(t), Unrun: t.Ended && t.Unrun})
+			a.Tried = append(a.Tried, policy.Tried{Endpoint: t.Host, Sent: min(t.Begun, clock.Now()), Unrun: t.Ended && t.Unrun})
 		}
 		if o, ok := out[e.ID]; ok && o.Attempt == len(e.Attempts)-1 {
 			delete(out, e.ID)
@@ -64,22 +64,13 @@
 			l.messages[o.ID] = m
 		}
 		a := policy.Arrived{ID: o.ID, Class: l.class(o.Class), Destination: o.Dest, Resumed: true, Over: true,
-			Tried: slices.Repeat([]policy.Tried{{Endpoint: o.Host, Sent: l.clock(o.Begun)}}, o.Attempt+1)}
+			Tried: slices.Repeat([]policy.Tried{{Endpoint: o.Host, Sent: k.instantOf(o.Begun)}}, o.Attempt+1)}
 		l.rejoin(k, m, o, &a)
 		l.events = append(l.events, a)
 	}
 	l.step()
 }
 
-// sentAt is when an attempt of an earlier process was sent: long ago where its record tells no time, or one that is
-// still to come, since the clock was set back.
-func (l *loop) sentAt(a journal.Attempt) time.Duration {
-	if at := l.clock(a.Begun); !a.Begun.IsZero() && at <= l.now() {
-		return at
-	}
-	return 0
-}
-
 // rejoin marks the last attempt of a message as still out in the process before.
 func (l *loop) rejoin(k *link, m *message, o attemptOut, a *policy.Arrived) {
 	last := &a.Tried[o.Attempt]
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
 	"milletsail/internal/settings"
 	"milletsail/policy"
@@ -56,12 +57,13 @@
 	tenants map[string]bool
 	admit   func(*arrival)
 	gone    func(*arrival)
+	why     *diagnostics
 	closing atomic.Bool // answer with Connection: close
 	http    *http.Server
 }
 
-func newServer(c *Config, admit, gone func(*arrival)) *server {
-	s := &server{classes: map[string]*policy.Class{}, tenants: map[string]bool{}, admit: admit, gone: gone}
+func newServer(c *Config, why *diagnostics, admit, gone func(*arrival)) *server {
+	s := &server{why: why, classes: map[string]*policy.Class{}, tenants: map[string]bool{}, admit: admit, gone: gone}
 	for i := range c.policy.Classes {
 		s.classes[c.policy.Classes[i].Name] = &c.policy.Classes[i]
 	}
@@ -108,6 +110,7 @@
 	a, status, err := s.parse(w, r)
 	if err != nil {
 		slog.Debug("request rejected", "err", err)
+		s.why.add("relay_malformed_requests", strconv.Itoa(status), 1)
 		// Where one request ended and the next began may be in doubt as well.
 		w.Header().Set("Connection", "close")
 		s.finish(w, verdict{status: status})
@@ -130,7 +133,7 @@
 
 // parse checks a request; what is malformed takes nothing on and gets a plain 4xx.
 func (s *server) parse(w http.ResponseWriter, r *http.Request) (*arrival, int, error) {
-	now := time.Now()
+	now := clock.Now()
 	name := strings.Split(strings.TrimPrefix(r.URL.Path, "/"), "/")[0]
 	class := s.classes[name]
 	if class == nil {
--- a/internal/relay/sharing.go
+++ b/internal/relay/sharing.go
@@ -10,9 +10,9 @@
 )
 
 // share has this relay share what it learns with the others, and brings the loop what they say.
-func (l *loop) share() *live.Service {
+func (l *loop) share(dir string) *live.Service {
 	s := &l.cfg.Settings
-	return live.New(live.Options{Self: s.Ordinal, Size: s.NInstances, Version: version(), Zone: s.Az, Seed: uint64(l.cfg.seed),
+	return live.New(live.Options{Incarnation: live.NextIncarnation(dir), Self: s.Ordinal, Size: s.NInstances, Version: version(), Zone: s.Az, Seed: uint64(l.cfg.seed),
 		Send: func(to int, note []byte) {
 			if to == fleet.All {
 				l.peers.tell(note)
--- a/internal/relay/shutdown_test.go
+++ b/internal/relay/shutdown_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
 )
 
@@ -125,16 +126,16 @@
 		calls, told int
 	}{
 		{"taken on, not sent", journal.Entry{}, 1, 0},
-		{"its call noted, perhaps not written", journal.Entry{Attempts: []journal.Attempt{{Host: "h1", Begun: time.Now()}}}, 0, 1},
-		{"its call's end noted as never run", journal.Entry{Attempts: []journal.Attempt{{Host: "h1", Begun: time.Now(), Ended: true, Unrun: true}}}, 1, 0},
-		{"its call's end noted, its own not", journal.Entry{Attempts: []journal.Attempt{{Host: "h1", Begun: time.Now(), Ended: true}}}, 0, 1},
+		{"its call noted, perhaps not written", journal.Entry{Attempts: []journal.Attempt{{Host: "h1", Begun: clock.Now()}}}, 0, 1},
+		{"its call's end noted as never run", journal.Entry{Attempts: []journal.Attempt{{Host: "h1", Begun: clock.Now(), Ended: true, Unrun: true}}}, 1, 0},
+		{"its call's end noted, its own not", journal.Entry{Attempts: []journal.Attempt{{Host: "h1", Begun: clock.Now(), Ended: true}}}, 0, 1},
 		{"its notice owed, perhaps received", journal.Entry{Owed: &journal.Notice{ID: "m", Status: undeliverable}}, 0, 1},
 	} {
 		t.Run(strings.ReplaceAll(tt.name, " ", "_"), func(t *testing.T) {
 			p := newPlatform(t)
 			p.addHost("h1", 7)
 			j := openJournal(t, p.dir, 3)
-			e := &journal.Entry{ID: "m", Class: "order", Dest: 7, Expires: time.Now().Add(time.Minute), Body: []byte("m")}
+			e := &journal.Entry{ID: "m", Class: "order", Dest: 7, Expires: clock.Now().Add(time.Minute), Body: []byte("m")}
 			j.Take(e)
 			for _, a := range tt.entry.Attempts {
 				j.Begin(e, a.Host, a.Begun)
--- a/internal/relay/stored_test.go
+++ b/internal/relay/stored_test.go
@@ -10,6 +10,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/journal"
 )
 
@@ -83,26 +84,38 @@
 	}
 }
 
-// A clock that was set back over a restart neither gives a message more time than its class has, nor makes an attempt
-// younger than it is: a keyed one that may have run is not sent again.
+// A wall clock that was an hour ahead when the folder was written, or an hour behind, makes no attempt younger than it is: a
+// keyed message whose window is over is not sent again, and another one has just the time that it had left.
 func TestClockSetBack(t *testing.T) {
-	p := newPlatform(t)
-	p.addHost("h1", 7)
-	j := openJournal(t, p.dir, 3)
-	ahead := time.Now().Add(time.Hour)
-	for _, class := range []string{"payment", "status"} {
-		e := &journal.Entry{ID: class, Class: class, Dest: 7, Key: "k", Expires: ahead.Add(25 * time.Second), Taken: ahead}
-		j.Take(e)
-		j.Begin(e, "h1", ahead)
-	}
-	commit(t, j)
-	p.start()
-	if id := p.called(); id != "status" {
-		t.Errorf("%s is sent", id)
-	}
-	p.until("both are over", func() bool { return len(readEntries(t, p.dir)) == 0 })
-	if n := p.told(); len(n) != 1 || n[0].ID != "payment" {
-		t.Errorf("notices %v", n)
+	for _, ahead := range []time.Duration{time.Hour, -time.Hour} {
+		p := newPlatform(t)
+		p.addHost("h1", 7)
+		clocks := journal.SystemClocks
+		clocks.Wall = func() clock.Wall { return clock.ReadWall() + clock.Wall(ahead) }
+		j, _, err := journal.Open(p.dir, journal.Options{DiskMB: 3, Clocks: clocks})
+		if err != nil {
+			t.Fatal(err)
+		}
+		sent := clock.Now().Add(-time.Minute)
+		for _, class := range []string{"payment", "status"} {
+			e := &journal.Entry{ID: class, Class: class, Dest: 7, Key: "k", Expires: clock.Now().Add(25 * time.Second), Taken: sent}
+			j.Take(e)
+			j.Begin(e, "h1", sent)
+		}
+		commit(t, j)
+		for _, e := range readEntries(t, p.dir) {
+			if left := clock.Until(e.Expires); left > 25*time.Second || left < 20*time.Second {
+				t.Errorf("%v ahead: %s has %v left", ahead, e.ID, left)
+			}
+		}
+		p.start()
+		if id := p.called(); id != "status" {
+			t.Errorf("%v ahead: %s is sent", ahead, id)
+		}
+		p.until("both are over", func() bool { return len(readEntries(t, p.dir)) == 0 })
+		if n := p.told(); len(n) != 1 || n[0].ID != "payment" {
+			t.Errorf("%v ahead: notices %v", ahead, n)
+		}
 	}
 }
 
@@ -123,9 +136,9 @@
 				p.addHost("h1", 7)
 				j := openJournal(b, p.dir, 64)
 				for i := range c.live {
-					e := &journal.Entry{ID: fmt.Sprintf("%016x", i), Class: "status", Dest: 7, Expires: time.Now().Add(c.left), Body: make([]byte, 200)}
+					e := &journal.Entry{ID: fmt.Sprintf("%016x", i), Class: "status", Dest: 7, Expires: clock.Now().Add(c.left), Body: make([]byte, 200)}
 					j.Take(e)
-					j.Begin(e, "h1", time.Now())
+					j.Begin(e, "h1", clock.Now())
 					j.End(e, true)
 				}
 				commit(b, j)
--- a/internal/relay/zoning.go
+++ b/internal/relay/zoning.go
@@ -6,8 +6,9 @@
 	"log/slog"
 	"slices"
 	"strings"
-	"time"
 
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 	"milletsail/internal/zones"
 	"milletsail/policy"
 )
@@ -46,7 +47,7 @@
 	if err != nil {
 		slog.Error("orders about zones", "err", err)
 	}
-	l.zoning = &zoning{book: book, pending: book.InForce(l.wall(l.now()))}
+	l.zoning = &zoning{book: book, pending: book.InForce(clock.Now())}
 }
 
 // askZones has the loop answer an operator's line; for goroutines of the admin endpoint.
@@ -71,18 +72,16 @@
 	if no < 0 {
 		return fmt.Sprintf("ERR there is no zone %q: there are %s", c.Zone, strings.Join(l.cfg.Settings.Localities, ", "))
 	}
-	now := l.now()
-	var until time.Duration
-	var kept time.Time
+	now := clock.Now()
+	var until instant.Time
 	if c.Verb == zones.Evacuate {
-		until = now + c.For
-		kept = l.wall(until)
+		until = now.Add(c.For)
 	}
 	if err := l.d.Order(no, until); err != nil {
 		return fmt.Sprintf("ERR %s %s: %v", c.Verb, c.Zone, err)
 	}
 	l.events = append(l.events, policy.Woken{})
-	if err := l.zoning.book.Keep(c.Zone, kept, l.wall(now)); err != nil {
+	if err := l.zoning.book.Keep(c.Zone, until, now); err != nil {
 		slog.Error("order about a zone", "err", err)
 		if until > 0 {
 			_ = l.d.Order(no, 0) // it would not outlast a restart
@@ -96,15 +95,14 @@
 // reorder gives the module the orders of an earlier process, once it knows endpoints that they are about.
 func (l *loop) reorder() {
 	l.zoning.pending = slices.DeleteFunc(l.zoning.pending, func(o zones.Order) bool {
-		until := l.clock(o.Until)
 		no := slices.Index(l.cfg.Settings.Localities, o.Zone)
-		if no < 0 || until <= l.now() {
+		if no < 0 || o.Until <= clock.Now() {
 			return true
 		}
-		if err := l.d.Order(no, until); err != nil {
+		if err := l.d.Order(no, o.Until); err != nil {
 			return false
 		}
-		slog.Info("an order about a zone goes on", "zone", o.Zone, "until", o.Until)
+		slog.Info("an order about a zone goes on", "zone", o.Zone, "for", clock.Until(o.Until))
 		l.events = append(l.events, policy.Woken{})
 		return true
 	})
@@ -118,14 +116,14 @@
 		return l.cfg.Settings.Localities[no]
 	}
 	s := ZoneStatus{Self: l.cfg.Settings.Ordinal, Zone: name(l.cfg.Settings.Az), Zones: []ZoneReport{}}
-	now := l.now()
+	now := clock.Now()
 	all, cutOff := l.d.Zones()
 	s.CutOff = cutOff
 	for _, z := range all {
-		r := ZoneReport{Zone: name(z.Zone), State: z.State.String(), ForS: (now - z.Since).Seconds(), Endpoints: z.Endpoints,
+		r := ZoneReport{Zone: name(z.Zone), State: z.State.String(), ForS: now.Sub(z.Since).Seconds(), Endpoints: z.Endpoints,
 			Evacuations: z.Evacuations, Returns: z.Returns}
 		if z.State == policy.Ordered {
-			r.UntilS = (z.Until - now).Seconds()
+			r.UntilS = z.Until.Sub(now).Seconds()
 		}
 		s.Zones = append(s.Zones, r)
 	}
--- a/internal/scale/hollow/hollow.go
+++ b/internal/scale/hollow/hollow.go
@@ -18,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/fleet"
 	"milletsail/internal/fleet/live"
 )
@@ -180,7 +181,7 @@
 		return nil, err
 	}
 	r := &relay{group: g, no: no, conn: conn, seen: map[int]bool{}}
-	r.service = live.New(live.Options{Self: no, Size: g.config.Size, Version: version, Zone: no % max(1, g.config.Zones),
+	r.service = live.New(live.Options{Incarnation: uint32(clock.ReadWall().Seconds()), Self: no, Size: g.config.Size, Version: version, Zone: no % max(1, g.config.Zones),
 		Seed: g.config.Seed + uint64(no), Send: r.send, Said: r.said, Heard: func(fleet.Fact, time.Duration) {}})
 	running, stop := context.WithCancel(ctx)
 	r.stop = stop
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,6 +11,7 @@
 	"math"
 	"time"
 
+	"milletsail/internal/instant"
 	"milletsail/internal/settings"
 	"milletsail/policy"
 )
@@ -56,7 +57,7 @@
 type session struct {
 	relays map[int64]*relay
 	tables map[int64][]policy.Endpoint
-	now    time.Duration
+	now    instant.Time
 	order  []int64 // instances with events in this batch, in order
 	faults []fault
 }
@@ -76,7 +77,7 @@
 	name := f.text(0)
 	switch name {
 	case "round":
-		s.now = f.seconds(1)
+		s.now = instant.Time(f.seconds(1)) // the simulator's clock begins at 0
 	case "your_turn":
 		return true, f.err
 	case "manifest":
--- a/internal/zones/zones.go
+++ b/internal/zones/zones.go
@@ -18,20 +18,22 @@
 	"time"
 
 	"milletsail/internal/atomicfile"
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 )
 
 const (
 	fileName = "zones.json"
-	// format is that of the file. A file of a later one is an error.
-	format = 1
+	// format is that of the file, and formatWall the one before, which knew wall times alone. A file of a later one is an error.
+	format, formatWall = 2, 1
 	// most is the longest that an order may run: one that is forgotten must not shape a fleet for good.
 	most = 24 * time.Hour
 )
 
 // Order is to leave a zone until a time.
 type Order struct {
-	Zone  string    `json:"zone"`
-	Until time.Time `json:"until"`
+	Zone  string
+	Until instant.Time
 }
 
 // Book is the orders in force, on disk.
@@ -40,9 +42,29 @@
 	orders []Order
 }
 
+// file is what is on disk. Its times are wall times, for the reader's eye; the clocks translate them as long as the machine
+// has not started anew.
 type file struct {
-	Format int     `json:"format"`
-	Orders []Order `json:"orders"`
+	Format int         `json:"format"`
+	Boot   string      `json:"boot,omitempty"`
+	Clocks clock.Pair  `json:"clocks,omitzero"`
+	Orders []fileOrder `json:"orders"`
+}
+
+type fileOrder struct {
+	Zone  string    `json:"zone"`
+	Until time.Time `json:"until"`
+}
+
+// until gives the end of an order of a file. After another boot, and in the format before, the wall clock tells it, and no
+// order runs longer than one may.
+func (f *file) until(o fileOrder) instant.Time {
+	end := clock.Wall(o.Until.UnixNano())
+	if boot := clock.BootID(); f.Format == format && boot != "" && f.Boot == boot {
+		return f.Clocks.InstantOf(end)
+	}
+	now := clock.ReadPair()
+	return min(now.InstantOf(end), now.At.Add(most))
 }
 
 // Open reads the orders kept in a folder. With an error, the book is empty and may be used.
@@ -61,7 +83,7 @@
 	if err := in.Decode(&f); err != nil {
 		return b, fmt.Errorf("%s, byte %d: %w", b.path, in.InputOffset(), err)
 	}
-	if f.Format != format {
+	if f.Format != format && f.Format != formatWall {
 		return b, fmt.Errorf("%s: format %d is not known", b.path, f.Format)
 	}
 	for i, o := range f.Orders {
@@ -69,15 +91,17 @@
 			return b, fmt.Errorf("%s: order %d has no zone or no end", b.path, i)
 		}
 	}
-	b.orders = f.Orders
+	for _, o := range f.Orders {
+		b.orders = append(b.orders, Order{o.Zone, f.until(o)})
+	}
 	return b, nil
 }
 
 // InForce lists the orders that run at a time, and forgets the others.
-func (b *Book) InForce(now time.Time) []Order {
+func (b *Book) InForce(now instant.Time) []Order {
 	var left []Order
 	for _, o := range b.orders {
-		if now.Before(o.Until) {
+		if now < o.Until {
 			left = append(left, o)
 		}
 	}
@@ -87,7 +111,7 @@
 
 // Keep puts an order in force in place of one for the same zone, or ends that where until is zero, and returns once it
 // is on disk. With an error, what was in force before still is.
-func (b *Book) Keep(zone string, until time.Time, now time.Time) error {
+func (b *Book) Keep(zone string, until, now instant.Time) error {
 	var orders []Order
 	for _, o := range b.InForce(now) {
 		if o.Zone != zone {
@@ -97,7 +121,11 @@
 	if !until.IsZero() {
 		orders = append(orders, Order{zone, until})
 	}
-	text, err := json.Marshal(file{format, orders})
+	f := file{Format: format, Boot: clock.BootID(), Clocks: clock.ReadPair()}
+	for _, o := range orders {
+		f.Orders = append(f.Orders, fileOrder{o.Zone, f.Clocks.WallOf(o.Until).Time()})
+	}
+	text, err := json.Marshal(f)
 	if err != nil {
 		return err
 	}
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -6,16 +6,18 @@
 	"strings"
 	"testing"
 	"time"
+
+	"milletsail/internal/clock"
 )
 
 // Orders outlast a restart until their end; a second for a zone takes the place of the first.
 func TestBook(t *testing.T) {
-	dir, now := t.TempDir(), time.Unix(1000, 0)
+	dir, now := t.TempDir(), clock.Now()
 	book, err := Open(dir)
 	if err != nil || len(book.InForce(now)) > 0 {
 		t.Fatal(err, book)
 	}
-	for _, o := range []Order{{"a", now.Add(time.Hour)}, {"b", now.Add(time.Minute)}, {"a", now.Add(2 * time.Hour)}, {"c", now.Add(time.Hour)}, {"c", time.Time{}}} {
+	for _, o := range []Order{{"a", now.Add(time.Hour)}, {"b", now.Add(time.Minute)}, {"a", now.Add(2 * time.Hour)}, {"c", now.Add(time.Hour)}, {"c", 0}} {
 		if err := book.Keep(o.Zone, o.Until, now); err != nil {
 			t.Fatal(err)
 		}
@@ -24,7 +26,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if all := again.InForce(now); len(all) != 2 || all[0].Zone != "b" || !all[1].Until.Equal(now.Add(2*time.Hour)) {
+	if all := again.InForce(now); len(all) != 2 || all[0].Zone != "b" || all[1].Until != now.Add(2*time.Hour) {
 		t.Errorf("after a restart: %v", all)
 	}
 	if all := again.InForce(now.Add(time.Minute)); len(all) != 1 || all[0].Zone != "a" {
@@ -36,15 +38,15 @@
 func TestSpoiltBook(t *testing.T) {
 	dir := t.TempDir()
 	path := filepath.Join(dir, fileName)
-	for _, text := range []string{"", "{", `{"format":2}`, `{"format":1,"orders":[{"zone":"a"}]}`, `{"format":1,"orders":[],"more":1}`, `{"format":1,"orders":[{"zone":"","until":"2026-01-01T00:00:00Z"}]}`} {
+	for _, text := range []string{"", "{", `{"format":3}`, `{"format":1,"orders":[{"zone":"a"}]}`, `{"format":1,"orders":[],"more":1}`, `{"format":1,"orders":[{"zone":"","until":"2026-01-01T00:00:00Z"}]}`} {
 		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 			t.Fatal(err)
 		}
 		book, err := Open(dir)
-		if err == nil || !strings.Contains(err.Error(), path) || len(book.InForce(time.Unix(0, 0))) > 0 {
+		if err == nil || !strings.Contains(err.Error(), path) || len(book.InForce(1)) > 0 {
 			t.Errorf("%q: %v", text, err)
 		}
-		if err := book.Keep("a", time.Unix(99, 0), time.Unix(1, 0)); err != nil {
+		if err := book.Keep("a", 99, 1); err != nil {
 			t.Errorf("%q: %v", text, err)
 		}
 	}
@@ -57,7 +59,7 @@
 		t.Fatal(err)
 	}
 	book.path = filepath.Join(book.path, "no", "folder")
-	if err := book.Keep("a", time.Unix(99, 0), time.Unix(1, 0)); err == nil || len(book.InForce(time.Unix(1, 0))) > 0 {
+	if err := book.Keep("a", 99, 1); err == nil || len(book.InForce(1)) > 0 {
 		t.Errorf("%v: %v", err, book.orders)
 	}
 }
--- a/policy/api.go
+++ b/policy/api.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"milletsail/internal/instant"
+)
 
 // Effect says what a second execution of a message would do.
 type Effect int
@@ -62,7 +66,7 @@
 type Zone struct {
 	Zone                 int
 	State                ZoneState
-	Since, Until         time.Duration // Until: of an order
+	Since, Until         instant.Time // Until: of an order
 	Endpoints            int
 	Evacuations, Returns int
 }
@@ -140,19 +144,19 @@
 	Kind        int
 	Zone        int
 	Weight      float64
-	Born        time.Duration // when it last started; 0 for long ago
-	Draining    bool          // send nothing new
-	Gone        bool          // removed
+	Born        instant.Time // when it last started; 0 for long ago
+	Draining    bool         // send nothing new
+	Gone        bool         // removed
 }
 
 // Newcomer is an endpoint on trial.
 type Newcomer struct {
 	Endpoint    string
 	Destination int
-	Stage       int           // from 0
-	Share       float64       // of its destination's calls, with all that are on trial there
-	Since       time.Duration // of the stage, or the end of the time in which it gets nothing
-	Held        time.Duration // until when it gets nothing; past or 0 for not now
+	Stage       int          // from 0
+	Share       float64      // of its destination's calls, with all that are on trial there
+	Since       instant.Time // of the stage, or the end of the time in which it gets nothing
+	Held        instant.Time // until when it gets nothing; past or 0 for not now
 	Holds       int
 	Doubt       float64 // the most that its outcomes in a class speak for its being worse; 1 has it held
 	Proving     bool    // an older endpoint serves beside it, so that it is kept to its share
@@ -167,7 +171,7 @@
 // Tried is an attempt that an earlier process of this relay made.
 type Tried struct {
 	Endpoint string
-	Sent     time.Duration
+	Sent     instant.Time
 	Unrun    bool // proved never to have run
 	// Out says that it still is, in the process that hands over: Ended reports its end. Those of one Call share it.
 	Out  bool
@@ -179,19 +183,19 @@
 	ID        string
 	Sick      bool
 	Ramping   bool
-	SickAt    time.Duration
-	Recovered time.Duration
-	LastOK    time.Duration
+	SickAt    instant.Time
+	Recovered instant.Time
+	LastOK    instant.Time
 	Failures  float64
 	ConnCap   float64
 	Tokens    float64
-	TokensAt  time.Duration
+	TokensAt  instant.Time
 }
 
 // Counted is the state of a counter that fades.
 type Counted struct {
 	N         float64
-	At, Since time.Duration
+	At, Since instant.Time
 }
 
 // Event is something that happened to a dispatcher.
@@ -240,17 +244,17 @@
 	// Learned tells what the process that hands over has learned of a queue.
 	Learned struct {
 		Endpoints  []LearnedEndpoint
-		Wait, Hold time.Duration // nothing is sent until then: told, and by its own choice
+		Wait, Hold instant.Time // nothing is sent until then: told, and by its own choice
 		Outcomes   int
 		Mean       float64 // latency, in seconds
 		Class      []float64
 		Width      float64
 		Pace       float64
 		Tokens     float64
-		TokensAt   time.Duration
+		TokensAt   instant.Time
 		Fulls      int
-		FirstFull  time.Duration
-		LastOK     time.Duration
+		FirstFull  instant.Time
+		LastOK     instant.Time
 		Arrivals   Counted
 		Misses     Counted
 	}
@@ -320,9 +324,13 @@
 	Refuse struct {
 		ID       string
 		StayAway time.Duration
+		Reason   Reason
 	}
 	// Fail ends a message; the client is told nothing of its effect.
-	Fail struct{ ID string }
+	Fail struct {
+		ID     string
+		Reason Reason
+	}
 	// Cancel ends the wait on an attempt.
 	Cancel struct {
 		ID      string
@@ -343,7 +351,7 @@
 	Remember struct {
 		Endpoint string
 		Sick     bool
-		At       time.Duration
+		At       instant.Time
 		Hearsay  bool // this relay has not seen it itself
 	}
 	// Zoned says that a zone is served now, or left, or returned to; for logs.
@@ -356,7 +364,7 @@
 	Proved struct {
 		Endpoint string
 		Share    float64
-		Held     time.Duration
+		Held     instant.Time
 	}
 	// Share is for the other relays: this one's pace for a destination, in parts of an even share of the listed
 	// rate, and the messages a second that arrive for it.
--- a/policy/bucket.go
+++ b/policy/bucket.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"milletsail/internal/instant"
 )
 
 // This file holds token buckets, and those of paces and budgets.
@@ -10,12 +12,12 @@
 // bucket is a token bucket.
 type bucket struct {
 	tokens   float64
-	tokensAt time.Duration
+	tokensAt instant.Time
 }
 
 // fill adds the tokens that came since the last time, up to depth, and gives how many there are.
-func (b *bucket) fill(now time.Duration, rate, depth float64) float64 {
-	b.tokens = math.Min(depth, b.tokens+rate*math.Max(0, (now-b.tokensAt).Seconds()))
+func (b *bucket) fill(now instant.Time, rate, depth float64) float64 {
+	b.tokens = math.Min(depth, b.tokens+rate*math.Max(0, now.Sub(b.tokensAt).Seconds()))
 	b.tokensAt = max(b.tokensAt, now)
 	return b.tokens
 }
--- a/policy/call.go
+++ b/policy/call.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"milletsail/internal/instant"
 )
 
 // This file holds calls that are out.
@@ -21,7 +23,7 @@
 type call struct {
 	ep       *endpoint
 	no       int
-	sent     time.Duration
+	sent     instant.Time
 	open     int // messages without an outcome
 	size     int // of its messages
 	msgs     []*message
@@ -33,7 +35,7 @@
 	m.release()
 	within := time.Duration(0)
 	if by := d.forgotten(m); by < never {
-		within = by - d.now
+		within = by.Sub(d.now)
 	}
 	m.attempts = append(m.attempts, attempt{call: c, sent: d.now, open: true})
 	m.open++
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -4,7 +4,8 @@
 	"container/list"
 	"math"
 	"math/rand/v2"
-	"time"
+
+	"milletsail/internal/instant"
 )
 
 // This file holds the dispatcher.
@@ -12,7 +13,7 @@
 // Dispatcher decides for one relay. It is not safe for concurrent use.
 type Dispatcher struct {
 	s         Settings
-	now       time.Duration
+	now       instant.Time
 	endpoints map[string]*endpoint
 	dests     map[int]*destination
 	active    []*queue // those with messages held or calls out
@@ -27,12 +28,12 @@
 	seq        int
 	turn       int
 	meanWorth  float64
-	resub      time.Duration // when to subscribe
-	wakeAt     time.Duration // when the next timer is due; 0 for none
-	heardAt    time.Duration // when the last note came
-	shareAt    time.Duration // when to share a pace next
-	shareNext  int           // among queues
-	relays     int           // that count as there; 0 for unknown
+	resub      instant.Time // when to subscribe
+	wakeAt     instant.Time // when the next timer is due; 0 for none
+	heardAt    instant.Time // when the last note came
+	shareAt    instant.Time // when to share a pace next
+	shareNext  int          // among queues
+	relays     int          // that count as there; 0 for unknown
 	zones      map[int]*zone
 	cutOff     bool // nothing answers in all zones but the own
 	stopping   bool // send nothing more
@@ -42,7 +43,7 @@
 	pools      map[int]*latencies // by kind of destination
 	onTrial    int                // endpoints with a trial
 	bad        int                // endpoints that countsAsBad
-	listedAt   time.Duration      // of the first Listed; never before it
+	listedAt   instant.Time       // of the first Listed; never before it
 	idle       list.List          // of *destination: on demand only, by idleSince; those that have become busy may still be in it
 }
 
@@ -64,7 +65,7 @@
 }
 
 // never is later than every moment.
-const never = time.Duration(math.MaxInt64)
+const never = instant.Time(math.MaxInt64)
 
 func (d *Dispatcher) act(a Action) { d.actions = append(d.actions, a) }
 
@@ -99,7 +100,7 @@
 		d.listed(e)
 	case ListFailed:
 		if d.s.Subscribe {
-			d.resub = d.now + subscribeAgain
+			d.resub = d.now.Add(subscribeAgain)
 		}
 	case Recalled:
 		d.recall(e)
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -1,6 +1,10 @@
 package policy
 
-import "time"
+import (
+	"time"
+
+	"milletsail/internal/instant"
+)
 
 // This file holds endpoints and what is known of their health.
 
@@ -12,27 +16,27 @@
 	failures  float64   // in a row
 	strikes   []float64 // failures in a row by class
 	sick      bool
-	sickAt    time.Duration
-	recovered time.Duration // first success after an outage; 0 for never
+	sickAt    instant.Time
+	recovered instant.Time // first success after an outage; 0 for never
 	ramping   bool
 	bucket    // of the budget while sick or ramping
-	lastOK    time.Duration
-	lastUsed  time.Duration
-	lastBegun time.Duration // the start of the latest call that succeeded
-	lastTook  float64       // the latency of the last success
-	connCap   float64       // learned; 0 for none
-	noRoomAt  time.Duration // when it last took no connection, here or elsewhere
-	word      word          // of the fleet
-	failedAt  time.Duration // the last failure of a call, here or as several relays found; 0 for never
-	usual     float64       // mean latency of calls that were not slow
-	crowdedAt time.Duration // when it last was known to serve this relay all the same; 0 for never
-	trial     *trial        // nil where it is not new on the list, or has proved itself
+	lastOK    instant.Time
+	lastUsed  instant.Time
+	lastBegun instant.Time // the start of the latest call that succeeded
+	lastTook  float64      // the latency of the last success
+	connCap   float64      // learned; 0 for none
+	noRoomAt  instant.Time // when it last took no connection, here or elsewhere
+	word      word         // of the fleet
+	failedAt  instant.Time // the last failure of a call, here or as several relays found; 0 for never
+	usual     float64      // mean latency of calls that were not slow
+	crowdedAt instant.Time // when it last was known to serve this relay all the same; 0 for never
+	trial     *trial       // nil where it is not new on the list, or has proved itself
 }
 
 // crowded tells whether an endpoint took no connection lately, of this relay or of another while it served
 // this one: idle ones take the room of others there. Elsewhere closing them only costs a handshake again.
 func (d *Dispatcher) crowded(ep *endpoint) bool {
-	return ep.connCap > 0 || ep.crowdedAt > 0 && d.now-ep.crowdedAt < d.s.ConnIdle
+	return ep.connCap > 0 || ep.crowdedAt > 0 && d.now.Sub(ep.crowdedAt) < d.s.ConnIdle
 }
 
 // Avoided is how many listed endpoints get nothing now but trials: out, silent, or on their way out. With a Directory in use,
@@ -74,5 +78,5 @@
 	if ep.sick {
 		return 0
 	}
-	return min(d.now-ep.recovered, d.s.RampTime)
+	return min(d.now.Sub(ep.recovered), d.s.RampTime)
 }
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"milletsail/internal/instant"
 )
 
 // This file decides by what the fleet's relays tell each other (docs/fleet.md). It only ever brings forward
@@ -26,7 +28,7 @@
 // accused takes in what the fleet finds. Own findings that are younger than the first of the others' go
 // before it.
 func (d *Dispatcher) accused(e Accused) {
-	w := word{e.Origins, e.Rank, d.now - e.First, d.now - e.Last, d.now + e.Until}
+	w := word{e.Origins, e.Rank, d.now.Add(-e.First), d.now.Add(-e.Last), d.now.Add(e.Until)}
 	binds := w.binds(d.now)
 	if ep := d.lookUp(e.Endpoint, binds); ep != nil {
 		// For zones and turns alone: among many relays single errors soon make three witnesses.
@@ -40,7 +42,7 @@
 		return
 	}
 	q.word = w
-	if w.origins < witnesses || d.now-w.first <= shutAfter || q.lastOK >= w.first {
+	if w.origins < witnesses || d.now.Sub(w.first) <= shutAfter || q.lastOK >= w.first {
 		return
 	}
 	for _, ep := range q.eps {
@@ -53,7 +55,7 @@
 // tryAt is this relay's turn to try what the fleet finds bad, 0 where it says nothing: the first by rank
 // some time after the last try of anyone, and where that one has nothing to send, after each further such
 // time twice as many.
-func (d *Dispatcher) tryAt(ep *endpoint) time.Duration {
+func (d *Dispatcher) tryAt(ep *endpoint) instant.Time {
 	w := ep.word
 	q := ep.q.word
 	if !w.binds(d.now) || q.origins > 0 && d.now < q.until && q.last > w.last {
@@ -66,7 +68,7 @@
 	if ep.sick {
 		each = max(each, wait(1, d.there()*d.budget(ep, 0)))
 	}
-	return max(w.last, ep.q.triedAt) + time.Duration((1+math.Log2(1+float64(w.rank)))*float64(each))
+	return max(w.last, ep.q.triedAt).Add(time.Duration((1 + math.Log2(1+float64(w.rank))) * float64(each)))
 }
 
 // fenced tells whether several relays were refused by a destination and none has been served since: not yet
@@ -82,12 +84,12 @@
 		return false
 	}
 	at := d.tryAt(q.eps[0])
-	return at > 0 && at <= d.now+tryEach
+	return at > 0 && at <= d.now.Add(tryEach)
 }
 
 // pausedTo is until when nothing is sent: a told wait binds always, a pause of our own not the one that
 // tries for all.
-func (d *Dispatcher) pausedTo(q *queue) time.Duration {
+func (d *Dispatcher) pausedTo(q *queue) instant.Time {
 	if d.tries(q) {
 		return q.waitUntil
 	}
@@ -101,7 +103,7 @@
 	if q == nil {
 		return
 	}
-	d.relays, q.paced, q.pacedTo = e.Relays, e, d.now+e.Until
+	d.relays, q.paced, q.pacedTo = e.Relays, e, d.now.Add(e.Until)
 	if d.s.Zones {
 		d.apportion(q, e.ByZone)
 	}
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -52,16 +52,16 @@
 		if c.success {
 			for i := range 2 {
 				id := fmt.Sprint(i)
-				for _, a := range d.Handle(9*time.Second, []Event{arrive(id, 0)}) {
+				for _, a := range d.Handle(moment(9*time.Second), []Event{arrive(id, 0)}) {
 					if a, ok := a.(Send); ok {
-						d.Handle(9100*ms, []Event{Ended{ID: id, Endpoint: a.Endpoint, Outcome: OK, Over: true}})
+						d.Handle(moment(9100*ms), []Event{Ended{ID: id, Endpoint: a.Endpoint, Outcome: OK, Over: true}})
 					}
 				}
 				d.endpoints["a"].lastUsed = 0
-				d.endpoints["a"].lastOK = 9100 * ms
+				d.endpoints["a"].lastOK = moment(9100 * ms)
 			}
 		}
-		if got := hearsay(d.Handle(10*time.Second, []Event{c.e})); got != c.want {
+		if got := hearsay(d.Handle(moment(10*time.Second), []Event{c.e})); got != c.want {
 			t.Errorf("%s: %d endpoints count as out, want %d", c.name, got, c.want)
 		}
 	}
@@ -73,15 +73,15 @@
 	tried := func(rank int, until time.Duration) time.Duration {
 		d := large(t, 300, 60, "a")
 		word := Accused{Origins: 5, First: 3 * time.Second, Last: 100 * ms, Until: until, Rank: rank}
-		d.Handle(10*time.Second, []Event{word})
+		d.Handle(moment(10*time.Second), []Event{word})
 		for now := 10 * time.Second; now < 30*time.Second; now += 10 * ms {
-			for _, a := range d.Handle(now, []Event{Arrived{ID: now.String(), Left: 9 * time.Second}}) {
+			for _, a := range d.Handle(moment(now), []Event{Arrived{ID: now.String(), Left: 9 * time.Second}}) {
 				if _, ok := a.(Send); ok {
 					return now - 10*time.Second
 				}
 			}
 		}
-		return never
+		return time.Duration(never)
 	}
 	last := time.Duration(0)
 	for _, rank := range []int{0, 1, 7, 100} {
@@ -91,7 +91,7 @@
 		}
 		last = at
 	}
-	if at := tried(100, 50*ms); at != never && at < time.Second {
+	if at := tried(100, 50*ms); moment(at) != never && at < time.Second {
 		t.Errorf("past its bound, the word still has rank 100 try after %v", at)
 	}
 }
@@ -99,7 +99,7 @@
 // A relay that tried in vain does not try again before the next turn, whether it has heard of its own try or not.
 func TestTriesAreApart(t *testing.T) {
 	d := large(t, 300, 60, "a")
-	d.Handle(10*time.Second, []Event{Accused{Origins: 5, First: 3 * time.Second, Last: time.Second, Until: 10 * time.Second}})
+	d.Handle(moment(10*time.Second), []Event{Accused{Origins: 5, First: 3 * time.Second, Last: time.Second, Until: 10 * time.Second}})
 	var at []time.Duration
 	attempts := map[string]int{}
 	for now := 10 * time.Second; now < 15*time.Second; now += 10 * ms {
@@ -107,10 +107,10 @@
 		if now%(100*ms) == 0 {
 			events = append(events, Arrived{ID: now.String(), Left: 9 * time.Second})
 		}
-		for _, a := range d.Handle(now, append(events, Woken{})) {
+		for _, a := range d.Handle(moment(now), append(events, Woken{})) {
 			if a, ok := a.(Send); ok {
 				at = append(at, now)
-				d.Handle(now, []Event{Ended{ID: a.ID, Endpoint: "a", Attempt: attempts[a.ID], Outcome: QueueFull}})
+				d.Handle(moment(now), []Event{Ended{ID: a.ID, Endpoint: "a", Attempt: attempts[a.ID], Outcome: QueueFull}})
 				attempts[a.ID]++
 			}
 		}
@@ -130,15 +130,15 @@
 func TestBeginsWithTheFleetsPace(t *testing.T) {
 	for _, c := range []struct{ told, want float64 }{{0.4, 0.4}, {0.01, paceFloor}, {50, paceRoom}} {
 		d := large(t, 10, 100, "a")
-		d.Handle(ms, []Event{Paced{Relays: 10, Tellers: 4, Pace: c.told, Traffic: 1, Until: time.Minute}})
+		d.Handle(moment(ms), []Event{Paced{Relays: 10, Tellers: 4, Pace: c.told, Traffic: 1, Until: time.Minute}})
 		if got := d.queues[0].pace; math.Abs(got-10*c.want) > 1e-9 {
 			t.Errorf("told %v, it begins with %v a second, want %v", c.told, got, 10*c.want)
 		}
 	}
 	d := large(t, 10, 100, "a")
-	d.Handle(ms, []Event{arrive("m", 0)})
-	d.Handle(2*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}})
-	d.Handle(3*ms, []Event{Paced{Relays: 10, Tellers: 4, Pace: 0.4, Traffic: 1, Until: time.Minute}})
+	d.Handle(moment(ms), []Event{arrive("m", 0)})
+	d.Handle(moment(2*ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}})
+	d.Handle(moment(3*ms), []Event{Paced{Relays: 10, Tellers: 4, Pace: 0.4, Traffic: 1, Until: time.Minute}})
 	if got := d.queues[0].pace; got < 9.9 {
 		t.Errorf("a relay at work comes to %v a second by the word of others", got)
 	}
@@ -155,10 +155,10 @@
 	for _, v := range traffic {
 		d := large(t, len(traffic), 100, "a")
 		q := d.queues[0]
-		q.arrivals = aged{n: v * counterAge.Seconds(), at: 0, since: -time.Hour}
-		d.Handle(ms, []Event{Paced{Relays: 10, Tellers: 8, Pace: 1, Traffic: mean, Error: 0.5, Until: time.Second}})
+		q.arrivals = aged{n: v * counterAge.Seconds(), at: 0, since: moment(-time.Hour)}
+		d.Handle(moment(ms), []Event{Paced{Relays: 10, Tellers: 8, Pace: 1, Traffic: mean, Error: 0.5, Until: time.Second}})
 		sum += d.part(q)
-		if d.now = 2 * time.Second; d.part(q) != 1 {
+		if d.now = moment(2 * time.Second); d.part(q) != 1 {
 			t.Errorf("past its bound: %v", d.part(q))
 		}
 	}
@@ -172,7 +172,7 @@
 	d := large(t, 60, 60, "a")
 	n := 0
 	for now := time.Duration(0); now < time.Minute; now += 100 * ms {
-		for _, a := range d.Handle(now, []Event{Woken{}}) {
+		for _, a := range d.Handle(moment(now), []Event{Woken{}}) {
 			if a, ok := a.(Share); ok && a.Pace == 1 {
 				n++
 			}
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"milletsail/internal/instant"
 )
 
 // This file holds what goes from one process of a relay to the next.
@@ -27,7 +29,7 @@
 		}
 		m.attempts = append(m.attempts, attempt{call: c, sent: t.Sent, unrun: t.Unrun, open: t.Out})
 		if !t.Unrun {
-			m.rest = max(m.rest, d.now+d.s.OrderPause)
+			m.rest = max(m.rest, d.now.Add(d.s.OrderPause))
 		}
 	}
 	switch {
@@ -73,6 +75,19 @@
 	return all
 }
 
+// Translate gives what was learned with its moments as another clock has them; the zero Time stays.
+func (l Learned) Translate(to func(instant.Time) instant.Time) Learned {
+	l.Wait, l.Hold, l.TokensAt, l.FirstFull, l.LastOK = to(l.Wait), to(l.Hold), to(l.TokensAt), to(l.FirstFull), to(l.LastOK)
+	l.Arrivals.At, l.Arrivals.Since = to(l.Arrivals.At), to(l.Arrivals.Since)
+	l.Misses.At, l.Misses.Since = to(l.Misses.At), to(l.Misses.Since)
+	l.Endpoints = slices.Clone(l.Endpoints)
+	for i := range l.Endpoints {
+		e := &l.Endpoints[i]
+		e.SickAt, e.Recovered, e.LastOK, e.TokensAt = to(e.SickAt), to(e.Recovered), to(e.LastOK), to(e.TokensAt)
+	}
+	return l
+}
+
 // inherit takes in what the process before has learned of a queue, but for endpoints that are no longer listed.
 func (d *Dispatcher) inherit(l Learned) {
 	var q *queue
@@ -104,7 +119,7 @@
 // recall takes over an endpoint's outage or ramp from an earlier process, so that a restart in the middle of
 // either does not send to a cold destination as to a warm one.
 func (d *Dispatcher) recall(e Recalled) {
-	ramping := d.now-e.At < d.s.RampTime
+	ramping := d.now.Sub(e.At) < d.s.RampTime
 	ep := d.lookUp(e.Endpoint, e.Sick || ramping)
 	switch {
 	case ep == nil:
--- a/policy/list.go
+++ b/policy/list.go
@@ -3,7 +3,8 @@
 import (
 	"math"
 	"slices"
-	"time"
+
+	"milletsail/internal/instant"
 )
 
 // This file holds changes of the list of endpoints.
@@ -37,7 +38,7 @@
 }
 
 // entry takes in one entry of the list, as told at a moment.
-func (d *Dispatcher) entry(e Endpoint, at time.Duration) {
+func (d *Dispatcher) entry(e Endpoint, at instant.Time) {
 	ep := d.endpoints[e.ID]
 	if e.Gone {
 		if ep != nil {
@@ -62,7 +63,7 @@
 }
 
 // addEndpoint adds an endpoint that is listed since a moment to its destination.
-func (d *Dispatcher) addEndpoint(dest *destination, e Endpoint, since time.Duration) *endpoint {
+func (d *Dispatcher) addEndpoint(dest *destination, e Endpoint, since instant.Time) *endpoint {
 	ep := &endpoint{strikes: make([]float64, len(d.s.Classes)), q: dest.queues[0]}
 	d.endpoints[e.ID] = ep
 	kind := Kind{Bundle: 1}
@@ -89,7 +90,7 @@
 }
 
 // weigh takes in the rate that a queue's destination is listed with since a moment.
-func (d *Dispatcher) weigh(q *queue, weight float64, since time.Duration) {
+func (d *Dispatcher) weigh(q *queue, weight float64, since instant.Time) {
 	if d.s.Weights == WeightsOff || !(weight > 0) || math.IsInf(weight, 0) || weight == q.weight {
 		return
 	}
--- a/policy/message.go
+++ b/policy/message.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"milletsail/internal/instant"
 )
 
 // This file holds messages, from their arrival until their key may be used again.
@@ -13,17 +15,17 @@
 	Arrived
 	class    *Class
 	seq      int
-	expires  time.Duration
+	expires  instant.Time
 	q        *queue // where it is held; nil while it is not
 	attempts []attempt
 	open     int // attempts without an outcome
 	over     bool
-	rest     time.Duration // until when its key rests after it
+	rest     instant.Time // until when its key rests after it
 }
 
 type attempt struct {
 	call  *call
-	sent  time.Duration
+	sent  instant.Time
 	open  bool
 	unrun bool // proved never to have run
 }
@@ -35,7 +37,7 @@
 	}
 	d.seq++
 	m := &message{Arrived: e, class: &d.s.Classes[e.Class], seq: d.seq,
-		expires: d.now + e.Left}
+		expires: d.now.Add(e.Left)}
 	d.messages[e.ID] = m
 	d.live = append(d.live, m)
 	if m.class.Ordered && m.Key != "" {
@@ -74,9 +76,9 @@
 
 // forgotten is when a receiver that may have run a message may no longer know it, never where that is no matter: two
 // ticks early, since the module's times are those of its batches.
-func (d *Dispatcher) forgotten(m *message) time.Duration {
+func (d *Dispatcher) forgotten(m *message) instant.Time {
 	if first := m.firstRun(); first != nil && m.class.Effect == Keyed {
-		return first.sent + m.class.Memory - 2*d.s.Tick
+		return first.sent.Add(m.class.Memory).Add(-(2 * d.s.Tick))
 	}
 	return never
 }
--- a/policy/messages_capacity_bench_test.go
+++ b/policy/messages_capacity_bench_test.go
@@ -29,7 +29,7 @@
 	var events []Event
 	for no := range destinations {
 		endpoint := LearnedEndpoint{ID: fmt.Sprint("e", no)}
-		events = append(events, Learned{Endpoints: []LearnedEndpoint{endpoint}, Wait: day})
+		events = append(events, Learned{Endpoints: []LearnedEndpoint{endpoint}, Wait: moment(day)})
 	}
 	d.Handle(0, events)
 	events = nil
@@ -55,7 +55,7 @@
 			now := time.Second
 			for b.Loop() {
 				now += 5 * ms
-				d.Handle(now, []Event{Woken{}})
+				d.Handle(moment(now), []Event{Woken{}})
 			}
 			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/float64(messages), "ns/message")
 			b.ReportMetric(memory/float64(messages), "B/message")
--- a/policy/newcomers.go
+++ b/policy/newcomers.go
@@ -44,7 +44,7 @@
 
 // isNew tells whether a listed endpoint may be on trial by its age.
 func (d *Dispatcher) isNew(e Endpoint) bool {
-	return d.s.Newcomers && e.Born > 0 && d.now-e.Born < newFor
+	return d.s.Newcomers && e.Born > 0 && d.now.Sub(e.Born) < newFor
 }
 
 // proves tells whether an endpoint is on trial: only beside an older one that serves its destination.
@@ -70,7 +70,7 @@
 		return
 	}
 	if t.score[class] += math.Log(worse / usual); t.score[class] >= math.Log(worseTimes) && d.now >= t.held {
-		t.held = d.now + min(holdMost, holdFor<<min(t.holds, 8))
+		t.held = d.now.Add(min(holdMost, holdFor<<min(t.holds, 8)))
 		t.holds++
 		d.stage(ep, 0, t.held)
 	}
@@ -83,7 +83,7 @@
 		for _, score := range t.score {
 			doubt = math.Max(doubt, score)
 		}
-		age := d.now - t.since
+		age := d.now.Sub(t.since)
 		switch {
 		case doubt > stays*math.Log(worseTimes) || age < stageLeast || t.seen < stageSeen && age < stageMost:
 		case t.stage+1 < len(stageShares):
--- a/policy/newcomers_test.go
+++ b/policy/newcomers_test.go
@@ -50,7 +50,7 @@
 }
 
 func (p *proving) handle(no int, events ...Event) {
-	for _, a := range p.relays[no].Handle(p.now, events) {
+	for _, a := range p.relays[no].Handle(moment(p.now), events) {
 		switch a := a.(type) {
 		case Send:
 			p.sent[a.Endpoint]++
@@ -65,7 +65,7 @@
 				}
 			}
 		case Proved:
-			if a.Held > p.now {
+			if a.Held > moment(p.now) {
 				p.held[a.Endpoint]++
 			}
 		}
@@ -152,7 +152,7 @@
 				}
 			}
 			p.run(10*time.Second, 2)
-			p.list(Endpoint{ID: "new", Born: p.now})
+			p.list(Endpoint{ID: "new", Born: moment(p.now)})
 			share := p.share("new", 24*time.Second, 2)
 			if share > c.served {
 				t.Errorf("%.3f of the calls go there", share)
@@ -180,10 +180,10 @@
 func TestNewcomersAlone(t *testing.T) {
 	for name, change := range map[string]func(*proving) []Endpoint{
 		"all are new": func(p *proving) []Endpoint {
-			return []Endpoint{{ID: "old-a", Gone: true}, {ID: "old-b", Gone: true}, {ID: "new", Born: p.now}}
+			return []Endpoint{{ID: "old-a", Gone: true}, {ID: "old-b", Gone: true}, {ID: "new", Born: moment(p.now)}}
 		},
 		"the older ones drain": func(p *proving) []Endpoint {
-			return []Endpoint{{ID: "old-a", Draining: true}, {ID: "old-b", Draining: true}, {ID: "new", Born: p.now}}
+			return []Endpoint{{ID: "old-a", Draining: true}, {ID: "old-b", Draining: true}, {ID: "new", Born: moment(p.now)}}
 		},
 		"the older ones are out": func(p *proving) []Endpoint {
 			for _, d := range p.relays {
@@ -192,14 +192,14 @@
 				}
 			}
 			p.fails = func(ep string, _ int) Outcome { return map[bool]Outcome{true: ConnectError}[ep != "new"] }
-			return []Endpoint{{ID: "new", Born: p.now}}
+			return []Endpoint{{ID: "new", Born: moment(p.now)}}
 		},
-		"long ago": func(p *proving) []Endpoint { return []Endpoint{{ID: "new", Born: p.now - 2*newFor}} },
+		"long ago": func(p *proving) []Endpoint { return []Endpoint{{ID: "new", Born: moment(p.now - 2*newFor)}} },
 		"off": func(p *proving) []Endpoint {
 			for _, d := range p.relays {
 				d.s.Newcomers = false
 			}
-			return []Endpoint{{ID: "new", Born: p.now}}
+			return []Endpoint{{ID: "new", Born: moment(p.now)}}
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -225,7 +225,7 @@
 func TestNewcomersEvidence(t *testing.T) {
 	p := newProving(t, 1, nil)
 	p.run(3*time.Second, 5)
-	p.list(Endpoint{ID: "new", Born: p.now})
+	p.list(Endpoint{ID: "new", Born: moment(p.now)})
 	d := p.relays[0]
 	ep := d.endpoints["new"]
 	bad := trialNote{"new", 0, true, 7}.note()
@@ -244,10 +244,10 @@
 	for no := range uint64(3) {
 		p.handle(0, Heard{Note: trialNote{"new", 0, true, no}.note()})
 	}
-	if held := ep.trial.held - p.now; held != holdFor || ep.trial.stage != 0 {
+	if held := ep.trial.held.Sub(moment(p.now)); held != holdFor || ep.trial.stage != 0 {
 		t.Errorf("held for %v", held)
 	}
-	if share := p.share("new", ep.trial.held-50*ms, 5); share > 0 {
+	if share := p.share("new", time.Duration(ep.trial.held.Add(-50*ms)), 5); share > 0 {
 		t.Errorf("%.3f of the calls while it is held back", share)
 	}
 	if share := p.share("new", p.now+time.Second, 5); share > 0.25 || d.waits(ep) && ep.trial.credit >= 1 {
@@ -257,7 +257,7 @@
 	lone := newProving(t, 2, nil)
 	lone.fails = func(string, int) Outcome { return Failed }
 	lone.run(6*time.Second, 5)
-	lone.list(Endpoint{ID: "new", Born: lone.now})
+	lone.list(Endpoint{ID: "new", Born: moment(lone.now)})
 	told := 0
 	for range 50 {
 		lone.now += 50 * ms
--- a/policy/notes_test.go
+++ b/policy/notes_test.go
@@ -56,8 +56,8 @@
 
 // notes gives what a relay tells when its call is refused.
 func notes(d *Dispatcher, at, wait time.Duration, id string) (all [][]byte) {
-	d.Handle(at, []Event{arrive(id, 0)})
-	for _, a := range d.Handle(at+ms, []Event{Ended{ID: id, Endpoint: "a", Outcome: QueueFull, Wait: wait}}) {
+	d.Handle(moment(at), []Event{arrive(id, 0)})
+	for _, a := range d.Handle(moment(at+ms), []Event{Ended{ID: id, Endpoint: "a", Outcome: QueueFull, Wait: wait}}) {
 		if tell, ok := a.(Tell); ok {
 			all = append(all, tell.Note)
 		}
@@ -75,7 +75,7 @@
 		t.Fatalf("%d notes of a refusal", len(told))
 	}
 	for _, d := range all[1:] {
-		d.Handle(at+10*ms, []Event{Heard{Note: told[0]}, arrive("m", 0)})
+		d.Handle(moment(at+10*ms), []Event{Heard{Note: told[0]}, arrive("m", 0)})
 		if q := d.queues[0]; q.pace >= d.even(q)*1.3 || len(q.out) > 0 {
 			t.Fatalf("pace %v and %d calls out after a note", q.pace, len(q.out))
 		}
@@ -84,7 +84,7 @@
 	for ; at < 6*time.Second; at += 50 * ms {
 		sent := 0
 		for _, d := range all[1:] {
-			for _, a := range d.Handle(at, []Event{Woken{}}) {
+			for _, a := range d.Handle(moment(at), []Event{Woken{}}) {
 				if _, ok := a.(Send); ok {
 					sent++
 				}
@@ -115,7 +115,7 @@
 			if tt.heard {
 				events = append(events, Heard{Note: limitNote{dest: 5}.note()})
 			}
-			d.Handle(at, append(events, arrive(fmt.Sprint(at), 0)))
+			d.Handle(moment(at), append(events, arrive(fmt.Sprint(at), 0)))
 			d.tokens(q)
 		}
 		if above := q.pace > d.even(q); above != tt.above || q.pace < 0.9*d.even(q) {
@@ -129,9 +129,9 @@
 	all := fleet(t, 2, 400)
 	at := 2 * time.Second
 	told := notes(all[0], at, time.Second, "m")
-	all[1].Handle(at, []Event{arrive("n", 0)})
-	all[1].Handle(at+ms, []Event{Heard{Note: told[0]}})
-	for _, a := range all[1].Handle(at+20*ms, []Event{Ended{ID: "n", Endpoint: "a", Outcome: QueueFull, Wait: 990 * ms}}) {
+	all[1].Handle(moment(at), []Event{arrive("n", 0)})
+	all[1].Handle(moment(at+ms), []Event{Heard{Note: told[0]}})
+	for _, a := range all[1].Handle(moment(at+20*ms), []Event{Ended{ID: "n", Endpoint: "a", Outcome: QueueFull, Wait: 990 * ms}}) {
 		if _, ok := a.(Tell); ok {
 			t.Error("a relay told again what it had heard")
 		}
@@ -152,19 +152,19 @@
 	d := fleet(t, 80, 40)[0]
 	q := d.queues[0]
 	for _, note := range [][]byte{nil, []byte("hello"), limitNote{dest: 5, wait: time.Second}.note()} {
-		d.Handle(time.Second, []Event{Heard{Note: note}})
+		d.Handle(moment(time.Second), []Event{Heard{Note: note}})
 	}
 	if q.holdUntil != 0 || len(d.dests) != 1 || len(d.endpoints) != 1 {
 		t.Errorf("hold until %v, %d destinations, %d endpoints", q.holdUntil, len(d.dests), len(d.endpoints))
 	}
 	for i := range 1000 {
-		d.Handle(time.Second+time.Duration(i)*ms, []Event{Heard{Note: limitNote{wait: time.Hour}.note()}})
+		d.Handle(moment(time.Second+time.Duration(i)*ms), []Event{Heard{Note: limitNote{wait: time.Hour}.note()}})
 	}
-	if q.pace < 0.8*d.even(q) || q.holdUntil > 4*time.Second || q.waitUntil != 0 || d.endpoints["a"].sick {
+	if q.pace < 0.8*d.even(q) || q.holdUntil > moment(4*time.Second) || q.waitUntil != 0 || d.endpoints["a"].sick {
 		t.Errorf("pace %v of %v, hold until %v, wait until %v, sick %v after a second of notes", q.pace, d.even(q),
 			q.holdUntil, q.waitUntil, d.endpoints["a"].sick)
 	}
-	d.Handle(10*time.Second, []Event{arrive("m", 0)})
+	d.Handle(moment(10*time.Second), []Event{arrive("m", 0)})
 	if len(q.out) != 1 {
 		t.Error("nothing is sent once the notes have aged")
 	}
@@ -180,30 +180,30 @@
 	}{{"earlier", -100 * ms, false}, {"at the same time", 10 * ms, false}, {"well after", 80 * ms, true}} {
 		all := fleet(t, 3, 400)
 		sent := 2*time.Second + tt.after
-		all[1].Handle(sent, []Event{arrive("n", 0)})
+		all[1].Handle(moment(sent), []Event{arrive("n", 0)})
 		notes(all[0], 2*time.Second, time.Second, "m")
 		refusal := limitNote{wait: time.Second, age: 100 * ms}.note()
 		var told [][]byte
-		all[1].Handle(2100*ms, []Event{Heard{Note: refusal}})
-		all[2].Handle(2100*ms, []Event{Heard{Note: refusal}})
-		for _, a := range all[1].Handle(2200*ms, []Event{Ended{ID: "n", Endpoint: "a", Outcome: OK, Over: true}}) {
+		all[1].Handle(moment(2100*ms), []Event{Heard{Note: refusal}})
+		all[2].Handle(moment(2100*ms), []Event{Heard{Note: refusal}})
+		for _, a := range all[1].Handle(moment(2200*ms), []Event{Ended{ID: "n", Endpoint: "a", Outcome: OK, Over: true}}) {
 			if tell, ok := a.(Tell); ok {
 				told = append(told, tell.Note)
 			}
 		}
-		if len(told) > 0 != tt.ends || all[1].queues[0].holdUntil > 2200*ms == tt.ends {
+		if len(told) > 0 != tt.ends || all[1].queues[0].holdUntil > moment(2200*ms) == tt.ends {
 			t.Fatalf("%s: %d notes, pause until %v", tt.name, len(told), all[1].queues[0].holdUntil)
 		}
 		if !tt.ends {
 			continue
 		}
 		for _, d := range []*Dispatcher{all[0], all[2]} {
-			d.Handle(2210*ms, []Event{Heard{Note: told[0]}})
+			d.Handle(moment(2210*ms), []Event{Heard{Note: told[0]}})
 		}
-		if q := all[2].queues[0]; q.holdUntil > 2210*ms {
+		if q := all[2].queues[0]; q.holdUntil > moment(2210*ms) {
 			t.Errorf("the others pause until %v", q.holdUntil)
 		}
-		if q := all[0].queues[0]; q.waitUntil < 3*time.Second {
+		if q := all[0].queues[0]; q.waitUntil < moment(3*time.Second) {
 			t.Errorf("a told wait ends at %v", q.waitUntil)
 		}
 	}
@@ -214,12 +214,12 @@
 func TestFleetLearnsOfAReturn(t *testing.T) {
 	all := fleet(t, 80, 40)
 	for _, d := range all {
-		d.Handle(time.Second, []Event{arrive("m", 0)})
+		d.Handle(moment(time.Second), []Event{arrive("m", 0)})
 		d.sicken(d.endpoints["a"])
 	}
 	var told [][]byte
 	back := 10 * time.Second
-	for _, a := range all[0].Handle(back, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}}) {
+	for _, a := range all[0].Handle(moment(back), []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}}) {
 		if tell, ok := a.(Tell); ok {
 			told = append(told, tell.Note)
 		}
@@ -229,13 +229,13 @@
 	}
 	sent := 0
 	for _, d := range all[1:] {
-		d.Handle(back, []Event{Ended{ID: "m", Endpoint: "a", Outcome: ConnectError, Over: true}})
-		d.Handle(back+10*ms, []Event{Heard{Note: told[0]}, Heard{Note: endpointNote(backMark, "unlisted")}, arrive("n", 0)})
+		d.Handle(moment(back), []Event{Ended{ID: "m", Endpoint: "a", Outcome: ConnectError, Over: true}})
+		d.Handle(moment(back+10*ms), []Event{Heard{Note: told[0]}, Heard{Note: endpointNote(backMark, "unlisted")}, arrive("n", 0)})
 		ep := d.endpoints["a"]
-		if ep.sick || !ep.ramping || ep.recovered != back+10*ms || len(d.endpoints) != 1 {
+		if ep.sick || !ep.ramping || ep.recovered != moment(back+10*ms) || len(d.endpoints) != 1 {
 			t.Fatalf("sick %v, ramping %v, back since %v, %d endpoints", ep.sick, ep.ramping, ep.recovered, len(d.endpoints))
 		}
-		d.Handle(back+d.s.OverloadFor, []Event{Woken{}})
+		d.Handle(moment(back+d.s.OverloadFor), []Event{Woken{}})
 		sent += len(d.queues[0].out)
 	}
 	s := all[0].s
--- a/policy/ondemand.go
+++ b/policy/ondemand.go
@@ -83,7 +83,7 @@
 		}
 		dest := front.Value.(*destination)
 		switch {
-		case d.now-dest.idleSince < idleAfter:
+		case d.now.Sub(dest.idleSince) < idleAfter:
 			return
 		case slices.ContainsFunc(dest.queues, func(q *queue) bool { return q.active }):
 			d.idle.Remove(front) // it comes back when it is idle
--- a/policy/ondemand_test.go
+++ b/policy/ondemand_test.go
@@ -128,7 +128,7 @@
 			p.list.change(l)
 		}
 	}
-	want, got := p.eager.Handle(p.now, events), p.lazy.Handle(p.now, events)
+	want, got := p.eager.Handle(moment(p.now), events), p.lazy.Handle(moment(p.now), events)
 	if !reflect.DeepEqual(got, want) {
 		p.t.Fatalf("at %v, after %+v:\n on demand %+v\n otherwise %+v", p.now, events, got, want)
 	}
@@ -206,11 +206,11 @@
 		return Paced{Destination: no, Relays: p.s.Instances, Tellers: 5, Pace: rapid.Float64Range(0, 2).Draw(p.t, "pace"),
 			Traffic: 3, Until: 10 * time.Second}
 	case 6:
-		return Recalled{Endpoint: p.anyEndpoint().ID, Sick: rapid.Bool().Draw(p.t, "sick"), At: p.now - age}
+		return Recalled{Endpoint: p.anyEndpoint().ID, Sick: rapid.Bool().Draw(p.t, "sick"), At: moment(p.now - age)}
 	}
 	e := p.anyEndpoint()
-	return Learned{Endpoints: []LearnedEndpoint{{ID: e.ID, Failures: 0.5, LastOK: p.now}}, Outcomes: 9, Mean: 0.2,
-		Class: []float64{0.2, 0.2, 0.2}, Width: 2, Pace: e.Weight / float64(p.s.Instances), Tokens: 1, TokensAt: p.now}
+	return Learned{Endpoints: []LearnedEndpoint{{ID: e.ID, Failures: 0.5, LastOK: moment(p.now)}}, Outcomes: 9, Mean: 0.2,
+		Class: []float64{0.2, 0.2, 0.2}, Width: 2, Pace: e.Weight / float64(p.s.Instances), Tokens: 1, TokensAt: moment(p.now)}
 }
 
 // arrival draws a message: new, or accepted by an earlier process that has tried an endpoint.
@@ -222,7 +222,7 @@
 	eps := p.list.lists[a.Destination]
 	if len(eps) > 0 && rapid.IntRange(0, 9).Draw(p.t, "resumed") == 0 {
 		a.Resumed = true
-		a.Tried = []Tried{{Endpoint: eps[0].ID, Sent: p.now - 300*ms, Unrun: rapid.Bool().Draw(p.t, "not run")}}
+		a.Tried = []Tried{{Endpoint: eps[0].ID, Sent: moment(p.now - 300*ms), Unrun: rapid.Bool().Draw(p.t, "not run")}}
 		p.tries[a.ID]++
 	}
 	return a
@@ -267,11 +267,11 @@
 	t.Helper()
 	for _, no := range destinations {
 		id := fmt.Sprint("m", no, "-", now)
-		sent := said(d.Handle(now, []Event{Arrived{ID: id, Destination: no, Left: 10 * time.Second}}))
+		sent := said(d.Handle(moment(now), []Event{Arrived{ID: id, Destination: no, Left: 10 * time.Second}}))
 		if want := fmt.Sprint(id, ">e", no); sent != want {
 			t.Fatalf("at %v: %q, want %q", now, sent, want)
 		}
-		d.Handle(now, []Event{Ended{ID: id, Endpoint: fmt.Sprint("e", no), Outcome: OK, Over: true, Took: 20 * ms}})
+		d.Handle(moment(now), []Event{Ended{ID: id, Endpoint: fmt.Sprint("e", no), Outcome: OK, Over: true, Took: 20 * ms}})
 	}
 }
 
@@ -293,12 +293,12 @@
 		t.Fatalf("%v in state after messages for 100", got)
 	}
 	serve(t, d, time.Minute, used[:10]...)
-	d.Handle(time.Second+idleAfter-1, nil)
+	d.Handle(moment(time.Second+idleAfter-1), nil)
 	if got := d.stateCounts(); got != [4]int{100, 100, 100, 100} {
 		t.Fatalf("%v in state before the time", got)
 	}
 	for i := 1; i <= 3; i++ {
-		d.Handle(time.Second+idleAfter, []Event{Woken{}})
+		d.Handle(moment(time.Second+idleAfter), []Event{Woken{}})
 		left := max(10, 100-i*evictMost)
 		if got := d.stateCounts(); got != [4]int{left, left, left, left} {
 			t.Fatalf("%v in state after %d batches of eviction, want %d", got, i, left)
@@ -309,7 +309,7 @@
 			t.Errorf("queue %d, of destination %d, is not where it should be", i, q.dest.no)
 		}
 	}
-	d.Handle(time.Minute+idleAfter, nil)
+	d.Handle(moment(time.Minute+idleAfter), nil)
 	if got := d.stateCounts(); got != [4]int{} {
 		t.Errorf("%v in state at the end", got)
 	}
@@ -322,7 +322,7 @@
 	failed := func(o Outcome, wait time.Duration) func(*Dispatcher) {
 		return func(d *Dispatcher) {
 			d.Handle(0, []Event{Arrived{ID: "m", Destination: 7, Left: time.Second}})
-			d.Handle(10*ms, []Event{Ended{ID: "m", Endpoint: "e7", Outcome: o, Wait: wait, Over: true}})
+			d.Handle(moment(10*ms), []Event{Ended{ID: "m", Endpoint: "e7", Outcome: o, Wait: wait, Over: true}})
 		}
 	}
 	event := func(e Event) func(*Dispatcher) { return func(d *Dispatcher) { d.Handle(0, []Event{e}) } }
@@ -331,16 +331,17 @@
 		l.Endpoints, l.Tokens = []LearnedEndpoint{e}, 100
 		return event(l)
 	}
+	const forever = time.Duration(never)
 	tests := map[string]struct {
 		cause func(*Dispatcher)
-		until time.Duration // never: time alone does not end it
+		until time.Duration // forever: time alone does not end it
 	}{
-		"wait":              {learned(Learned{Wait: long}, LearnedEndpoint{}), long},
-		"pause":             {learned(Learned{Hold: long}, LearnedEndpoint{}), long},
-		"wait of an answer": {failed(QueueFull, 3*time.Minute), never},
-		"refusal":           {failed(QueueFull, 0), never},
-		"failure":           {failed(Failed, 0), never},
-		"outage":            {event(Recalled{Endpoint: "e7", Sick: true}), never},
+		"wait":              {learned(Learned{Wait: moment(long)}, LearnedEndpoint{}), long},
+		"pause":             {learned(Learned{Hold: moment(long)}, LearnedEndpoint{}), long},
+		"wait of an answer": {failed(QueueFull, 3*time.Minute), forever},
+		"refusal":           {failed(QueueFull, 0), forever},
+		"failure":           {failed(Failed, 0), forever},
+		"outage":            {event(Recalled{Endpoint: "e7", Sick: true}), forever},
 		"slow start":        {event(Recalled{Endpoint: "e7", At: 0}), long},
 		"few connections": {func(d *Dispatcher) {
 			serve(t, d, 0, 7)
@@ -363,15 +364,15 @@
 			tt.cause(d)
 			kept := d.dests[7]
 			for now := time.Minute; now < min(tt.until, 2*long); now += time.Minute {
-				d.Handle(now, nil)
+				d.Handle(moment(now), nil)
 				if kept == nil || d.dests[7] != kept || d.endpoints["e7"] == nil {
 					t.Fatalf("at %v its state is gone", now)
 				}
 			}
-			if tt.until == never {
+			if tt.until == forever {
 				return
 			}
-			d.Handle(long+idleAfter, nil)
+			d.Handle(moment(long+idleAfter), nil)
 			if got := d.stateCounts(); got != [4]int{} {
 				t.Errorf("%v in state when nothing binds any more", got)
 			}
@@ -390,7 +391,7 @@
 		"listed again":          {Listed{Endpoints: []Endpoint{{ID: "e7", Destination: 7, Weight: 100, Draining: true}}}, false},
 		"gone":                  {Listed{Endpoints: []Endpoint{{ID: "e7", Destination: 7, Gone: true}}}, false},
 		"outage recalled":       {Recalled{Endpoint: "e7", Sick: true}, true},
-		"return recalled":       {Recalled{Endpoint: "e7", At: 55 * time.Second}, true},
+		"return recalled":       {Recalled{Endpoint: "e7", At: moment(55 * time.Second)}, true},
 		"old return recalled":   {Recalled{Endpoint: "e7", At: 0}, false},
 		"learned":               {Learned{Endpoints: []LearnedEndpoint{{ID: "e7"}}}, true},
 		"refusal elsewhere":     {received(limitNote{dest: 7}.note()), true},
@@ -412,7 +413,7 @@
 			if l, ok := tt.event.(Listed); ok {
 				list.change(l)
 			}
-			d.Handle(time.Minute, []Event{tt.event})
+			d.Handle(moment(time.Minute), []Event{tt.event})
 			want := [4]int{}
 			if tt.loads {
 				want = [4]int{1, 1, 1, 1}
@@ -429,10 +430,10 @@
 	s := onDemandSettings()
 	s.Newcomers = true
 	d, list := startOnDemand(t, s, many(10)...)
-	joining := Listed{Endpoints: []Endpoint{{ID: "new", Destination: 7, Weight: 100, Born: time.Hour},
-		{ID: "alone", Destination: 20, Weight: 100, Born: time.Hour}}}
+	joining := Listed{Endpoints: []Endpoint{{ID: "new", Destination: 7, Weight: 100, Born: moment(time.Hour)},
+		{ID: "alone", Destination: 20, Weight: 100, Born: moment(time.Hour)}}}
 	list.change(joining)
-	d.Handle(time.Hour, []Event{joining})
+	d.Handle(moment(time.Hour), []Event{joining})
 	if all := d.Newcomers(); len(all) != 1 || all[0].Endpoint != "new" || !all[0].Proving {
 		t.Fatalf("on trial: %+v", all)
 	}
@@ -440,13 +441,13 @@
 		t.Errorf("%v in state", got)
 	}
 	d.endpoints["new"].trial.score[0] = math.Log(worseTimes) // it keeps the trial from going on
-	d.Handle(time.Hour+3*idleAfter, nil)
+	d.Handle(moment(time.Hour+3*idleAfter), nil)
 	if len(d.Newcomers()) != 1 {
 		t.Error("a trial that is not over has been forgotten")
 	}
 	d.endpoints["new"].trial.score[0] = 0
 	for i := range 10 {
-		d.Handle(time.Hour+time.Duration(4+2*i)*idleAfter, nil)
+		d.Handle(moment(time.Hour+time.Duration(4+2*i)*idleAfter), nil)
 	}
 	if got := d.stateCounts(); got != [4]int{} || d.onTrial != 0 {
 		t.Errorf("%v in state and %d on trial at the end", got, d.onTrial)
@@ -458,7 +459,7 @@
 	s := onDemandSettings()
 	s.Zones = true
 	d, list := startOnDemand(t, s, many(10)...)
-	d.Handle(time.Hour, nil)
+	d.Handle(moment(time.Hour), nil)
 	if got := d.stateCounts(); got != [4]int{10, 10, 10, 0} || list.lookUps != 0 {
 		t.Errorf("%v in state, %d look-ups", got, list.lookUps)
 	}
@@ -497,14 +498,14 @@
 	eager := start(t, onDemandSettings(), many(1)...)
 	lazy, _ := startOnDemand(t, onDemandSettings(), many(1)...)
 	for _, d := range []*Dispatcher{eager, lazy} {
-		d.Handle(time.Minute, []Event{Arrived{ID: "m", Left: time.Second}})
+		d.Handle(moment(time.Minute), []Event{Arrived{ID: "m", Left: time.Second}})
 	}
 	want, got := eager.dests[0].queues[0], lazy.dests[0].queues[0]
 	if got.arrivals != want.arrivals || got.pace != want.pace || got.bucket != want.bucket || got.cutAt != want.cutAt {
 		t.Errorf("arrivals %+v, pace %v, bucket %+v, cut at %v, want %+v, %v, %+v, %v", got.arrivals, got.pace, got.bucket, got.cutAt,
 			want.arrivals, want.pace, want.bucket, want.cutAt)
 	}
-	if rate := got.arrivals.rate(time.Minute); rate > 0.11 {
+	if rate := got.arrivals.rate(moment(time.Minute)); rate > 0.11 {
 		t.Errorf("%v arrivals a second, from one in a minute", rate)
 	}
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,6 +11,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"milletsail/internal/instant"
 )
 
 const (
@@ -70,7 +72,7 @@
 )
 
 // Handle takes in the events of one batch and returns what is to be done, in order.
-func (d *Dispatcher) Handle(now time.Duration, events []Event) []Action {
+func (d *Dispatcher) Handle(now instant.Time, events []Event) []Action {
 	d.now, d.actions = max(now, d.now), nil
 	for _, m := range slices.Clone(d.resting) {
 		d.retire(m)
@@ -108,7 +110,7 @@
 func (d *Dispatcher) admit(m *message) {
 	q := d.route(m)
 	q.arrivals.add(d.now, 1)
-	left := (m.expires - d.now).Seconds()
+	left := m.expires.Sub(d.now).Seconds()
 	u, x := d.backlog(q), q.class[m.Class]
 	λ, r := q.arrivals.rate(d.now), q.misses.rate(d.now)
 	d.virtual(q, left-x)
@@ -118,8 +120,12 @@
 	room := roomShare * float64(d.s.HoldRoom)
 	much := float64(len(q.held)) > room/2 || q.down() // those that are out leave room for the others
 	crowded := float64(len(d.live)) > room && much || len(d.live) > d.s.HoldRoom
-	if refusing(u, x, left-x, λ-r, len(q.held) > 0) || crowded {
-		d.refuse(m, u+2*x-left)
+	if crowded {
+		d.refuse(m, u+2*x-left, ReasonCrowded)
+		return
+	}
+	if refusing(u, x, left-x, λ-r, len(q.held) > 0) {
+		d.refuse(m, u+2*x-left, ReasonBacklog)
 		return
 	}
 	d.hold(q, m)
@@ -138,7 +144,7 @@
 }
 
 // abreast is how many calls of a queue are out at once: in a wait or an outage, as many as there were before.
-func (q *queue) abreast(now time.Duration) float64 {
+func (q *queue) abreast(now instant.Time) float64 {
 	n := math.Max(1, float64(len(q.out)))
 	if now < max(q.waitUntil, q.holdUntil) || q.down() {
 		return math.Max(n, q.width)
@@ -147,7 +153,7 @@
 }
 
 // pitch is the time between messages that a queue sends one after another.
-func (q *queue) pitch(now time.Duration) float64 {
+func (q *queue) pitch(now instant.Time) float64 {
 	pitch := q.calls(1) * q.mean / q.abreast(now)
 	if q.pace > 0 {
 		pitch = math.Max(pitch, 1/(q.pace*float64(q.bundle)))
@@ -176,7 +182,7 @@
 func (d *Dispatcher) latency(q *queue) float64 {
 	mean := q.mean
 	for _, c := range q.out {
-		if age := (d.now - c.sent).Seconds(); age > mean {
+		if age := d.now.Sub(c.sent).Seconds(); age > mean {
 			mean += latencyGain * (age - mean)
 		}
 	}
@@ -186,7 +192,7 @@
 // opens is the time until the next call of a queue may leave with n messages ahead of it, as far as
 // waits, pace and health tell.
 func (d *Dispatcher) opens(q *queue, n int) float64 {
-	wait := math.Max(0, (d.pausedTo(q) - d.now).Seconds())
+	wait := math.Max(0, (d.pausedTo(q).Sub(d.now)).Seconds())
 	calls := q.calls(n)
 	if q.pace > 0 && !d.tries(q) {
 		wait = math.Max(wait, (calls+1-d.tokens(q))/q.pace)
@@ -199,7 +205,7 @@
 		// The next trial, and if it succeeds the others at the budget of a half-warm endpoint.
 		first := math.Max(0, 1-d.epTokens(ep)) / math.Max(1e-9, d.budget(ep, d.coldFor(ep)))
 		if d.tries(q) {
-			first = math.Min(first, math.Max(0, (d.tryAt(ep)-d.now).Seconds()))
+			first = math.Min(first, math.Max(0, (d.tryAt(ep).Sub(d.now)).Seconds()))
 		}
 		half := d.budget(ep, max(d.coldFor(ep), d.s.RampTime/2)) * float64(len(q.eps))
 		ramp = math.Min(ramp, first+calls/math.Max(1e-9, half))
@@ -222,7 +228,7 @@
 			continue
 		}
 		done := d.backlog(q) + math.Max(q.class[m.Class], d.latency(q))
-		late := m.expires - d.now - time.Duration(math.Min(done, 1e6)*float64(time.Second))
+		late := m.expires.Sub(d.now) - time.Duration(math.Min(done, 1e6)*float64(time.Second))
 		cost := m.class.Worth*(1-m.class.worthAt(m.class.Deadline-late)) +
 			d.meanWorth*done/m.class.Deadline.Seconds()
 		if zone := q.eps[0].Zone; zone >= 0 && zone < len(d.s.ZoneFee) {
@@ -261,10 +267,10 @@
 }
 
 // falls is when a message falls under keepWorth; what is under it already comes after all others.
-func (d *Dispatcher) falls(m *message) time.Duration {
-	at := m.expires - m.class.Deadline + m.class.ageAt(keepWorth)
+func (d *Dispatcher) falls(m *message) instant.Time {
+	at := m.expires.Add(-m.class.Deadline).Add(m.class.ageAt(keepWorth))
 	if at < d.now {
-		at += time.Hour
+		at = at.Add(time.Hour)
 	}
 	return at
 }
@@ -320,7 +326,7 @@
 }
 
 // lateAt is when a call has been out for far longer than usual.
-func (d *Dispatcher) lateAt(c *call, factor float64) time.Duration {
+func (d *Dispatcher) lateAt(c *call, factor float64) instant.Time {
 	usual := math.Max(c.ep.q.mean, c.ep.lastTook)
 	for _, m := range c.msgs {
 		usual = math.Max(usual, c.ep.q.class[m.Class])
@@ -329,7 +335,7 @@
 		return never
 	}
 	tries := math.Pow(2, float64(len(c.msgs[0].attempts)-1))
-	return c.sent + time.Duration(factor*tries*usual*float64(time.Second))
+	return c.sent.Add(time.Duration(factor * tries * usual * float64(time.Second)))
 }
 
 // ready tells which message a queue would send now and where, if any.
@@ -457,7 +463,7 @@
 // timeout is how long an answer is waited for; an unsafe message waits to its end, since after a
 // time-out it could only be failed.
 func (d *Dispatcher) timeout(m *message, c *call) time.Duration {
-	left := m.expires - d.now
+	left := m.expires.Sub(d.now)
 	if m.class.Effect == Unsafe || len(m.attempts) >= d.s.MaxAttempts {
 		return 0
 	}
@@ -496,7 +502,7 @@
 		return
 	}
 	if e.Wait > 0 { // it binds whatever became of the message, and calls that are not written yet
-		c.ep.q.waitUntil = max(c.ep.q.waitUntil, d.now+min(e.Wait, never-d.now))
+		c.ep.q.waitUntil = max(c.ep.q.waitUntil, d.now.Add(min(e.Wait, never.Sub(d.now))))
 		for _, ep := range c.ep.q.eps {
 			d.act(Withhold{Endpoint: ep.ID})
 		}
@@ -508,7 +514,7 @@
 		}
 	}
 	if e.Outcome == TimedOut || e.Outcome == Reset || e.Outcome == Canceled {
-		m.rest = d.now + d.s.OrderPause
+		m.rest = d.now.Add(d.s.OrderPause)
 	}
 	switch {
 	case e.Over || e.Outcome == OK:
@@ -516,8 +522,12 @@
 	case m.over:
 		d.retire(m)
 	case m.open > 0:
-	case e.Spent || len(m.attempts) >= d.s.MaxAttempts, d.now >= m.expires-d.s.Tick || !d.repeatable(m, nil):
-		d.giveUp(m)
+	case e.Spent || len(m.attempts) >= d.s.MaxAttempts:
+		d.giveUp(m, ReasonAttempts)
+	case d.now >= m.expires.Add(-d.s.Tick):
+		d.giveUp(m, ReasonTime)
+	case !d.repeatable(m, nil):
+		d.giveUp(m, ReasonNoRepeat)
 	default:
 		d.hold(d.route(m), m)
 	}
@@ -527,10 +537,10 @@
 func (d *Dispatcher) learn(c *call, m *message, e Ended) {
 	ep, q := c.ep, c.ep.q
 	if e.Took <= 0 {
-		e.Took = d.now - c.sent
+		e.Took = d.now.Sub(c.sent)
 	}
 	took := min(e.Took, m.class.Deadline).Seconds()
-	if c.sent+e.Took >= d.lateAt(c, stuckAfter) {
+	if c.sent.Add(e.Took) >= d.lateAt(c, stuckAfter) {
 		d.unanswered *= 1 - latencyGain
 		if e.Outcome != OK {
 			d.unanswered += latencyGain
@@ -552,15 +562,15 @@
 			break // begun before the destination shut: it says nothing of its return
 		}
 		d.succeeded(ep, e.Report == nil || e.Report.Left >= roomLeft)
-		open := limitNote{open: true, dest: q.dest.no, age: d.now - c.sent}
+		open := limitNote{open: true, dest: q.dest.no, age: d.now.Sub(c.sent)}
 		if (d.reopened(q, open) || q.word.origins > 0) && d.s.Peers {
 			q.word = word{}
 			d.act(Tell{Note: open.note()})
 		}
 	case QueueFull:
-		d.full(q, limitNote{dest: q.dest.no, wait: e.Wait, age: d.now - c.sent})
+		d.full(q, limitNote{dest: q.dest.no, wait: e.Wait, age: d.now.Sub(c.sent)})
 	case ConnectError:
-		if d.s.Peers && d.now >= ep.noRoomAt+burstSpan {
+		if d.s.Peers && d.now >= ep.noRoomAt.Add(burstSpan) {
 			ep.noRoomAt = d.now
 			if d.chance.Float64()*float64(d.s.Instances) < tellers {
 				d.act(Tell{Note: endpointNote(noRoomMark, ep.ID)})
@@ -601,7 +611,7 @@
 	}
 	q.fulls, q.ill = 0, false
 	if !room { // calm starts anew
-		q.cutAt = max(q.cutAt, d.now-burstSpan)
+		q.cutAt = max(q.cutAt, d.now.Add(-burstSpan))
 	}
 }
 
@@ -657,11 +667,11 @@
 		q.firstFull = d.now
 	}
 	tried := d.tries(q) // for all: they have to know
-	if until := d.closed(q, l); d.s.Peers && !q.apart && (tried || until > q.toldUntil+leastPause) {
+	if until := d.closed(q, l); d.s.Peers && !q.apart && (tried || until > q.toldUntil.Add(leastPause)) {
 		q.toldUntil = until
 		d.act(Tell{Note: l.note()})
 	}
-	shut := l.wait > shutAfter || q.fulls > failuresToSick && d.now-q.firstFull > shutAfter
+	shut := l.wait > shutAfter || q.fulls > failuresToSick && d.now.Sub(q.firstFull) > shutAfter
 	if shut || !d.s.Peers && d.once(q, q.fulls) {
 		for _, ep := range q.eps {
 			d.sicken(ep)
@@ -695,20 +705,20 @@
 
 // closed takes in that a destination refuses calls, for a wait if one is told, and gives the end of the
 // pause. All who learn of it come down at once, and come back apart, each at a chance part of its own pace.
-func (d *Dispatcher) closed(q *queue, l limitNote) (until time.Duration) {
-	q.refusedAt = max(q.refusedAt, d.now-l.age)
+func (d *Dispatcher) closed(q *queue, l limitNote) (until instant.Time) {
+	q.refusedAt = max(q.refusedAt, d.now.Add(-l.age))
 	wait := l.wait
 	if wait <= 0 { // a moment: a steady rate has room again at once; twice as long if that was not enough
 		if d.now < q.holdUntil {
 			return q.holdUntil
 		}
-		if q.pause *= 2; d.now > q.holdUntil+q.pause {
+		if q.pause *= 2; d.now > q.holdUntil.Add(q.pause) {
 			q.pause = leastPause
 		}
 		wait = time.Duration((0.5 + d.chance.Float64()) * float64(q.pause))
 	}
-	until = d.now + min(wait, longestHold)
-	if d.now >= q.cutAt+burstSpan {
+	until = d.now.Add(min(wait, longestHold))
+	if d.now >= q.cutAt.Add(burstSpan) {
 		d.climb(q)
 		q.pace = math.Max(paceFloor*d.even(q), math.Min(q.pace*paceCut, (q.pace+d.even(q))/2))
 		q.cutAt = d.now
@@ -722,7 +732,7 @@
 // reopened ends a pause, but for a wait that we were told, if a call sent well after the one that was refused
 // was taken: a rate has room again at once, where a count has none until its span is over.
 func (d *Dispatcher) reopened(q *queue, l limitNote) bool {
-	if d.now >= q.holdUntil || d.now-l.age < q.refusedAt+leastPause/2 {
+	if d.now >= q.holdUntil || d.now.Add(-l.age) < q.refusedAt.Add(leastPause/2) {
 		return false
 	}
 	q.holdUntil, q.toldUntil, q.tokens, q.tokensAt = d.now, d.now, d.chance.Float64(), d.now
@@ -736,11 +746,11 @@
 	from := max(q.climbedAt, calmFrom)
 	q.climbedAt = d.now
 	most := q.weight
-	if d.sparse(q) && d.now > d.heardAt+burstSpan {
+	if d.sparse(q) && d.now > d.heardAt.Add(burstSpan) {
 		most = d.even(q) // cut off, nobody hears of the others' refusals
 	}
 	if d.now > from && q.pace < most && (q.pace < paceRoom*d.even(q) || len(q.held) > 0) && !q.down() {
-		rise := paceClimb * min(d.now-calmFrom, paceCalm).Seconds() * (d.now - from).Seconds()
+		rise := paceClimb * min(d.now.Sub(calmFrom), paceCalm).Seconds() * d.now.Sub(from).Seconds()
 		q.pace = math.Min(q.pace*math.Exp(rise), most)
 	}
 }
@@ -757,37 +767,41 @@
 		}
 	}
 	for _, m := range ended {
-		d.giveUp(m)
+		reason := ReasonTime
+		if !d.repeatable(m, nil) {
+			reason = ReasonNoRepeat
+		}
+		d.giveUp(m, reason)
 	}
 }
 
 // lastChance is when a held message is given up: its time left is then its expected latency.
-func (d *Dispatcher) lastChance(m *message) time.Duration {
+func (d *Dispatcher) lastChance(m *message) instant.Time {
 	x := time.Duration(m.q.class[m.Class] * float64(time.Second))
-	return m.expires - max(2*d.s.Tick, x)
+	return m.expires.Add(-max(2*d.s.Tick, x))
 }
 
 // short tells whether a message's time may be up before a call with it ends, which ends the call for all its
 // messages: such share calls with their like.
 func (d *Dispatcher) short(q *queue, m *message) bool {
-	return (m.expires - d.now).Seconds() < stuckAfter*q.class[m.Class]
+	return m.expires.Sub(d.now).Seconds() < stuckAfter*q.class[m.Class]
 }
 
 // giveUp ends a message: a refusal where trying again is harmless, which tells when its queue may send next,
 // else a failure.
-func (d *Dispatcher) giveUp(m *message) {
+func (d *Dispatcher) giveUp(m *message, why Reason) {
 	if m.firstRun() == nil || m.class.Effect == Safe || m.class.Effect == Keyed && !m.class.ByZone {
 		q := d.route(m)
-		d.refuse(m, d.opens(q, len(q.held)))
+		d.refuse(m, d.opens(q, len(q.held)), why)
 		return
 	}
-	d.act(Fail{ID: m.ID})
+	d.act(Fail{ID: m.ID, Reason: why})
 	d.finish(m)
 }
 
-func (d *Dispatcher) refuse(m *message, after float64) {
+func (d *Dispatcher) refuse(m *message, after float64, why Reason) {
 	stay := time.Duration(math.Min(math.Max(0, after), d.s.MaxStayAway.Seconds()) * float64(time.Second))
-	d.act(Refuse{ID: m.ID, StayAway: stay})
+	d.act(Refuse{ID: m.ID, StayAway: stay, Reason: why})
 	d.finish(m)
 }
 
@@ -801,7 +815,7 @@
 // refused, use the room. Half of the relays may knock once more, by chance, but not after a told wait,
 // when all would; and an outage that began after a success just now is not about to end.
 func (d *Dispatcher) once(q *queue, n int) bool {
-	if !d.sparse(q) || q.lastOK > 0 && d.now-q.lastOK <= shutAfter {
+	if !d.sparse(q) || q.lastOK > 0 && d.now.Sub(q.lastOK) <= shutAfter {
 		return false
 	}
 	return n >= failuresToSick || d.now < q.waitUntil || d.chance.Float64() < onceShare
@@ -825,6 +839,6 @@
 // endpointBinds tells whether something that is known of an endpoint without a call out binds.
 func (d *Dispatcher) endpointBinds(ep *endpoint) bool {
 	cold := ep.sick || ep.ramping && d.coldFor(ep) < d.s.RampTime
-	capped := d.crowded(ep) && d.now-max(ep.lastUsed, ep.crowdedAt) < d.s.ConnIdle
+	capped := d.crowded(ep) && d.now.Sub(max(ep.lastUsed, ep.crowdedAt)) < d.s.ConnIdle
 	return cold || capped || ep.failures > 0 || ep.trial != nil || ep.word.binds(d.now)
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"milletsail/internal/instant"
 )
 
 const ms = time.Millisecond
@@ -74,7 +76,7 @@
 		events = append(events, Arrived{ID: fmt.Sprint(i), Left: 10 * time.Second, Size: size})
 	}
 	calls := map[int]string{}
-	for _, a := range d.Handle(ms, events) {
+	for _, a := range d.Handle(moment(ms), events) {
 		if a, ok := a.(Send); ok {
 			calls[a.Call] += a.ID
 		}
@@ -89,8 +91,8 @@
 // their like, and the others are not given up with them.
 func TestLittleTimeInACall(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a", Kind: 1})
-	d.Handle(ms, []Event{arrive("first", 0)})
-	d.Handle(time.Second, []Event{Ended{ID: "first", Endpoint: "a", Outcome: OK, Took: time.Second, Over: true}})
+	d.Handle(moment(ms), []Event{arrive("first", 0)})
+	d.Handle(moment(time.Second), []Event{Ended{ID: "first", Endpoint: "a", Outcome: OK, Took: time.Second, Over: true}})
 	var events []Event
 	for _, m := range []struct {
 		id   string
@@ -99,7 +101,7 @@
 		events = append(events, Arrived{ID: m.id, Left: m.left})
 	}
 	calls := map[int]string{}
-	for _, a := range d.Handle(1100*ms, events) {
+	for _, a := range d.Handle(moment(1100*ms), events) {
 		if a, ok := a.(Send); ok {
 			calls[a.Call] += a.ID
 		}
@@ -112,19 +114,19 @@
 // Held messages that travel together take the time of their calls, not a call's time each.
 func TestBacklogCountsCalls(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a", Kind: 1})
-	d.Handle(ms, []Event{arrive("first", 0)})
-	d.Handle(time.Second, []Event{Ended{ID: "first", Endpoint: "a", Outcome: OK, Took: time.Second, Over: true}})
-	d.Handle(2*time.Second, []Event{arrive("refused", 0)})
-	d.Handle(2100*ms, []Event{Ended{ID: "refused", Endpoint: "a", Outcome: QueueFull, Wait: time.Second, Took: 100 * ms}})
+	d.Handle(moment(ms), []Event{arrive("first", 0)})
+	d.Handle(moment(time.Second), []Event{Ended{ID: "first", Endpoint: "a", Outcome: OK, Took: time.Second, Over: true}})
+	d.Handle(moment(2*time.Second), []Event{arrive("refused", 0)})
+	d.Handle(moment(2100*ms), []Event{Ended{ID: "refused", Endpoint: "a", Outcome: QueueFull, Wait: time.Second, Took: 100 * ms}})
 	var events []Event
 	for i := range 7 { // with the one held that are two calls of a second
 		events = append(events, arrive(fmt.Sprint("m", i), 0))
 	}
-	expect(t, "two calls ahead, with ten seconds left", d.Handle(2200*ms, events), "")
+	expect(t, "two calls ahead, with ten seconds left", d.Handle(moment(2200*ms), events), "")
 	for i := range 100 {
 		events = append(events, arrive(fmt.Sprint("n", i), 0))
 	}
-	if got := said(d.Handle(2300*ms, events)); !strings.Contains(got, "refuse") {
+	if got := said(d.Handle(moment(2300*ms), events)); !strings.Contains(got, "refuse") {
 		t.Error("twenty calls ahead: nothing refused")
 	}
 }
@@ -132,18 +134,18 @@
 // A wait that comes with a delivery binds as one that comes with a refusal.
 func TestWaitWithDelivery(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a"})
-	d.Handle(ms, []Event{arrive("m", 0)})
-	d.Handle(100*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true, Wait: time.Second}})
-	expect(t, "while it waits", d.Handle(200*ms, []Event{arrive("n", 0)}), "")
-	expect(t, "after it", d.Handle(1100*ms, []Event{Woken{}}), "n>a")
+	d.Handle(moment(ms), []Event{arrive("m", 0)})
+	d.Handle(moment(100*ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true, Wait: time.Second}})
+	expect(t, "while it waits", d.Handle(moment(200*ms), []Event{arrive("n", 0)}), "")
+	expect(t, "after it", d.Handle(moment(1100*ms), []Event{Woken{}}), "n>a")
 }
 
 // The client of a message that is given up learns when its destination may get messages again.
 func TestGivenUpToldWhenToComeBack(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a"})
-	d.Handle(ms, []Event{arrive("m", 0)})
-	d.Handle(8600*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: 2400 * ms}})
-	for _, a := range d.Handle(10*time.Second, []Event{Woken{}}) {
+	d.Handle(moment(ms), []Event{arrive("m", 0)})
+	d.Handle(moment(8600*ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: 2400 * ms}})
+	for _, a := range d.Handle(moment(10*time.Second), []Event{Woken{}}) {
 		if a, ok := a.(Refuse); ok {
 			if a.StayAway != time.Second {
 				t.Errorf("told to come again after %v, want the rest of the wait", a.StayAway)
@@ -169,16 +171,16 @@
 			e.ID, e.Endpoint = id, "a"
 			out = append(out, e)
 		}
-		d.Handle(now, in)
+		d.Handle(moment(now), in)
 		now += time.Second
 		return out
 	}
 	for range 10 {
-		d.Handle(now, round(8, Ended{Outcome: OK, Took: time.Second, Over: true}))
+		d.Handle(moment(now), round(8, Ended{Outcome: OK, Took: time.Second, Over: true}))
 		now += 9 * time.Second
 	}
-	d.Handle(now, round(10, Ended{Outcome: QueueFull, Wait: 2 * time.Second, Took: time.Second}))
-	expect(t, "10 held, 2 s to wait, some calls of a second at once", d.Handle(now+ms, []Event{arrive("m", 0)}), "")
+	d.Handle(moment(now), round(10, Ended{Outcome: QueueFull, Wait: 2 * time.Second, Took: time.Second}))
+	expect(t, "10 held, 2 s to wait, some calls of a second at once", d.Handle(moment(now+ms), []Event{arrive("m", 0)}), "")
 }
 
 // Messages for destinations that are out leave a part of the holding room to those for others.
@@ -193,9 +195,9 @@
 	d.Handle(0, []Event{Listed{Endpoints: []Endpoint{{ID: "d", Destination: 3}}}})
 	var all []Action
 	for i := range 9 {
-		all = append(all, d.Handle(ms, []Event{Arrived{ID: fmt.Sprint(i), Destination: i % 3, Left: time.Hour}})...)
+		all = append(all, d.Handle(moment(ms), []Event{Arrived{ID: fmt.Sprint(i), Destination: i % 3, Left: time.Hour}})...)
 	}
-	all = append(all, d.Handle(ms, []Event{Arrived{ID: "other", Destination: 3, Left: time.Hour}})...)
+	all = append(all, d.Handle(moment(ms), []Event{Arrived{ID: "other", Destination: 3, Left: time.Hour}})...)
 	expect(t, "the last quarter is for the other", all, "refuse 6 refuse 7 refuse 8 other>d")
 }
 
@@ -238,11 +240,11 @@
 	if u := d.backlog(q); u != 1.5 {
 		t.Errorf("six held, two out: u = %v, want 6 × 0.5 / 2", u)
 	}
-	d.now = 5500 * ms // both calls have been out for 5.5 s: 0.5 + 0.1×5, then 1 + 0.1×4.5
+	d.now = moment(5500 * ms) // both calls have been out for 5.5 s: 0.5 + 0.1×5, then 1 + 0.1×4.5
 	if got := d.latency(q); math.Abs(got-1.45) > 1e-9 {
 		t.Errorf("calls out count with their age: %v, want 1.45", got)
 	}
-	q.waitUntil = d.now + 8*time.Second
+	q.waitUntil = d.now.Add(8 * time.Second)
 	if u := d.backlog(q); u != 8 {
 		t.Errorf("in a wait: u = %v, want the 8 s that remain", u)
 	}
@@ -254,9 +256,9 @@
 		t.Error("a fresh counter has a rate")
 	}
 	for i := range 400 {
-		a.add(time.Duration(i)*100*ms, 1)
+		a.add(moment(time.Duration(i)*100*ms), 1)
 	}
-	if got := a.rate(40 * time.Second); math.Abs(got-10) > 0.3 {
+	if got := a.rate(moment(40 * time.Second)); math.Abs(got-10) > 0.3 {
 		t.Errorf("ten a second: rate %v", got)
 	}
 	d := start(t, plain(), Endpoint{ID: "a"})
@@ -268,7 +270,7 @@
 			t.Errorf("arrival %d: %v misses of the copy, want %v", i, q.misses.n, want)
 		}
 		if i == 2 {
-			d.now = 2 * time.Second // the copy's work drains to 2
+			d.now = moment(2 * time.Second) // the copy's work drains to 2
 		}
 	}
 }
@@ -305,7 +307,7 @@
 	for _, tt := range tests {
 		d := start(t, plain(), Endpoint{ID: "a"})
 		expect(t, "arrival", d.Handle(0, []Event{arrive("m", tt.class)}), "m>a")
-		got := d.Handle(time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: tt.outcome, Over: tt.outcome == OK}})
+		got := d.Handle(moment(time.Second), []Event{Ended{ID: "m", Endpoint: "a", Outcome: tt.outcome, Over: tt.outcome == OK}})
 		expect(t, fmt.Sprintf("class %d, outcome %d", tt.class, tt.outcome), got, tt.want)
 	}
 }
@@ -313,7 +315,7 @@
 func TestKeyedEndsWithItsMemory(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a"})
 	d.Handle(0, []Event{arrive("m", 1)})
-	got := d.Handle(3995*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: TimedOut}})
+	got := d.Handle(moment(3995*ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: TimedOut}})
 	expect(t, "memory gone", got, "refuse m")
 }
 
@@ -324,16 +326,16 @@
 	if got := within(d.Handle(0, []Event{arrive("m", 1)})); got != 0 {
 		t.Errorf("first attempt: within %v", got)
 	}
-	if got := within(d.Handle(time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: ConnectError}})); got != 0 {
+	if got := within(d.Handle(moment(time.Second), []Event{Ended{ID: "m", Endpoint: "a", Outcome: ConnectError}})); got != 0 {
 		t.Errorf("after one that never ran: within %v", got)
 	}
-	again := d.Handle(3*time.Second, []Event{Ended{ID: "m", Endpoint: "a", Attempt: 1, Outcome: Reset}})
+	again := d.Handle(moment(3*time.Second), []Event{Ended{ID: "m", Endpoint: "a", Attempt: 1, Outcome: Reset}})
 	if got := within(again); got != 2*time.Second-10*ms {
 		t.Errorf("after one that may have run: within %v", got)
 	}
 	safe := start(t, plain(), Endpoint{ID: "a"})
 	safe.Handle(0, []Event{arrive("m", 0)})
-	if got := within(safe.Handle(time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: Reset}})); got != 0 {
+	if got := within(safe.Handle(moment(time.Second), []Event{Ended{ID: "m", Endpoint: "a", Outcome: Reset}})); got != 0 {
 		t.Errorf("a safe class: within %v", got)
 	}
 }
@@ -356,9 +358,9 @@
 	if at > 10*time.Second || at < 9900*ms {
 		t.Errorf("timer after %v", at)
 	}
-	expect(t, "before its end", d.Handle(at-ms, []Event{Woken{}}), "")
-	expect(t, "at its end", d.Handle(at, []Event{Woken{}}), "refuse m")
-	expect(t, "late outcome", d.Handle(at+ms, []Event{Ended{ID: "m", Outcome: OK}}), "")
+	expect(t, "before its end", d.Handle(moment(at-ms), []Event{Woken{}}), "")
+	expect(t, "at its end", d.Handle(moment(at), []Event{Woken{}}), "refuse m")
+	expect(t, "late outcome", d.Handle(moment(at+ms), []Event{Ended{ID: "m", Outcome: OK}}), "")
 }
 
 func TestDrains(t *testing.T) {
@@ -376,10 +378,10 @@
 	s.OrderPause = 300 * ms
 	d := start(t, s, Endpoint{ID: "a"})
 	expect(t, "one of a key at a time", d.Handle(0, []Event{arrive("m", 2), arrive("n", 2)}), "m>a")
-	expect(t, "a time-out rests the key", d.Handle(time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: TimedOut}}),
+	expect(t, "a time-out rests the key", d.Handle(moment(time.Second), []Event{Ended{ID: "m", Endpoint: "a", Outcome: TimedOut}}),
 		"fail m")
-	expect(t, "still resting", d.Handle(1299*ms, []Event{Woken{}}), "")
-	expect(t, "rested", d.Handle(1300*ms, []Event{Woken{}}), "n>a")
+	expect(t, "still resting", d.Handle(moment(1299*ms), []Event{Woken{}}), "")
+	expect(t, "rested", d.Handle(moment(1300*ms), []Event{Woken{}}), "n>a")
 }
 
 func TestWaits(t *testing.T) {
@@ -389,8 +391,8 @@
 	}{{0, ""}, {2, "n>b"}} { // a shared limit binds the destination, a route only itself
 		d := start(t, plain(), Endpoint{ID: "a", Kind: tt.kind}, Endpoint{ID: "b", Kind: tt.kind})
 		d.Handle(0, []Event{arrive("m", 0)})
-		d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: time.Second}, Withdrawn{ID: "m"}})
-		expect(t, fmt.Sprint("kind ", tt.kind), d.Handle(500*ms, []Event{arrive("n", 0)}), tt.want)
+		d.Handle(moment(ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: time.Second}, Withdrawn{ID: "m"}})
+		expect(t, fmt.Sprint("kind ", tt.kind), d.Handle(moment(500*ms), []Event{arrive("n", 0)}), tt.want)
 	}
 }
 
@@ -401,7 +403,7 @@
 	other := Arrived{ID: "m3", Destination: 1, Left: 10 * time.Second}
 	expect(t, "sent", d.Handle(0, []Event{arrive("m1", 0), arrive("m2", 0), other}), "m1>a m3>c m2>b")
 	var held []string
-	for _, a := range d.Handle(time.Second, []Event{Ended{ID: "m1", Endpoint: "a", Outcome: QueueFull, Wait: time.Second}}) {
+	for _, a := range d.Handle(moment(time.Second), []Event{Ended{ID: "m1", Endpoint: "a", Outcome: QueueFull, Wait: time.Second}}) {
 		if a, ok := a.(Withhold); ok {
 			held = append(held, a.Endpoint)
 		}
@@ -417,7 +419,7 @@
 	if d.out != 1 {
 		t.Errorf("%d calls out, want one bundle", d.out)
 	}
-	got := d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: time.Second}, arrive("o", 0)})
+	got := d.Handle(moment(ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: time.Second}, arrive("o", 0)})
 	expect(t, "in the wait", got, "")
 }
 
@@ -437,7 +439,7 @@
 			if now%(200*ms) == 0 {
 				events = append(events, Arrived{ID: fmt.Sprint(now), Left: 10 * time.Second})
 			}
-			for _, a := range d.Handle(now, events) {
+			for _, a := range d.Handle(moment(now), events) {
 				if a, ok := a.(Send); ok {
 					out[a.ID] = len(d.messages[a.ID].attempts) - 1
 					if now >= 20*time.Second {
@@ -458,7 +460,7 @@
 	s.Weights, s.Slots = WeightsNominal, 40
 	d := start(t, s, Endpoint{ID: "a", Weight: 10})
 	ep := d.endpoints["a"]
-	d.now = time.Second
+	d.now = moment(time.Second)
 	d.sicken(ep)
 	d.succeeded(ep, true)
 	if got, want := d.budget(ep, 0), rampSafety*2*0.2*10; math.Abs(got-want) > 1e-9 {
@@ -467,7 +469,7 @@
 	if got, want := d.budget(ep, 10*time.Second), rampSafety*2*10; math.Abs(got-want) > 1e-9 {
 		t.Errorf("budget when warm: %v, want %v", got, want)
 	}
-	d.now = 12 * time.Second
+	d.now = moment(12 * time.Second)
 	if d.epTokens(ep); ep.ramping {
 		t.Error("still ramping after the ramp time")
 	}
@@ -477,8 +479,8 @@
 func TestConnectionCap(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a"})
 	d.Handle(0, []Event{arrive("m1", 0), arrive("m2", 0)})
-	d.Handle(10*ms, []Event{Ended{ID: "m1", Endpoint: "a", Outcome: OK, Over: true}, arrive("m3", 0)})
-	d.Handle(20*ms, []Event{Ended{ID: "m2", Endpoint: "a", Outcome: ConnectError}})
+	d.Handle(moment(10*ms), []Event{Ended{ID: "m1", Endpoint: "a", Outcome: OK, Over: true}, arrive("m3", 0)})
+	d.Handle(moment(20*ms), []Event{Ended{ID: "m2", Endpoint: "a", Outcome: ConnectError}})
 	ep := d.endpoints["a"]
 	if ep.sick || ep.failures > 0 || ep.connCap != 1 {
 		t.Errorf("sick %v, failures %v, cap %v", ep.sick, ep.failures, ep.connCap)
@@ -498,11 +500,11 @@
 	q := d.queues[0]
 	q.observe(0, 0.1)
 	d.Handle(0, []Event{arrive("lost", 0)})
-	d.Handle(50*ms, []Event{arrive("m", 0)})
-	expect(t, "nothing overtook it", d.Handle(140*ms, []Event{Woken{}}), "")
-	d.Handle(150*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}})
-	expect(t, "overtaken and late", d.Handle(700*ms, []Event{Woken{}}), "cancel lost/0")
-	expect(t, "sent again", d.Handle(705*ms, []Event{Ended{ID: "lost", Endpoint: "a", Outcome: Canceled}}), "lost>a")
+	d.Handle(moment(50*ms), []Event{arrive("m", 0)})
+	expect(t, "nothing overtook it", d.Handle(moment(140*ms), []Event{Woken{}}), "")
+	d.Handle(moment(150*ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}})
+	expect(t, "overtaken and late", d.Handle(moment(700*ms), []Event{Woken{}}), "cancel lost/0")
+	expect(t, "sent again", d.Handle(moment(705*ms), []Event{Ended{ID: "lost", Endpoint: "a", Outcome: Canceled}}), "lost>a")
 }
 
 // TestStuckSlotIsTakenBack guards against hangs that fill the slots.
@@ -514,9 +516,9 @@
 	d.queues[1].observe(0, 0.1)
 	at := func(id string, dest int) Event { return Arrived{ID: id, Destination: dest, Left: 10 * time.Second} }
 	d.Handle(0, []Event{at("m", 0)})
-	d.Handle(100*ms, []Event{at("n", 1)})
-	expect(t, "no slot is wanted", d.Handle(900*ms, []Event{Woken{}}), "")
-	expect(t, "one is wanted", d.Handle(1000*ms, []Event{at("o", 2)}), "cancel m/0")
+	d.Handle(moment(100*ms), []Event{at("n", 1)})
+	expect(t, "no slot is wanted", d.Handle(moment(900*ms), []Event{Woken{}}), "")
+	expect(t, "one is wanted", d.Handle(moment(1000*ms), []Event{at("o", 2)}), "cancel m/0")
 }
 
 // TestPaceFollows guards against a pace that is cut by refusals and never comes back, one that rises although the
@@ -530,7 +532,7 @@
 		t.Fatalf("pace %v, want 8 / 4", q.pace)
 	}
 	refused := func(at time.Duration) {
-		d.now = at
+		d.now = moment(at)
 		d.full(q, limitNote{})
 	}
 	refused(time.Second)
@@ -539,22 +541,22 @@
 		t.Errorf("pace %v after a refusal, %v after another of the same moment", cut, q.pace)
 	}
 	q.held = []*message{{}}
-	d.now = 4 * time.Second
+	d.now = moment(4 * time.Second)
 	d.succeeded(d.endpoints["a"], false)
 	slow := d.now
 	d.tokens(q)
-	if d.now += 500 * ms; d.now-q.cutAt > 1500*ms || q.cutAt >= slow {
+	if d.now = d.now.Add(500 * ms); d.now.Sub(q.cutAt) > 1500*ms || q.cutAt >= slow {
 		t.Errorf("calm since %v, without room at %v", q.cutAt, slow)
 	}
 	for range 40 {
-		d.now += 500 * ms
+		d.now = d.now.Add(500 * ms)
 		d.tokens(q)
 	}
 	if q.pace < 2 {
 		t.Errorf("pace %v after 20 s in calm, want the even share back", q.pace)
 	}
 	for i := range 30 {
-		refused(d.now + time.Duration(1+i%2)*time.Second)
+		refused(time.Duration(d.now.Add(time.Duration(1+i%2) * time.Second)))
 	}
 	if q.pace > 0.5 {
 		t.Errorf("pace %v after refusals for 45 s: a quarter of the listed rate is not reached", q.pace)
@@ -568,21 +570,21 @@
 	s.Weights, s.Slots = WeightsNominal, 8
 	d := start(t, s, Endpoint{ID: "a", Weight: 8})
 	ep := d.endpoints["a"]
-	d.Handle(500*ms, []Event{arrive("n", 0)})
-	d.Handle(600*ms, []Event{Ended{ID: "n", Endpoint: "a", Outcome: QueueFull, Wait: 2 * time.Second}})
+	d.Handle(moment(500*ms), []Event{arrive("n", 0)})
+	d.Handle(moment(600*ms), []Event{Ended{ID: "n", Endpoint: "a", Outcome: QueueFull, Wait: 2 * time.Second}})
 	if ep.sick {
 		t.Error("a wait as long as a span of counting is taken for an outage")
 	}
-	d.Handle(3400*ms, []Event{arrive("m", 0)})
-	d.Handle(3500*ms, []Event{arrive("o", 0)})
-	d.Handle(3600*ms, []Event{Ended{ID: "o", Endpoint: "a", Outcome: QueueFull, Wait: 6 * time.Second}})
-	d.Handle(3700*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}})
+	d.Handle(moment(3400*ms), []Event{arrive("m", 0)})
+	d.Handle(moment(3500*ms), []Event{arrive("o", 0)})
+	d.Handle(moment(3600*ms), []Event{Ended{ID: "o", Endpoint: "a", Outcome: QueueFull, Wait: 6 * time.Second}})
+	d.Handle(moment(3700*ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}})
 	if !ep.sick {
 		t.Error("a destination that told a wait of 6 s is not taken for shut")
 	}
 	sent := 0
 	for at := 9300 * ms; at < 11600*ms; at += 100 * ms {
-		for _, a := range d.Handle(at, []Event{arrive(fmt.Sprint("p", at), 0)}) {
+		for _, a := range d.Handle(moment(at), []Event{arrive(fmt.Sprint("p", at), 0)}) {
 			if _, ok := a.(Send); ok {
 				sent++
 			}
@@ -611,8 +613,8 @@
 		t.Fatal(err)
 	}
 	expect(t, "at the start", d.Handle(0, nil), "subscribe")
-	expect(t, "failed", d.Handle(ms, []Event{ListFailed{}}), "")
-	expect(t, "again", d.Handle(ms+subscribeAgain, []Event{Woken{}}), "subscribe")
+	expect(t, "failed", d.Handle(moment(ms), []Event{ListFailed{}}), "")
+	expect(t, "again", d.Handle(moment(ms+subscribeAgain), []Event{Woken{}}), "subscribe")
 }
 
 func TestSettingsThatMakeNoSense(t *testing.T) {
@@ -641,11 +643,11 @@
 
 func TestUnknownThingsChangeNothing(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a"})
-	got := d.Handle(time.Second, []Event{Ended{ID: "x"}, Withdrawn{ID: "x"},
+	got := d.Handle(moment(time.Second), []Event{Ended{ID: "x"}, Withdrawn{ID: "x"},
 		Arrived{ID: "y", Class: 99}, Listed{Endpoints: []Endpoint{{ID: "z", Gone: true}}}})
 	expect(t, "unknown", got, "")
 	d.Handle(0, []Event{Woken{}}) // a clock that goes back
-	if d.now != time.Second {
+	if d.now != moment(time.Second) {
 		t.Errorf("the clock went back to %v", d.now)
 	}
 }
@@ -674,13 +676,13 @@
 		q := d.queues[0]
 		q.mean = 0.5
 		for range tt.held {
-			q.held = append(q.held, &message{class: &s.Classes[1], expires: time.Hour, q: q})
+			q.held = append(q.held, &message{class: &s.Classes[1], expires: moment(time.Hour), q: q})
 		}
 		if tt.overload {
 			q.arrivals.add(0, 100)
 		}
 		m := &message{Arrived: Arrived{ID: "m", Class: tt.class}, class: &d.s.Classes[tt.class],
-			expires: d.s.Classes[tt.class].Deadline}
+			expires: moment(d.s.Classes[tt.class].Deadline)}
 		d.live = append(d.live, m)
 		q.misses.add(0, 1000) // λ - r < 0: the bound stays out of it
 		d.admit(m)
@@ -695,8 +697,8 @@
 	d := start(t, plain())
 	d.Handle(0, []Event{arrive("m", 0)})
 	d.queues[0].observe(0, 0.5)
-	expect(t, "0.6 s left, 0.5 s needed", d.Handle(9400*ms, []Event{Woken{}}), "")
-	expect(t, "0.4 s left, 0.5 s needed", d.Handle(9600*ms, []Event{Woken{}}), "refuse m")
+	expect(t, "0.6 s left, 0.5 s needed", d.Handle(moment(9400*ms), []Event{Woken{}}), "")
+	expect(t, "0.4 s left, 0.5 s needed", d.Handle(moment(9600*ms), []Event{Woken{}}), "refuse m")
 }
 
 // TestGrayErrors guards against taking a share of failing calls for an outage.
@@ -710,7 +712,7 @@
 		d := start(t, plain(), Endpoint{ID: "a"})
 		d.Handle(0, []Event{arrive("m", 0)})
 		for i := range tt.n {
-			d.Handle(time.Duration(i+1)*ms, []Event{Ended{ID: "m", Endpoint: "a", Attempt: i, Outcome: tt.outcome}})
+			d.Handle(moment(time.Duration(i+1)*ms), []Event{Ended{ID: "m", Endpoint: "a", Attempt: i, Outcome: tt.outcome}})
 		}
 		if got := d.endpoints["a"].sick; got != tt.sick {
 			t.Errorf("%d of outcome %d: sick %v", tt.n, tt.outcome, got)
@@ -781,17 +783,17 @@
 		s.ConnIdle, s.Instances = 10*time.Second, 40
 		d := start(t, s, Endpoint{ID: "a"})
 		if tt.at > 0 && tt.at < time.Second {
-			d.Handle(tt.at, refused)
+			d.Handle(moment(tt.at), refused)
 		}
-		d.Handle(time.Second, []Event{arrive("m", 0)})
+		d.Handle(moment(time.Second), []Event{arrive("m", 0)})
 		if tt.at > time.Second {
-			d.Handle(tt.at, refused)
+			d.Handle(moment(tt.at), refused)
 		}
-		d.Handle(2*time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}})
+		d.Handle(moment(2*time.Second), []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}})
 		d.endpoints["a"].connCap = tt.connCap
-		d.Handle(tt.last-500*ms, []Event{arrive("n", 0)})
+		d.Handle(moment(tt.last-500*ms), []Event{arrive("n", 0)})
 		closes := false
-		for _, a := range d.Handle(tt.last, []Event{Ended{ID: "n", Endpoint: "a", Outcome: OK, Over: true}}) {
+		for _, a := range d.Handle(moment(tt.last), []Event{Ended{ID: "n", Endpoint: "a", Outcome: OK, Over: true}}) {
 			closes = closes || a == CloseIdle{Endpoint: "a"}
 		}
 		if closes != tt.closes {
@@ -808,8 +810,8 @@
 	for i := range 4 {
 		at, id := time.Duration(10+3*i)*100*ms, fmt.Sprint("m", i)
 		d.endpoints["a"].sick, d.endpoints["a"].failures = false, 0
-		d.Handle(at, []Event{arrive(id, 0)})
-		for _, a := range d.Handle(at+10*ms, []Event{Ended{ID: id, Endpoint: "a", Outcome: ConnectError, Over: true}}) {
+		d.Handle(moment(at), []Event{arrive(id, 0)})
+		for _, a := range d.Handle(moment(at+10*ms), []Event{Ended{ID: id, Endpoint: "a", Outcome: ConnectError, Over: true}}) {
 			if tell, ok := a.(Tell); ok && readEndpoint(noRoomMark, tell.Note) == "a" {
 				told++
 			}
@@ -824,8 +826,8 @@
 func TestFewTellWhatAllMeet(t *testing.T) {
 	told := 0
 	for _, d := range fleet(t, 300, 3000) {
-		d.Handle(time.Second, []Event{arrive("m", 0)})
-		for _, a := range d.Handle(1010*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: ConnectError, Over: true}}) {
+		d.Handle(moment(time.Second), []Event{arrive("m", 0)})
+		for _, a := range d.Handle(moment(1010*ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: ConnectError, Over: true}}) {
 			if tell, ok := a.(Tell); ok && readEndpoint(noRoomMark, tell.Note) == "a" {
 				told++
 			}
@@ -855,14 +857,14 @@
 func TestRelaysDoNotKnockInStep(t *testing.T) {
 	s := plain()
 	s.Instances, s.Weights = 400, WeightsNominal
-	seen := map[time.Duration]bool{}
+	seen := map[instant.Time]bool{}
 	for seed := range int64(5) {
 		d, err := New(s, seed)
 		if err != nil {
 			t.Fatal(err)
 		}
 		d.Handle(0, []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: "a", Weight: 4}}}, arrive("m", 0)})
-		d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull}})
+		d.Handle(moment(ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull}})
 		seen[d.queues[0].holdUntil] = true
 	}
 	if len(seen) < 4 {
@@ -890,16 +892,16 @@
 	d.queues[0].observe(2, 0.1)
 	d.unanswered = 0.9
 	d.Handle(0, []Event{Arrived{ID: "m", Class: 2, Left: 20 * time.Second}})
-	expect(t, "no slot is wanted", d.Handle(3*time.Second, []Event{Woken{}}), "")
-	expect(t, "one is wanted", d.Handle(3100*ms, []Event{Arrived{ID: "n", Destination: 1, Left: 9 * time.Second}}), "cancel m/0")
-	expect(t, "never twice", d.Handle(3105*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: Canceled}}), "fail m n>b")
+	expect(t, "no slot is wanted", d.Handle(moment(3*time.Second), []Event{Woken{}}), "")
+	expect(t, "one is wanted", d.Handle(moment(3100*ms), []Event{Arrived{ID: "n", Destination: 1, Left: 9 * time.Second}}), "cancel m/0")
+	expect(t, "never twice", d.Handle(moment(3105*ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: Canceled}}), "fail m n>b")
 }
 
 // TestBorrowedLatency guards against queues that know nothing: a lost first call would hold its slot to its end.
 func TestBorrowedLatency(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a"}, Endpoint{ID: "b", Destination: 1})
 	d.Handle(0, []Event{arrive("m", 0)})
-	d.Handle(400*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Took: 400 * ms, Over: true},
+	d.Handle(moment(400*ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Took: 400 * ms, Over: true},
 		Arrived{ID: "n", Destination: 1, Left: 10 * time.Second}})
 	q := d.queues[1]
 	if q.class[0] != 0.4 || q.mean != 0.4 {
@@ -916,7 +918,7 @@
 	d := start(t, plain())
 	got := d.Handle(0, []Event{arrive("m", 0)})
 	at := got[len(got)-1].(Wake).After
-	got = d.Handle(at-400, []Event{Woken{}})
+	got = d.Handle(moment(at-400), []Event{Woken{}})
 	if len(got) != 1 || got[0].(Wake).After > 10*ms {
 		t.Fatalf("400 ns early: %v, want another timer", got)
 	}
@@ -938,7 +940,7 @@
 	q := d.queues[0]
 	q.observe(0, 0.1)
 	d.Handle(0, []Event{arrive("m", 0)})
-	d.Handle(2*time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Took: 100 * ms, Over: true}})
+	d.Handle(moment(2*time.Second), []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Took: 100 * ms, Over: true}})
 	if math.Abs(q.mean-0.1) > 1e-9 || d.unanswered != 0 {
 		t.Errorf("mean %v, unanswered %v after a pause of our own", q.mean, d.unanswered)
 	}
@@ -949,12 +951,12 @@
 	s := plain()
 	d := start(t, s, Endpoint{ID: "a"}, Endpoint{ID: "b"})
 	d.Handle(0, []Event{arrive("m", 0)})
-	expect(t, "a retry goes to the sibling", d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: Failed}}), "m>b")
-	d.Handle(2*ms, []Event{Ended{ID: "m", Endpoint: "b", Attempt: 1, Outcome: OK, Over: true}})
-	expect(t, "so does its class", d.Handle(3*ms, []Event{arrive("n", 0)}), "n>b")
-	d.Handle(4*ms, []Event{Ended{ID: "n", Endpoint: "b", Outcome: OK, Over: true}})
-	d.endpoints["a"].lastUsed = 4 * ms
-	expect(t, "others do not", d.Handle(5*ms, []Event{arrive("o", 1)}), "o>a")
+	expect(t, "a retry goes to the sibling", d.Handle(moment(ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: Failed}}), "m>b")
+	d.Handle(moment(2*ms), []Event{Ended{ID: "m", Endpoint: "b", Attempt: 1, Outcome: OK, Over: true}})
+	expect(t, "so does its class", d.Handle(moment(3*ms), []Event{arrive("n", 0)}), "n>b")
+	d.Handle(moment(4*ms), []Event{Ended{ID: "n", Endpoint: "b", Outcome: OK, Over: true}})
+	d.endpoints["a"].lastUsed = moment(4 * ms)
+	expect(t, "others do not", d.Handle(moment(5*ms), []Event{arrive("o", 1)}), "o>a")
 }
 
 // TestOutageOfAllClassesEndsForAll guards against failures of an outage that are held against an endpoint for good, in
@@ -968,7 +970,7 @@
 	call := func(class int, atA Outcome) (first string) {
 		now += 100 * ms
 		id := fmt.Sprint(now)
-		actions := d.Handle(now, []Event{arrive(id, class)})
+		actions := d.Handle(moment(now), []Event{arrive(id, class)})
 		for n := 0; len(actions) > 0 && n < 8; n++ {
 			var ends []Event
 			for _, x := range actions {
@@ -982,7 +984,7 @@
 				}
 			}
 			now += 10 * ms
-			actions = d.Handle(now, ends)
+			actions = d.Handle(moment(now), ends)
 		}
 		return first
 	}
@@ -1031,7 +1033,7 @@
 				t.Fatal(err)
 			}
 			d.Handle(0, []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: "a", Weight: 4}}}, arrive("m", 0)})
-			d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: tt.outcome, Wait: tt.wait}})
+			d.Handle(moment(ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: tt.outcome, Wait: tt.wait}})
 			if d.endpoints["a"].sick {
 				sick++
 			}
@@ -1052,10 +1054,10 @@
 		d := start(t, plain())
 		for i := range 200 {
 			now := time.Duration(i) * time.Second
-			d.Handle(now, []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: fmt.Sprint("a", i), Kind: kind},
+			d.Handle(moment(now), []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: fmt.Sprint("a", i), Kind: kind},
 				{ID: fmt.Sprint("b", i), Kind: kind}}}, arrive(fmt.Sprint("m", i), 0)})
 			for id, m := range d.messages {
-				d.Handle(now+100*ms, []Event{Ended{ID: id, Endpoint: m.attempts[0].call.ep.ID, Outcome: OK, Over: true}})
+				d.Handle(moment(now+100*ms), []Event{Ended{ID: id, Endpoint: m.attempts[0].call.ep.ID, Outcome: OK, Over: true}})
 			}
 		}
 		if len(d.endpoints) != 2 || len(d.queues) > 3 || len(d.dests) != 1 || len(d.active)+len(d.messages)+len(d.live) != 0 {
@@ -1078,9 +1080,9 @@
 	}
 	d := start(t, s, Endpoint{ID: "a"})
 	d.Handle(0, []Event{arrive("m", 0)})
-	d.Handle(ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: math.MaxInt64}})
-	expect(t, "an endless wait is kept", d.Handle(time.Second, []Event{arrive("n", 0)}), "refuse n")
-	expect(t, "no time left", d.Handle(time.Second, []Event{Arrived{ID: "o", Left: -time.Second}}), "refuse o")
+	d.Handle(moment(ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: math.MaxInt64}})
+	expect(t, "an endless wait is kept", d.Handle(moment(time.Second), []Event{arrive("n", 0)}), "refuse n")
+	expect(t, "no time left", d.Handle(moment(time.Second), []Event{Arrived{ID: "o", Left: -time.Second}}), "refuse o")
 }
 
 // BenchmarkHandle reports what a batch costs with 1,000 endpoints listed.
@@ -1099,9 +1101,9 @@
 	for i := 0; b.Loop(); i++ {
 		id := fmt.Sprint("m", i)
 		now += 10 * ms
-		for _, a := range d.Handle(now, []Event{Arrived{ID: id, Destination: i % 500, Left: 10 * time.Second}}) {
+		for _, a := range d.Handle(moment(now), []Event{Arrived{ID: id, Destination: i % 500, Left: 10 * time.Second}}) {
 			if a, ok := a.(Send); ok {
-				d.Handle(now+5*ms, []Event{Ended{ID: id, Endpoint: a.Endpoint, Outcome: OK, Over: true}})
+				d.Handle(moment(now+5*ms), []Event{Ended{ID: id, Endpoint: a.Endpoint, Outcome: OK, Over: true}})
 			}
 		}
 	}
@@ -1112,12 +1114,12 @@
 	for _, gone := range []bool{false, true} { // the old endpoint stays, or is replaced
 		d := start(t, plain(), Endpoint{ID: "a"})
 		d.sicken(d.endpoints["a"])
-		d.Handle(ms, []Event{Listed{Endpoints: []Endpoint{{ID: "a", Gone: gone}, {ID: "b"}}}})
+		d.Handle(moment(ms), []Event{Listed{Endpoints: []Endpoint{{ID: "a", Gone: gone}, {ID: "b"}}}})
 		if !d.endpoints["b"].sick {
 			t.Errorf("old one gone %v: the new one is not on its budget", gone)
 		}
 		d.succeeded(d.endpoints["b"], true)
-		d.Handle(2*ms, []Event{Listed{Endpoints: []Endpoint{{ID: "c"}}}})
+		d.Handle(moment(2*ms), []Event{Listed{Endpoints: []Endpoint{{ID: "c"}}}})
 		if d.endpoints["c"].sick {
 			t.Error("a new one after the return is on a budget")
 		}
@@ -1131,12 +1133,12 @@
 		s := plain()
 		s.Weights = WeightsNominal
 		d := start(t, s, Endpoint{ID: "a", Kind: kind, Weight: 5})
-		expect(t, "sent", d.Handle(time.Second, []Event{arrive("m", 0)}), "m>a")
-		expect(t, "held", d.Handle(2*time.Second, []Event{Listed{Whole: true}, arrive("n", 0)}), "")
+		expect(t, "sent", d.Handle(moment(time.Second), []Event{arrive("m", 0)}), "m>a")
+		expect(t, "held", d.Handle(moment(2*time.Second), []Event{Listed{Whole: true}, arrive("n", 0)}), "")
 		expect(t, "its outcome", d.Handle(0, []Event{Ended{ID: "m", Endpoint: "a", Outcome: OK, Over: true}}), "")
-		expect(t, "back", d.Handle(3*time.Second, []Event{Listed{Endpoints: []Endpoint{
+		expect(t, "back", d.Handle(moment(3*time.Second), []Event{Listed{Endpoints: []Endpoint{
 			{ID: "a", Kind: kind, Weight: 7, Zone: 1}}}}), "n>a")
-		expect(t, "far ahead", d.Handle(1000*time.Hour, []Event{Ended{ID: "n", Endpoint: "a", Outcome: OK, Over: true},
+		expect(t, "far ahead", d.Handle(moment(1000*time.Hour), []Event{Ended{ID: "n", Endpoint: "a", Outcome: OK, Over: true},
 			arrive("o", 0)}), "o>a")
 		if d.out != 1 || len(d.messages) != 1 {
 			t.Errorf("kind %d: %d calls out, %d messages", kind, d.out, len(d.messages))
@@ -1165,17 +1167,17 @@
 	d := start(t, s, Endpoint{ID: "a", Destination: 0}, Endpoint{ID: "b", Destination: 1}, Endpoint{ID: "c", Destination: 2})
 	out := func(id string, dest int, ep string, call int, over bool) Event {
 		return Arrived{ID: id, Destination: dest, Left: 9 * time.Second, Resumed: true, Over: over,
-			Tried: []Tried{{Endpoint: ep, Sent: -ms, Out: true, Call: call}}}
+			Tried: []Tried{{Endpoint: ep, Sent: moment(-ms), Out: true, Call: call}}}
 	}
 	expect(t, "both slots are taken", d.Handle(0, []Event{out("m1", 0, "a", 7, false), out("m2", 1, "b", 8, true),
 		Arrived{ID: "held", Destination: 2, Left: 9 * time.Second, Resumed: true}}), "")
 	expect(t, "the message that is over gives its slot back",
-		d.Handle(10*ms, []Event{Ended{ID: "m2", Endpoint: "b", Outcome: OK, Took: 11 * ms}}), "held>c")
+		d.Handle(moment(10*ms), []Event{Ended{ID: "m2", Endpoint: "b", Outcome: OK, Took: 11 * ms}}), "held>c")
 	if d.messages["m2"] != nil {
 		t.Error("the message that is over is still held")
 	}
 	expect(t, "a call that broke is made again",
-		d.Handle(20*ms, []Event{Ended{ID: "m1", Endpoint: "a", Outcome: Reset, Took: 21 * ms}}), "m1>a")
+		d.Handle(moment(20*ms), []Event{Ended{ID: "m1", Endpoint: "a", Outcome: Reset, Took: 21 * ms}}), "m1>a")
 	for _, c := range d.endpoints["a"].out {
 		if c.no == 7 {
 			t.Error("the call of the process before is still out")
@@ -1190,7 +1192,7 @@
 	list := []Endpoint{{ID: "a", Destination: 0, Weight: 10}, {ID: "b", Destination: 1, Weight: 10}, {ID: "c", Destination: 2, Weight: 10}}
 	old := start(t, s, list...)
 	old.Handle(0, []Event{Arrived{ID: "m", Left: 9 * time.Second}})
-	old.Handle(100*ms, []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: 2 * time.Second, Took: 100 * ms}})
+	old.Handle(moment(100*ms), []Event{Ended{ID: "m", Endpoint: "a", Outcome: QueueFull, Wait: 2 * time.Second, Took: 100 * ms}})
 	old.sicken(old.endpoints["b"])
 	old.endpoints["b"].q.observe(0, 0.7)
 	d := start(t, s, list[:2]...)
@@ -1198,9 +1200,9 @@
 	for _, l := range old.Learned() {
 		events = append([]Event{l}, events...)
 	}
-	expect(t, "in the told wait", d.Handle(200*ms, events), "")
-	expect(t, "and still", d.Handle(2*time.Second, nil), "")
-	expect(t, "after it", d.Handle(2200*ms, nil), "m>a")
+	expect(t, "in the told wait", d.Handle(moment(200*ms), events), "")
+	expect(t, "and still", d.Handle(moment(2*time.Second), nil), "")
+	expect(t, "after it", d.Handle(moment(2200*ms), nil), "m>a")
 	if !d.endpoints["b"].sick || d.endpoints["b"].q.mean != 0.7 {
 		t.Errorf("b: sick %v, mean %v", d.endpoints["b"].sick, d.endpoints["b"].q.mean)
 	}
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -5,6 +5,8 @@
 	"slices"
 	"sort"
 	"time"
+
+	"milletsail/internal/instant"
 )
 
 // This file holds destinations and their queues.
@@ -15,7 +17,7 @@
 	queues []*queue // routes, or the one shared queue; queues[0] also serves while nothing is listed
 	// idleElement is the destination's place in Dispatcher.idle, or nil; idleSince is when it was put there.
 	idleElement *list.Element
-	idleSince   time.Duration
+	idleSince   instant.Time
 }
 
 // queue is one first-come queue of the paper.
@@ -28,31 +30,31 @@
 	served int     // the turn in which it was last served
 	latencies
 	kind      int
-	waitUntil time.Duration
-	holdUntil time.Duration // our own pause after a refusal without a wait
-	toldUntil time.Duration // other relays know of a refusal up to then
-	refusedAt time.Duration // when the last call was sent that a pause is for
-	cutAt     time.Duration // of the pace
-	climbedAt time.Duration
+	waitUntil instant.Time
+	holdUntil instant.Time // our own pause after a refusal without a wait
+	toldUntil instant.Time // other relays know of a refusal up to then
+	refusedAt instant.Time // when the last call was sent that a pause is for
+	cutAt     instant.Time // of the pace
+	climbedAt instant.Time
 	pause     time.Duration   // the last after a refusal that told no wait
 	fulls     int             // refusals in a row
-	firstFull time.Duration   // of the refusals in a row
-	lastOK    time.Duration   // 0 for never
+	firstFull instant.Time    // of the refusals in a row
+	lastOK    instant.Time    // 0 for never
 	weight    float64         // calls a second that all relays may make; 0 for unknown
 	pace      float64         // calls a second of this relay; 0 for unknown
 	bucket                    // of the pace
 	word      word            // of the fleet, on the destination
-	triedAt   time.Duration   // when what is out or fenced last got a call
+	triedAt   instant.Time    // when what is out or fenced last got a call
 	row       []float64       // part of the own zone's messages that each zone serves; nil for all at home
 	press     float64         // part of the calls for which the own zone has no room, as learned
 	owed      map[int]float64 // calls that are to go to another zone
 	paced     Paced           // by other relays; used until pacedTo
-	pacedTo   time.Duration
+	pacedTo   instant.Time
 	failing   []failing // at older endpoints, by class
 	arrivals  aged
 	misses    aged // of the virtual copy under the basic rule
 	copyWork  float64
-	copyAt    time.Duration
+	copyAt    instant.Time
 	bundle    int
 	apart     bool
 	active    bool // among Dispatcher.active
@@ -140,7 +142,7 @@
 }
 
 // addQueue adds a queue to a destination that counts since a moment.
-func (d *Dispatcher) addQueue(dest *destination, bundle int, apart bool, since time.Duration) *queue {
+func (d *Dispatcher) addQueue(dest *destination, bundle int, apart bool, since instant.Time) *queue {
 	q := &queue{
 		dest:      dest,
 		bundle:    max(1, bundle),
--- a/policy/resume_test.go
+++ b/policy/resume_test.go
@@ -14,8 +14,8 @@
 func TestResumed(t *testing.T) {
 	const safe, keyed, unsafe = 0, 1, 2
 	begin := time.Hour
-	ran := func(ago time.Duration) Tried { return Tried{Endpoint: "gone", Sent: begin - ago} }
-	unrun := Tried{Endpoint: "a", Sent: begin - time.Second, Unrun: true}
+	ran := func(ago time.Duration) Tried { return Tried{Endpoint: "gone", Sent: moment(begin - ago)} }
+	unrun := Tried{Endpoint: "a", Sent: moment(begin - time.Second), Unrun: true}
 	spent := make([]Tried, plain().MaxAttempts)
 	for i := range spent {
 		spent[i] = unrun
@@ -37,16 +37,16 @@
 	}
 	for _, tt := range tests {
 		d := start(t, plain(), Endpoint{ID: "a"})
-		expect(t, tt.name, d.Handle(begin, []Event{tt.event}), tt.want)
+		expect(t, tt.name, d.Handle(moment(begin), []Event{tt.event}), tt.want)
 	}
 }
 
 // A message that was taken on before is not up for admission again.
 func TestResumedIsNotRefusedForBacklog(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a"})
-	d.dest(0).queues[0].mean, d.dest(0).queues[0].waitUntil = 1, 60*time.Second
-	expect(t, "a fresh one", d.Handle(time.Second, []Event{arrive("n", 0)}), "refuse n")
-	expect(t, "a resumed one", d.Handle(time.Second, []Event{resumed("m", 0)}), "")
+	d.dest(0).queues[0].mean, d.dest(0).queues[0].waitUntil = 1, moment(60*time.Second)
+	expect(t, "a fresh one", d.Handle(moment(time.Second), []Event{arrive("n", 0)}), "refuse n")
+	expect(t, "a resumed one", d.Handle(moment(time.Second), []Event{resumed("m", 0)}), "")
 }
 
 // A restart in an outage, or in the ramp after one, goes on as the process before it would have.
@@ -59,7 +59,7 @@
 			events = append(events, resumed(string(rune('m'+i)), 0))
 		}
 		n := 0
-		for _, a := range d.Handle(time.Hour, events) {
+		for _, a := range d.Handle(moment(time.Hour), events) {
 			if _, ok := a.(Send); ok {
 				n++
 			}
@@ -67,13 +67,13 @@
 		return n
 	}
 	healthy := sends()
-	if out := sends(Recalled{Endpoint: "a", Sick: true, At: time.Hour - time.Minute}); out > fewSlots || out >= healthy {
+	if out := sends(Recalled{Endpoint: "a", Sick: true, At: moment(time.Hour - time.Minute)}); out > fewSlots || out >= healthy {
 		t.Errorf("in an outage: %d calls at once, %d when healthy", out, healthy)
 	}
-	if ramp := sends(Recalled{Endpoint: "a", At: time.Hour - time.Second}); ramp >= healthy {
+	if ramp := sends(Recalled{Endpoint: "a", At: moment(time.Hour - time.Second)}); ramp >= healthy {
 		t.Errorf("in a ramp: %d calls at once, %d when healthy", ramp, healthy)
 	}
-	if warm := sends(Recalled{Endpoint: "a", At: time.Hour - time.Minute}); warm != healthy {
+	if warm := sends(Recalled{Endpoint: "a", At: moment(time.Hour - time.Minute)}); warm != healthy {
 		t.Errorf("after a ramp: %d calls at once, want %d", warm, healthy)
 	}
 	if unknown := sends(Recalled{Endpoint: "z", Sick: true}); unknown != healthy {
@@ -92,29 +92,29 @@
 		}
 		return list
 	}
-	d.Handle(time.Second, []Event{arrive("m", 0)})
-	d.Handle(2*time.Second, []Event{Ended{ID: "m", Endpoint: "a", Attempt: 0, Outcome: ConnectError}})
-	got := told(d.Handle(3*time.Second, []Event{Ended{ID: "m", Endpoint: "a", Attempt: 1, Outcome: ConnectError}}))
-	if len(got) != 1 || got[0] != (Remember{Endpoint: "a", Sick: true, At: 3 * time.Second}) {
+	d.Handle(moment(time.Second), []Event{arrive("m", 0)})
+	d.Handle(moment(2*time.Second), []Event{Ended{ID: "m", Endpoint: "a", Attempt: 0, Outcome: ConnectError}})
+	got := told(d.Handle(moment(3*time.Second), []Event{Ended{ID: "m", Endpoint: "a", Attempt: 1, Outcome: ConnectError}}))
+	if len(got) != 1 || got[0] != (Remember{Endpoint: "a", Sick: true, At: moment(3 * time.Second)}) {
 		t.Errorf("an outage: %v", got)
 	}
-	expect(t, "the next knock", d.Handle(7*time.Second, []Event{Woken{}}), "m>a")
-	got = told(d.Handle(8*time.Second, []Event{Ended{ID: "m", Endpoint: "a", Attempt: 2, Outcome: OK, Over: true}}))
-	if len(got) != 1 || got[0] != (Remember{Endpoint: "a", At: 8 * time.Second}) {
+	expect(t, "the next knock", d.Handle(moment(7*time.Second), []Event{Woken{}}), "m>a")
+	got = told(d.Handle(moment(8*time.Second), []Event{Ended{ID: "m", Endpoint: "a", Attempt: 2, Outcome: OK, Over: true}}))
+	if len(got) != 1 || got[0] != (Remember{Endpoint: "a", At: moment(8 * time.Second)}) {
 		t.Errorf("the return: %v", got)
 	}
 }
 
 func TestStopping(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a"})
-	expect(t, "nothing is sent", d.Handle(time.Second, []Event{Stopping{}, arrive("m", 0)}), "")
-	expect(t, "nor later", d.Handle(2*time.Second, []Event{Woken{}}), "")
+	expect(t, "nothing is sent", d.Handle(moment(time.Second), []Event{Stopping{}, arrive("m", 0)}), "")
+	expect(t, "nor later", d.Handle(moment(2*time.Second), []Event{Woken{}}), "")
 }
 
 func TestSpent(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a"})
-	expect(t, "sent", d.Handle(time.Second, []Event{arrive("m", 2)}), "m>a")
-	expect(t, "ended", d.Handle(2*time.Second, []Event{Ended{ID: "m", Endpoint: "a", Outcome: Ignored, Spent: true}}),
+	expect(t, "sent", d.Handle(moment(time.Second), []Event{arrive("m", 2)}), "m>a")
+	expect(t, "ended", d.Handle(moment(2*time.Second), []Event{Ended{ID: "m", Endpoint: "a", Outcome: Ignored, Spent: true}}),
 		"refuse m")
 }
 
@@ -126,7 +126,7 @@
 	for i, id := range []string{"l", "m", "n"} {
 		events = append(events, Arrived{ID: id, Destination: i, Left: 10 * time.Second})
 	}
-	expect(t, "a third where two may be held", d.Handle(time.Second, events), "refuse l m>b")
+	expect(t, "a third where two may be held", d.Handle(moment(time.Second), events), "refuse l m>b")
 }
 
 // While attempts leave no record, only what a later process may send again goes out; the rest waits, and goes once
@@ -134,8 +134,8 @@
 func TestUnrecorded(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a"})
 	d.Handle(0, []Event{Stored{Writable: false}})
-	expect(t, "no record", d.Handle(time.Second, []Event{resumed("safe", 0), resumed("keyed", 1), resumed("unsafe", 2)}), "safe>a")
-	expect(t, "records again", d.Handle(2*time.Second, []Event{Ended{ID: "safe", Endpoint: "a", Over: true}, Stored{Writable: true}}), "keyed>a unsafe>a")
+	expect(t, "no record", d.Handle(moment(time.Second), []Event{resumed("safe", 0), resumed("keyed", 1), resumed("unsafe", 2)}), "safe>a")
+	expect(t, "records again", d.Handle(moment(2*time.Second), []Event{Ended{ID: "safe", Endpoint: "a", Over: true}, Stored{Writable: true}}), "keyed>a unsafe>a")
 }
 
 // An attempt whose endpoint is not known any more was in no zone that another shares its memory with.
@@ -144,7 +144,7 @@
 	s.Classes[1].ByZone = true
 	for _, zone := range []int{0, 1} {
 		d := start(t, s, Endpoint{ID: "a", Zone: zone})
-		expect(t, "keyed by zone", d.Handle(time.Hour, []Event{resumed("m", 1, Tried{Sent: time.Hour - time.Second})}), "")
+		expect(t, "keyed by zone", d.Handle(moment(time.Hour), []Event{resumed("m", 1, Tried{Sent: moment(time.Hour - time.Second)})}), "")
 	}
 }
 
@@ -156,7 +156,7 @@
 		s.Slots = 1
 		d := start(t, s, Endpoint{ID: "a"})
 		untried := func(id string) Event { return Arrived{ID: id, Left: 9 * time.Second, Resumed: true} }
-		expect(t, "the oldest first", d.Handle(ms, []Event{untried("old1"), untried("old2"), arrive("fresh", 0)}), "old1>a")
+		expect(t, "the oldest first", d.Handle(moment(ms), []Event{untried("old1"), untried("old2"), arrive("fresh", 0)}), "old1>a")
 		var events []Event
 		end := func(id string, n int, o Outcome, wait time.Duration) {
 			events = append(events, Ended{ID: id, Endpoint: "a", Attempt: n, Outcome: o, Wait: wait, Took: 90 * ms, Over: o == OK})
@@ -164,7 +164,7 @@
 		end("old1", 0, QueueFull, wait)
 		var order []string
 		for at := 100 * ms; at < 9*time.Second; at += 100 * ms {
-			actions := d.Handle(at, events)
+			actions := d.Handle(moment(at), events)
 			events = nil
 			for _, a := range actions {
 				switch a := a.(type) {
