--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"milletsail/internal/instant"
 	"milletsail/policy"
 )
 
@@ -461,7 +462,7 @@
 		}
 		events := w.batch()
 		w.c.events(w.now, events)
-		actions := d.Handle(w.now, events)
+		actions := d.Handle(instant.Time(w.now), events)
 		all = append(all, actions...)
 		for _, a := range actions {
 			switch a := a.(type) {
@@ -521,7 +522,7 @@
 			events = append(events, policy.Arrived{ID: fmt.Sprint("m", i, "-", n), Class: n, Destination: (i + n) % 4,
 				Left: s.Classes[n].Deadline, Key: "k"})
 		}
-		return d.Handle(time.Duration(i)*50*time.Millisecond, events)
+		return d.Handle(instant.Time(time.Duration(i)*50*time.Millisecond), events)
 	}
 	fresh := func() *policy.Dispatcher {
 		d, err := policy.New(s, 1)
--- a/policy/timer.go
+++ b/policy/timer.go
@@ -1,13 +1,13 @@
 package policy
 
-import "time"
+import "milletsail/internal/instant"
 
 // This file holds the timer.
 
 // arm asks for a timer when something is next due by time alone.
 func (d *Dispatcher) arm() {
 	next := never
-	soon := func(t time.Duration) { next = min(next, max(t, d.now+d.s.Tick)) }
+	soon := func(t instant.Time) { next = min(next, max(t, d.now.Add(d.s.Tick))) }
 	soon(d.resub)
 	for _, m := range d.live {
 		if m.q != nil {
@@ -28,7 +28,7 @@
 		}
 		at := max(d.pausedTo(q), d.now)
 		if q.pace > 0 && d.tokens(q) < 1 && !d.tries(q) {
-			at = max(at, d.now+wait(1-q.tokens, q.pace))
+			at = max(at, d.now.Add(wait(1-q.tokens, q.pace)))
 		}
 		if d.fenced(q) && len(q.eps) > 0 {
 			at = max(at, d.tryAt(q.eps[0]))
@@ -38,7 +38,7 @@
 		}
 		for _, ep := range q.eps {
 			if (ep.sick || ep.ramping) && d.epTokens(ep) < 1 {
-				soon(max(at, d.now+wait(1-ep.tokens, d.budget(ep, d.coldFor(ep)))))
+				soon(max(at, d.now.Add(wait(1-ep.tokens, d.budget(ep, d.coldFor(ep))))))
 			}
 			if turn := d.tryAt(ep); ep.sick && turn > d.now {
 				soon(max(at, turn))
@@ -49,8 +49,8 @@
 		soon(m.rest)
 	}
 	// A clock with coarser steps than ours may wake us a little before the time: that timer is used up.
-	if next < never && (d.wakeAt < d.now+d.s.Tick || next < d.wakeAt) {
+	if next < never && (d.wakeAt < d.now.Add(d.s.Tick) || next < d.wakeAt) {
 		d.wakeAt = next
-		d.act(Wake{After: next - d.now})
+		d.act(Wake{After: next.Sub(d.now)})
 	}
 }
--- a/policy/timer_test.go
+++ b/policy/timer_test.go
@@ -9,12 +9,12 @@
 func TestFindingOnADestinationWithoutEndpoints(t *testing.T) {
 	d := start(t, plain(), Endpoint{ID: "a", Destination: 7})
 	const now = 10 * time.Second
-	d.Handle(now, []Event{Accused{Destination: 7, Origins: witnesses, First: time.Second, Last: 0, Until: 5 * time.Second}})
-	d.Handle(now+ms, []Event{Listed{Endpoints: []Endpoint{{ID: "a", Destination: 7, Gone: true}}}})
-	actions := d.Handle(now+2*ms, []Event{Arrived{ID: "m", Destination: 7, Left: 10 * time.Second}})
+	d.Handle(moment(now), []Event{Accused{Destination: 7, Origins: witnesses, First: time.Second, Last: 0, Until: 5 * time.Second}})
+	d.Handle(moment(now+ms), []Event{Listed{Endpoints: []Endpoint{{ID: "a", Destination: 7, Gone: true}}}})
+	actions := d.Handle(moment(now+2*ms), []Event{Arrived{ID: "m", Destination: 7, Left: 10 * time.Second}})
 	expect(t, "no endpoint is listed", actions, "")
-	actions = d.Handle(now+3*ms, []Event{Listed{Endpoints: []Endpoint{{ID: "b", Destination: 7}}}})
-	if actions = append(actions, d.Handle(now+2*time.Second, nil)...); said(actions) != "m>b" {
+	actions = d.Handle(moment(now+3*ms), []Event{Listed{Endpoints: []Endpoint{{ID: "b", Destination: 7}}}})
+	if actions = append(actions, d.Handle(moment(now+2*time.Second), nil)...); said(actions) != "m>b" {
 		t.Errorf("%q after an endpoint is listed again", said(actions))
 	}
 }
--- a/policy/trial.go
+++ b/policy/trial.go
@@ -2,16 +2,17 @@
 
 import (
 	"math"
-	"time"
+
+	"milletsail/internal/instant"
 )
 
 // This file holds the state of endpoints on trial; newcomers.go decides on it.
 
 // trial is how an endpoint that is new on the list fares.
 type trial struct {
-	stage  int           // of stageShares
-	since  time.Duration // of the stage, or the end of the time in which it gets nothing
-	held   time.Duration // until when it gets nothing
+	stage  int          // of stageShares
+	since  instant.Time // of the stage, or the end of the time in which it gets nothing
+	held   instant.Time // until when it gets nothing
 	holds  int
 	seen   int             // outcomes in the stage, of all relays
 	credit float64         // calls that it may get now
@@ -37,7 +38,7 @@
 const maxHeard = 256
 
 // stage begins a stage.
-func (d *Dispatcher) stage(ep *endpoint, no int, at time.Duration) {
+func (d *Dispatcher) stage(ep *endpoint, no int, at instant.Time) {
 	t := ep.trial
 	t.stage, t.since, t.seen, t.credit, t.heard = no, at, 0, d.chance.Float64(), nil
 	clear(t.score)
--- a/policy/zones.go
+++ b/policy/zones.go
@@ -56,9 +56,9 @@
 			d.leave(no, Evacuated)
 		case ill && z.state == Returning:
 			z.setbacks++
-			z.until = d.now + min(d.s.RampTime, againAfter<<min(z.setbacks, 16))
+			z.until = d.now.Add(min(d.s.RampTime, againAfter<<min(z.setbacks, 16)))
 			d.leave(no, Evacuated)
-		case z.state == Returning && d.now >= z.since+d.s.RampTime:
+		case z.state == Returning && d.now >= z.since.Add(d.s.RampTime):
 			z.returns, z.setbacks = z.returns+1, 0
 			d.enter(no, Serving)
 		}
--- a/policy/zones_test.go
+++ b/policy/zones_test.go
@@ -116,7 +116,7 @@
 			z.n++
 			events = append(events, Arrived{ID: fmt.Sprint(z.n), Destination: z.n % len(z.d.dests), Left: 5 * time.Second})
 		}
-		for _, a := range z.d.Handle(z.now, append(events, Woken{})) {
+		for _, a := range z.d.Handle(moment(z.now), append(events, Woken{})) {
 			switch a := a.(type) {
 			case Send:
 				var dest, zone int
@@ -286,11 +286,11 @@
 	}
 	d := start(t, s, eps...)
 	for _, ep := range d.endpoints {
-		if ep.lastOK = 900 * ms; ep.Zone == 1 {
-			ep.failedAt = time.Second
+		if ep.lastOK = moment(900 * ms); ep.Zone == 1 {
+			ep.failedAt = moment(time.Second)
 		}
 	}
-	d.Handle(time.Second, []Event{Woken{}})
+	d.Handle(moment(time.Second), []Event{Woken{}})
 	if d.zone(1).state != Serving {
 		t.Error("three fifths of the endpoints are left at once")
 	}
@@ -303,23 +303,23 @@
 	z.d.Handle(0, []Event{Listed{Endpoints: []Endpoint{{ID: "9-0", Destination: 9}}}})
 	z.run(time.Second)
 	for _, bad := range []int{-1, 3, 70} {
-		if err := z.d.Order(bad, time.Minute); err == nil {
+		if err := z.d.Order(bad, moment(time.Minute)); err == nil {
 			t.Errorf("zone %d is taken", bad)
 		}
 	}
 	if err := z.d.Order(0, 0); err == nil {
 		t.Error("restored without an order")
 	}
-	if err := z.d.Order(0, 11*time.Second); err != nil {
+	if err := z.d.Order(0, moment(11*time.Second)); err != nil {
 		t.Fatal(err)
 	}
-	if err := z.d.Order(0, 20*time.Second); err == nil {
+	if err := z.d.Order(0, moment(20*time.Second)); err == nil {
 		t.Error("ordered twice")
 	}
-	if err := z.d.Order(1, 11*time.Second); err != nil {
+	if err := z.d.Order(1, moment(11*time.Second)); err != nil {
 		t.Error(err)
 	}
-	if err := z.d.Order(2, 11*time.Second); err == nil {
+	if err := z.d.Order(2, moment(11*time.Second)); err == nil {
 		t.Error("the last zone is left")
 	}
 	if err := z.d.Order(1, 0); err != nil {
@@ -334,7 +334,7 @@
 		return OK
 	}
 	for i := range 5 {
-		z.d.Handle(z.now, []Event{Arrived{ID: fmt.Sprint("only", i), Destination: 9, Left: 5 * time.Second}})
+		z.d.Handle(moment(z.now), []Event{Arrived{ID: fmt.Sprint("only", i), Destination: 9, Left: 5 * time.Second}})
 	}
 	z.run(11 * time.Second)
 	if z.sent["0"]-before-only > 0 {
@@ -357,7 +357,7 @@
 	s := plain()
 	s.Zones = true
 	d := start(t, s, Endpoint{ID: "a", Zone: -7}, Endpoint{ID: "b", Zone: 1 << 40})
-	expect(t, "a message", d.Handle(ms, []Event{arrive("m", 0)}), "m>a")
+	expect(t, "a message", d.Handle(moment(ms), []Event{arrive("m", 0)}), "m>a")
 	if all, _ := d.Zones(); len(all) > 0 {
 		t.Errorf("%+v", all)
 	}
--- a/policy/zonestate.go
+++ b/policy/zonestate.go
@@ -4,7 +4,8 @@
 	"errors"
 	"math"
 	"math/bits"
-	"time"
+
+	"milletsail/internal/instant"
 )
 
 // This file holds the state of zones; zones.go decides on it.
@@ -12,10 +13,10 @@
 // zone is what is known of a zone.
 type zone struct {
 	state                ZoneState
-	since                time.Duration
-	until                time.Duration // an order's end, or of the wait after a setback
-	setbacks             int           // in a row, on the way back
-	badSince             time.Duration // when endpoints there began to fail; 0 where none do
+	since                instant.Time
+	until                instant.Time // an order's end, or of the wait after a setback
+	setbacks             int          // in a row, on the way back
+	badSince             instant.Time // when endpoints there began to fail; 0 where none do
 	evacuations, returns int
 }
 
@@ -55,8 +56,8 @@
 // census counts a zone's endpoints: listed, those that anything is known of, and of these those that fail.
 type census struct {
 	listed, known, bad int
-	dests              uint64        // of those that fail, one bit each, by number
-	answered           time.Duration // when the latest call that was answered was sent
+	dests              uint64       // of those that fail, one bit each, by number
+	answered           instant.Time // when the latest call that was answered was sent
 }
 
 func (c census) destinations() int { return bits.OnesCount64(c.dests) }
@@ -76,11 +77,11 @@
 			c.listed++
 			c.answered = max(c.answered, ep.lastBegun)
 			old := z.state == Returning && ep.failedAt <= z.since // it failed before its zone began to return
-			if ep.failedAt > ep.lastOK && (ep.sick || d.now-ep.failedAt < knownFor) && !old || d.silent(ep) {
+			if ep.failedAt > ep.lastOK && (ep.sick || d.now.Sub(ep.failedAt) < knownFor) && !old || d.silent(ep) {
 				c.bad++
 				c.known++
 				c.dests |= 1 << (q.dest.no % 64)
-			} else if ep.lastOK > 0 && d.now-ep.lastOK < knownFor {
+			} else if ep.lastOK > 0 && d.now.Sub(ep.lastOK) < knownFor {
 				c.known++
 			}
 		}
@@ -107,7 +108,7 @@
 
 // Order has a zone left until a moment by the order of operators, or restored where that is 0. One that
 // makes no sense is refused with the reason. Handle has to be called after it.
-func (d *Dispatcher) Order(no int, until time.Duration) error {
+func (d *Dispatcher) Order(no int, until instant.Time) error {
 	seen, _ := d.survey()
 	if !d.s.Zones || no < 0 || no >= len(seen) || seen[no].listed == 0 {
 		return errors.New("zones are off, or no endpoint is listed in this one")
