Outlast system calls that fail for a moment: accept, listen, connect, bind

Cause: an error of accept other than EMFILE, ENFILE or ECONNABORTED ended the server of the clients and with it the process; one at the handover's socket ended that for good; a bind that failed refused the start. A connect or socket that failed here (ENETUNREACH, EADDRNOTAVAIL, ENOBUFS and others) counted as an attempt and as a failure of the endpoint.

Scenario syscalls plays each kind with a relay built with package shim.

--- a/internal/lab/shimmed_test.go
+++ b/internal/lab/shimmed_test.go
@@ -52,3 +52,12 @@
 		})
 	}
 }
+
+// System calls that fail for a moment or for seconds end no relay, use up no attempt, and leave nothing without its end.
+func TestFailingSystemCalls(t *testing.T) {
+	r := begin(t, "syscalls", Options{Binary: shimBinary}).end(t)
+	keepsAllRules(t, r)
+	if n := refusedBetween(r.Events, 0, time.Minute); n > 0 {
+		t.Errorf("%d messages are refused, where only calls of the system fail", n)
+	}
+}
--- a/internal/relay/actions.go
+++ b/internal/relay/actions.go
@@ -79,15 +79,15 @@
 	if !ok || h.Block != m.Dest {
 		// Guards the protocol's rule that a message goes only to a listed host of its destination.
 		slog.Error("send to a host that is not of the destination", "host", a.Endpoint, "dest", m.Dest)
-		l.unsent(s)
+		l.unsent(s, policy.Ignored)
 		return
 	}
 	l.sends = append(l.sends, s)
 }
 
 // unsent reports an attempt that was not made.
-func (l *loop) unsent(s send) {
-	l.answered(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, result: result{outcome: policy.Ignored}})
+func (l *loop) unsent(s send, why policy.Outcome) {
+	l.answered(answered{id: s.m.ID, attempt: s.attempt, host: s.host.Host, result: result{outcome: why}})
 }
 
 // answerMargin before the time of a message is up, an answer to a call that it shares with others counts for none of them.
--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -69,25 +69,20 @@
 
 // openAdmin listens at an address.
 func openAdmin(addr string, f *figures) (*adminServer, error) {
-	l, err := net.Listen("tcp", addr)
+	l, err := listenFor("admin endpoint", func() (net.Listener, error) { return net.Listen("tcp", addr) })
 	if err != nil {
 		return nil, fmt.Errorf("admin endpoint: %w", err)
 	}
-	return &adminServer{listener: l, figures: f}, nil
+	return &adminServer{listener: &acceptor{l, "admin endpoint", &f.why}, figures: f}, nil
 }
 
 // serve answers calls until the listener is closed.
 func (s *adminServer) serve() {
 	for {
 		c, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if err != nil { // closed
 			return
 		}
-		if err != nil { // out of descriptors, or the caller has left again
-			slog.Warn("admin endpoint", "err", err)
-			time.Sleep(askIdle)
-			continue
-		}
 		if caller := s.enter(c); caller != nil {
 			go s.answer(caller)
 		}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -152,8 +152,9 @@
 		}
 		return r.all(result{outcome: policy.Ignored}) // too late to write it, which tells nothing of the host
 	}
-	if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-		return r.all(result{outcome: policy.Ignored}) // the lack is here, which tells nothing of the host either
+	if err != nil && lackHere(err) {
+		slog.Warn("call not begun", "host", r.addr, "messages", len(r.parcels), "err", err)
+		return r.all(result{outcome: policy.Unsent}) // which tells nothing of the host either
 	}
 	if err != nil {
 		return r.all(result{outcome: policy.ConnectError})
--- a/internal/relay/calls_test.go
+++ b/internal/relay/calls_test.go
@@ -527,10 +527,15 @@
 
 // A call for which this process has no descriptor left says nothing of the host.
 func TestNoDescriptorForACall(t *testing.T) {
-	p := testPool()
-	p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error { return syscall.EMFILE }
-	if got := p.call(t.Context(), testCall(rawHost(t, func(net.Conn) {})))[0]; got.outcome != policy.Ignored {
-		t.Errorf("outcome %v", got.outcome)
+	for errno, want := range map[syscall.Errno]policy.Outcome{syscall.EMFILE: policy.Unsent, syscall.ENFILE: policy.Unsent, syscall.ENOBUFS: policy.Unsent,
+		syscall.ENOMEM: policy.Unsent, syscall.EADDRNOTAVAIL: policy.Unsent, syscall.EADDRINUSE: policy.Unsent, syscall.EAGAIN: policy.Unsent,
+		syscall.ENETUNREACH: policy.Unsent, syscall.EACCES: policy.Unsent, syscall.EPERM: policy.Unsent,
+		syscall.ECONNREFUSED: policy.ConnectError, syscall.ETIMEDOUT: policy.ConnectError, syscall.EHOSTUNREACH: policy.ConnectError} {
+		p := testPool()
+		p.dialer.ControlContext = func(context.Context, string, string, syscall.RawConn) error { return errno }
+		if got := p.call(t.Context(), testCall(rawHost(t, func(net.Conn) {})))[0]; got.outcome != want {
+			t.Errorf("%v: outcome %v, want %v", errno, got.outcome, want)
+		}
 	}
 }
 
--- a/internal/relay/commit.go
+++ b/internal/relay/commit.go
@@ -44,7 +44,7 @@
 			l.call(sends[i:n])
 		} else {
 			for _, s := range sends[i:n] {
-				l.unsent(s)
+				l.unsent(s, policy.Unsent)
 			}
 		}
 		i = n
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -18,10 +18,13 @@
 			"outcome", e.outcome, "took", e.took, "wait", e.wait)
 	}
 	l.observed(e)
-	unrun := e.outcome == policy.QueueFull || e.outcome == policy.ConnectError || e.outcome == policy.Ignored
+	unrun := e.outcome == policy.QueueFull || e.outcome == policy.ConnectError || e.outcome == policy.Ignored || e.outcome == policy.Unsent
 	if l.journal.Get(m.ID) == m.Entry {
 		l.journal.End(m.Entry, unrun)
 	}
+	if e.outcome == policy.Unsent { // no attempt was made; until the next segment a later process takes it for one that never ran
+		m.Attempts = m.Attempts[:e.attempt]
+	}
 	l.events = append(l.events, policy.Ended{ID: e.id, Endpoint: e.host, Attempt: e.attempt, Outcome: e.outcome,
 		Wait: e.wait, Took: e.took, Over: e.over, Spent: e.spent, Report: e.report})
 	if !m.over && e.outcome == policy.OK {
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -36,12 +36,12 @@
 
 // openGate takes clients' connections at the socket that the platform holds, where it says so, else at the address
 // that the configuration names.
-func openGate(c *Config) (*gate, error) {
-	l, err := listen(c)
+func openGate(c *Config, why *diagnostics) (*gate, error) {
+	l, err := listenFor("clients", func() (net.Listener, error) { return listen(c) })
 	if err != nil {
 		return nil, err
 	}
-	g := &gate{Listener: l, room: clientRoom(c.Limits.Sockets, c.policy.Slots), open: map[*client]bool{}}
+	g := &gate{Listener: &acceptor{l, "clients", why}, room: clientRoom(c.Limits.Sockets, c.policy.Slots), open: map[*client]bool{}}
 	g.changed.L = &g.mu
 	return g, nil
 }
@@ -72,7 +72,7 @@
 // Accept waits for a client, and for a place for it.
 func (g *gate) Accept() (net.Conn, error) {
 	conn, err := g.Listener.Accept()
-	if err != nil {
+	if err != nil { // closed
 		return nil, err
 	}
 	c := &client{Conn: conn, gate: g, heard: time.Now()}
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -315,26 +315,23 @@
 	return l.Offer, k.conn.SetDeadline(time.Time{})
 }
 
-// heir waits in the folder for newer processes until ctx ends, and brings the loop each one that asks.
-func heir(ctx context.Context, dir string, asks func(*link)) error {
-	path, closeDir, err := folderSocket(dir)
-	if err != nil {
-		return err
-	}
-	defer closeDir()
-	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return err // left by a process before
-	}
-	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
-	if err != nil {
-		return err
-	}
-	l.SetUnlinkOnClose(false) // by then it may be the newer process's
+// heir waits in the folder for newer processes until ctx ends, and brings the loop each one that asks. Where it can't listen
+// at once it goes on trying beside the relay's own work.
+func heir(ctx context.Context, dir string, why *diagnostics, asks func(*link)) {
+	bound, err := listenInFolder(dir)
 	go func() {
+		for err != nil {
+			slog.Error("no newer process can take over yet", "err", err)
+			if !clock.Sleep(ctx, listenAgain) {
+				return
+			}
+			bound, err = listenInFolder(dir)
+		}
+		l := &acceptor{bound, "handover", why}
 		defer context.AfterFunc(ctx, func() { _ = l.Close() })()
 		for {
 			c, err := l.Accept()
-			if err != nil {
+			if err != nil { // closed
 				return
 			}
 			k := newLink(c)
@@ -345,7 +342,24 @@
 			asks(k)
 		}
 	}()
-	return nil
+}
+
+// listenInFolder listens at the folder's socket.
+func listenInFolder(dir string) (net.Listener, error) {
+	path, closeDir, err := folderSocket(dir)
+	if err != nil {
+		return nil, err
+	}
+	defer closeDir()
+	if err := os.Remove(path); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return nil, err // left by a process before
+	}
+	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	l.SetUnlinkOnClose(false) // by then it may be the newer process's
+	return l, nil
 }
 
 // cede hands the journal and all decisions to a newer process. It gives false, and has changed nothing, where the
@@ -428,6 +442,9 @@
 		for _, a := range e {
 			if m := l.messages[a.id]; m != nil && m.cancel != nil && a.attempt == len(m.Attempts)-1 {
 				m.cancel = nil
+				if a.outcome == policy.Unsent { // a program of before may not know it
+					a.outcome = policy.Ignored
+				}
 				ends = append(ends, callEnd{ID: a.id, Attempt: a.attempt, Host: a.host, Took: a.took, Outcome: a.outcome,
 					Wait: a.wait, Over: a.over, Spent: a.spent, Report: a.report})
 			}
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -332,7 +332,7 @@
 		os.Exit(1)
 	}
 	by := time.Now().Add(long)
-	err = heir(context.Background(), dir, func(k *link) {
+	heir(context.Background(), dir, new(diagnostics), func(k *link) {
 		switch step {
 		case "offered", "released":
 			if err := k.step(line{Offer: &offer{Out: []attemptOut{{ID: "m", Host: "h1", Class: "status", Dest: 7}}}}, by); err != nil {
@@ -347,10 +347,6 @@
 		}
 		die()
 	})
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "heir:", err)
-		os.Exit(1)
-	}
 	fmt.Println("ready")
 	select {}
 }
--- /dev/null
+++ b/internal/relay/lack.go
@@ -0,0 +1,61 @@
+package relay
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// remoteErrors of connect(2) come from the other end or the way there. All others are a lack of this machine.
+var remoteErrors = []syscall.Errno{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.EHOSTDOWN}
+
+// lackHere tells whether a connection could not be asked for, for a lack of this machine: descriptors, ports, memory of the
+// kernel, a route. Nothing was sent then, and it says nothing of the other end.
+func lackHere(err error) bool {
+	errno := syscall.Errno(0)
+	return errors.As(err, &errno) && !slices.Contains(remoteErrors, errno)
+}
+
+const (
+	// acceptAgain is the first wait after a failed accept; it doubles up to acceptAgainMost, so that a relay serves again at
+	// once when the trouble is over.
+	acceptAgain, acceptAgainMost = 5 * time.Millisecond, 100 * time.Millisecond
+	// listenWithin bounds the tries to listen at a start, listenRetry is the wait between them.
+	listenWithin, listenRetry = 5 * time.Second, 50 * time.Millisecond
+)
+
+// acceptor accepts connections, whatever a single accept fails with: only the close of its listener ends it.
+type acceptor struct {
+	net.Listener
+	name string // for logs
+	why  *diagnostics
+}
+
+// Accept gives the next connection, or net.ErrClosed.
+func (a *acceptor) Accept() (net.Conn, error) {
+	for wait := acceptAgain; ; wait = min(2*wait, acceptAgainMost) {
+		conn, err := a.Listener.Accept()
+		if err == nil || errors.Is(err, net.ErrClosed) {
+			return conn, err
+		}
+		slog.Warn("accept failed", "at", a.name, "err", err)
+		a.why.add("relay_accept_failures", a.name, 1)
+		time.Sleep(wait)
+	}
+}
+
+// listenFor listens, and tries again for a while where the system fails to: a lack that lasts a moment refuses no start. An
+// address that makes no sense is an error at once.
+func listenFor(name string, listen func() (net.Listener, error)) (net.Listener, error) {
+	for by := time.Now().Add(listenWithin); ; time.Sleep(listenRetry) {
+		l, err := listen()
+		errno := syscall.Errno(0)
+		if err == nil || !errors.As(err, &errno) || time.Now().After(by) {
+			return l, err
+		}
+		slog.Warn("listen failed", "at", name, "err", err)
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,7 +48,7 @@
 		defer operators.listener.Close()
 		go operators.serve()
 	}
-	gate, err := openGate(cfg)
+	gate, err := openGate(cfg, &figures.why)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -100,9 +100,7 @@
 		operators.offer("fleet", alone(l.shared.Text))
 	}
 	srv := newServer(cfg, &figures.why, func(a *arrival) { l.put(a) }, func(a *arrival) { l.put(departure{a}) })
-	if err := heir(deciding, dir, func(k *link) { l.put(takeover{k}) }); err != nil {
-		slog.Error("no newer process can take over", "err", err)
-	}
+	heir(deciding, dir, &figures.why, func(k *link) { l.put(takeover{k}) })
 	l.openList(dir)
 	defer func() { l.list.close() }()
 	l.openZones(dir)
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -667,7 +667,7 @@
 	l.wakeAt = timer
 	m := &message{Entry: &journal.Entry{ID: "m"}}
 	l.messages["m"] = m
-	l.unsent(send{m: m})
+	l.unsent(send{m: m}, policy.Unsent)
 	if due := l.due(); due != 0 {
 		t.Errorf("the module hears of it in %v", due)
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -19,7 +19,7 @@
 // Outcome says how one attempt ended.
 type Outcome int
 
-// The outcomes of an attempt. QueueFull, ConnectError and Ignored prove that it never ran.
+// The outcomes of an attempt. QueueFull, ConnectError, Ignored and Unsent prove that it never ran.
 const (
 	OK           Outcome = iota // delivered
 	Failed                      // answered with an error
@@ -29,9 +29,10 @@
 	Reset                       // the connection broke while the attempt was out
 	Canceled                    // called off by this dispatcher
 	Ignored                     // never sent: no slot, no time or no attempts left
+	Unsent                      // never begun, for a lack here that says nothing of the endpoint: it counts as no attempt
 )
 
-var outcomeNames = [...]string{"ok", "failed", "full", "timed out", "no connection", "reset", "canceled", "not sent"}
+var outcomeNames = [...]string{"ok", "failed", "full", "timed out", "no connection", "reset", "canceled", "not sent", "not begun"}
 
 // String names an outcome for logs.
 func (o Outcome) String() string { return outcomeNames[o] }
--- a/policy/call.go
+++ b/policy/call.go
@@ -81,17 +81,23 @@
 }
 
 // closeAttempt notes that an attempt has ended, and gives its message and its call: nil where it is unknown or has ended before. A
-// call gives its slot back with the last of its messages.
+// call gives its slot back with the last of its messages. One that was not begun leaves no trace.
 func (d *Dispatcher) closeAttempt(e Ended) (*message, *call) {
 	m := d.messages[e.ID]
 	if m == nil || e.Attempt < 0 || e.Attempt >= len(m.attempts) || !m.attempts[e.Attempt].open {
 		return nil, nil
 	}
 	a := &m.attempts[e.Attempt]
+	c := a.call
 	a.open = false
 	a.unrun = e.Outcome == QueueFull || e.Outcome == ConnectError || e.Outcome == Ignored
 	m.open--
-	c := a.call
+	if e.Outcome == Unsent {
+		a.unrun = true
+		if e.Attempt == len(m.attempts)-1 { // its number goes to the next one
+			m.attempts = m.attempts[:e.Attempt]
+		}
+	}
 	c.open--
 	if c.open == 0 {
 		d.out--
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -146,7 +146,7 @@
 // abreast is how many calls of a queue are out at once: in a wait or an outage, as many as there were before.
 func (q *queue) abreast(now instant.Time) float64 {
 	n := math.Max(1, float64(len(q.out)))
-	if now < max(q.waitUntil, q.holdUntil) || q.down() {
+	if now < max(q.waitUntil, q.holdUntil, q.lackUntil) || q.down() {
 		return math.Max(n, q.width)
 	}
 	return n
@@ -341,7 +341,7 @@
 // ready tells which message a queue would send now and where, if any.
 func (d *Dispatcher) ready(q *queue) (*endpoint, *message) {
 	most := max(1, int(math.Ceil(slotShare*float64(d.s.Slots))))
-	if len(q.held) == 0 || d.now < q.waitUntil || len(q.out) >= most {
+	if len(q.held) == 0 || d.now < max(q.waitUntil, q.lackUntil) || len(q.out) >= most {
 		return nil, nil
 	}
 	tries := d.tries(q)
@@ -507,7 +507,11 @@
 			d.act(Withhold{Endpoint: ep.ID})
 		}
 	}
-	if c.open == 0 {
+	switch {
+	case e.Outcome == Unsent:
+		d.lacks(c.ep.q)
+	case c.open == 0:
+		c.ep.q.begins()
 		d.learn(c, m, e)
 		if len(c.ep.out) == 0 && d.crowded(c.ep) {
 			d.act(CloseIdle{Endpoint: c.ep.ID})
@@ -829,7 +833,7 @@
 func (d *Dispatcher) evictable(q *queue) bool {
 	allowance, depth := q.bucket, math.Max(1, q.pace*burstSpan.Seconds())
 	used := q.pace > 0 && allowance.fill(d.now, q.pace, depth) < depth
-	paused := d.now < max(q.waitUntil, q.holdUntil, q.toldUntil, q.pacedTo)
+	paused := d.now < max(q.waitUntil, q.holdUntil, q.lackUntil, q.toldUntil, q.pacedTo)
 	if used || paused || q.word.binds(d.now) || q.fulls > 0 || q.ill {
 		return false
 	}
