--- a/cmd/relay/main.go
+++ b/cmd/relay/main.go
@@ -51,7 +51,7 @@
 	if state == "" {
 		return fmt.Errorf("no folder for the journal: set NODE_STATE or -state")
 	}
-	cfg, err := relay.ReadConfig(config)
+	cfg, err := relay.ReadConfigAtStart(config)
 	if err != nil {
 		return err
 	}
--- a/internal/endpoints/failure_test.go
+++ b/internal/endpoints/failure_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"syscall"
 	"testing"
 )
 
@@ -185,7 +186,8 @@
 	h.check(t, fsys.killed(), len(h.commits)-1, "repaired")
 }
 
-// A snapshot that can be neither read nor removed at one start, but read at the next one, counts for nothing then.
+// A snapshot that can be neither read nor removed at one start is an error, and nothing is changed; where it is left out all
+// the same, and can be read at the next start, it counts for nothing then.
 func TestStoreSnapshotBackAgain(t *testing.T) {
 	fsys := newModelFS()
 	h := newHarness(t, fsys, 5, 20)
@@ -193,8 +195,17 @@
 		h.change()
 	}
 	h.compact()
+	durable, before := h.durable, fsys.killed()
 	fsys.stuck = "folder/" + h.store.files[0].name
-	h.restart(t)
+	if _, _, _, _, err := OpenFS("folder", testBudget, fsys); !errors.Is(err, syscall.EIO) {
+		t.Fatalf("it can't be read, and the error is %v", err)
+	}
+	h.check(t, before, durable, "an open that failed")
+	var err error
+	if h.store, h.table, _, _, err = SalvageFS("folder", testBudget, fsys); err != nil {
+		t.Fatal(err)
+	}
+	h.store.background = func(f func()) { f() }
 	if h.table.Len() != 0 || h.store.seq != 0 {
 		t.Fatalf("%d entries, sequence %d", h.table.Len(), h.store.seq)
 	}
--- a/internal/endpoints/replay.go
+++ b/internal/endpoints/replay.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"io"
+	"io/fs"
 	"path/filepath"
 	"slices"
 
@@ -28,11 +29,13 @@
 
 // replay is the reading of a folder.
 type replay struct {
-	dir   string
-	fsys  journal.FS
-	table *Table
-	found Found
-	seq   int64
+	dir     string
+	fsys    journal.FS
+	salvage bool // what the file system fails to read counts as damaged
+	table   *Table
+	found   Found
+	seq     int64
+	failure error // of the file system, which says nothing of what the files hold
 
 	files    []storedFile // by number
 	last     uint64       // the last log that was replayed, 0 for none
@@ -57,7 +60,44 @@
 	r.readSnapshots()
 	r.readLogs()
 	r.found.Entries = r.table.Len()
-	return nil
+	return r.failure
+}
+
+// reading is a file that is being read. It keeps the error of the file system that ended that.
+type reading struct {
+	io.ReadCloser
+	err error
+}
+
+func (f *reading) Read(b []byte) (int, error) {
+	n, err := f.ReadCloser.Read(b)
+	if err != nil && err != io.EOF {
+		f.err = err
+	}
+	return n, err
+}
+
+// open opens a file of the folder.
+func (r *replay) open(file storedFile) (*reading, int64, error) {
+	in, size, err := r.fsys.Open(filepath.Join(r.dir, file.name))
+	if err != nil {
+		r.failed(err)
+		return nil, 0, err
+	}
+	return &reading{ReadCloser: in}, size, nil
+}
+
+// close closes a file that was read.
+func (r *replay) close(f *reading) {
+	_ = f.Close()
+	r.failed(f.err)
+}
+
+// failed notes that the file system failed.
+func (r *replay) failed(err error) {
+	if err != nil && !r.salvage && !errors.Is(err, fs.ErrNotExist) {
+		r.failure = errors.Join(r.failure, err)
+	}
 }
 
 // readSnapshots fills the table from the newest snapshot that is whole.
@@ -80,11 +120,11 @@
 }
 
 func (r *replay) readSnapshot(file storedFile, table *Table) (seq, size int64, err error) {
-	in, size, err := r.fsys.Open(filepath.Join(r.dir, file.name))
+	in, size, err := r.open(file)
 	if err != nil {
 		return 0, 0, err
 	}
-	defer in.Close()
+	defer r.close(in)
 	records, h, err := newRecordReader(in)
 	if err != nil {
 		return 0, 0, err
@@ -121,11 +161,11 @@
 }
 
 func (r *replay) readLog(file storedFile) error {
-	in, size, err := r.fsys.Open(filepath.Join(r.dir, file.name))
+	in, size, err := r.open(file)
 	if err != nil {
 		return err
 	}
-	defer in.Close()
+	defer r.close(in)
 	records, h, err := newRecordReader(in)
 	if err != nil {
 		return err
--- a/internal/endpoints/store.go
+++ b/internal/endpoints/store.go
@@ -24,8 +24,9 @@
 	budgetShare = 16
 	// maxLogs is the number of logs, one for each start, before a compaction.
 	maxLogs = 8
-	// retryAfter is how long a store waits after a failure before it tries to write again.
-	retryAfter = 10 * time.Second
+	// retryAfter is how long a store waits after a failure before it tries to write again: what it keeps has to be on disk
+	// again within 3 s of the trouble's end.
+	retryAfter = 2 * time.Second
 )
 
 // Store keeps a table on disk: a snapshot, and logs of the changes since. It belongs to the table's owner. Nothing but a
@@ -59,7 +60,7 @@
 
 // Open opens the store in a folder, which is made if need be, and gives the table and the sequence that it held. What is
 // damaged is left out; where the rest is not a whole list the table is empty, or the sequence is 0, and the whole list
-// has to be asked for. The error is of the folder itself.
+// has to be asked for. The error is of the file system: nothing is changed then, and a later Open may find all that is there.
 func Open(dir string, budgetBytes int64) (*Store, *Table, int64, Found, error) {
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, nil, 0, Found{}, err
@@ -67,16 +68,30 @@
 	return OpenFS(dir, budgetBytes, journal.Disk)
 }
 
+// Salvage is Open for a folder with files that can't be read at all: these count as damaged, and go.
+func Salvage(dir string, budgetBytes int64) (*Store, *Table, int64, Found, error) {
+	return SalvageFS(dir, budgetBytes, journal.Disk)
+}
+
+// SalvageFS is Salvage in another file system.
+func SalvageFS(dir string, budgetBytes int64, fsys journal.FS) (*Store, *Table, int64, Found, error) {
+	return openReplay(&replay{dir: dir, fsys: fsys, table: NewTable(), salvage: true}, budgetBytes)
+}
+
 // OpenFS is Open in another file system.
 func OpenFS(dir string, budgetBytes int64, fsys journal.FS) (*Store, *Table, int64, Found, error) {
-	r := &replay{dir: dir, fsys: fsys, table: NewTable()}
+	return openReplay(&replay{dir: dir, fsys: fsys, table: NewTable()}, budgetBytes)
+}
+
+// openReplay reads a folder and opens its store.
+func openReplay(r *replay, budgetBytes int64) (*Store, *Table, int64, Found, error) {
 	if err := r.run(); err != nil {
 		return nil, nil, 0, Found{}, err
 	}
 	if err := r.tidy(); err != nil {
 		r.found.Damage = append(r.found.Damage, err)
 	}
-	s := &Store{dir: dir, budget: budgetBytes, fsys: fsys, now: time.Now, background: func(f func()) { go f() },
+	s := &Store{dir: r.dir, budget: budgetBytes, fsys: r.fsys, now: time.Now, background: func(f func()) { go f() },
 		files: r.useful, nextLog: r.nextLog(), seq: r.seq, stored: r.seq}
 	s.highest = max(r.highest(), s.nextLog.number)
 	return s, r.table, r.seq, r.found, nil
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -198,7 +198,7 @@
 	}
 	for _, path := range damaged {
 		if err := j.o.Files.Remove(path); err != nil {
-			return err
+			slog.Warn("journal: a damaged range stays", "file", path, "err", err)
 		}
 	}
 	return nil
--- a/internal/journal/owner.go
+++ b/internal/journal/owner.go
@@ -22,7 +22,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("owner of the folder: %w", err)
 	}
-	err = syscall.FcntlFlock(f.Fd(), syscall.F_SETLK, lock())
+	err = uninterrupted(func() error { return syscall.FcntlFlock(f.Fd(), syscall.F_SETLK, lock()) })
 	if err == nil {
 		return &Ownership{f}, nil
 	}
@@ -45,7 +45,7 @@
 	}
 	defer f.Close()
 	l := lock()
-	if err := syscall.FcntlFlock(f.Fd(), syscall.F_GETLK, l); err != nil {
+	if err := uninterrupted(func() error { return syscall.FcntlFlock(f.Fd(), syscall.F_GETLK, l) }); err != nil {
 		return err
 	}
 	// The system names the holder as this process sees it, or as 0 or below if it can't see it.
@@ -66,10 +66,19 @@
 	}
 	defer f.Close()
 	l := lock()
-	if err := syscall.FcntlFlock(f.Fd(), syscall.F_GETLK, l); err != nil {
+	if err := uninterrupted(func() error { return syscall.FcntlFlock(f.Fd(), syscall.F_GETLK, l) }); err != nil {
 		return false, fmt.Errorf("owner of the folder: %w", err)
 	}
 	return l.Type != syscall.F_UNLCK, nil
 }
 
+// uninterrupted makes a system call again as long as a signal interrupts it.
+func uninterrupted(call func() error) error {
+	for {
+		if err := call(); !errors.Is(err, syscall.EINTR) {
+			return err
+		}
+	}
+}
+
 func lock() *syscall.Flock_t { return &syscall.Flock_t{Type: syscall.F_WRLCK, Whence: io.SeekStart} }
--- a/internal/lab/shimmed_test.go
+++ b/internal/lab/shimmed_test.go
@@ -61,3 +61,9 @@
 		t.Errorf("%d messages are refused, where only calls of the system fail", n)
 	}
 }
+
+// A folder that fails to be opened, read, written, synced or renamed in, for a call or for seconds, at starts, in drains and
+// beside kills, ends no relay, and what was told and accepted still binds.
+func TestFailingFolder(t *testing.T) {
+	keepsAllRules(t, begin(t, "folder", Options{Binary: shimBinary}).end(t))
+}
--- a/internal/relay/commit.go
+++ b/internal/relay/commit.go
@@ -6,6 +6,9 @@
 	"net/http"
 	"slices"
 
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
+	"milletsail/internal/journal"
 	"milletsail/policy"
 )
 
@@ -57,6 +60,28 @@
 	for _, do := range effects {
 		do()
 	}
+	l.postRecorded(err == nil)
+}
+
+// unrecordedNotice is a notice of a message whose end is to be on disk before the platform is told of it: a process after a
+// kill would else go on with a message that is over.
+type unrecordedNotice struct {
+	notice  journal.Notice
+	expires instant.Time // of the message: from then on no process sends it any more
+}
+
+// postRecorded posts the notices whose ends are on disk, or whose messages' time is up whether or not they are.
+func (l *loop) postRecorded(written bool) {
+	now := clock.Now()
+	waiting := l.unrecorded[:0]
+	for _, n := range l.unrecorded {
+		if written || n.expires <= now {
+			l.notices.owe(n.notice)
+		} else {
+			waiting = append(waiting, n)
+		}
+	}
+	l.unrecorded = waiting
 }
 
 // stored tells the module and the operators when the journal can't be written any more, and when it can again.
@@ -70,5 +95,8 @@
 		why = &text
 	}
 	l.figures.unwritten.Store(why)
+	if ok {
+		l.postRecorded(true)
+	}
 	l.events = append(l.events, policy.Stored{Writable: ok})
 }
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -60,7 +60,7 @@
 	l.settle(m)
 	n := journal.Notice{ID: m.ID, Status: status, AgainMS: v.after.Milliseconds()}
 	l.journal.Owe(m.Entry, n)
-	l.effects = append(l.effects, func() { l.notices.owe(n) })
+	l.unrecorded = append(l.unrecorded, unrecordedNotice{n, m.Expires})
 }
 
 // answer gives all that handed a message in the same verdict.
--- a/internal/relay/config.go
+++ b/internal/relay/config.go
@@ -9,7 +9,9 @@
 	"log/slog"
 	"os"
 	"strconv"
+	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/endpoints"
 	"milletsail/internal/journal"
 	"milletsail/internal/settings"
@@ -115,7 +117,7 @@
 				return
 			case <-signals:
 			}
-			c, err := ReadConfig(path)
+			c, err := rereadConfig(ctx, path, signals)
 			if err != nil {
 				slog.Error("configuration not reloaded", "err", err)
 				continue
@@ -130,6 +132,37 @@
 	return addresses
 }
 
+// reloadWithin bounds the tries to read a configuration after a signal: what it moves counts as told 4 s after that.
+const reloadWithin = 3 * time.Second
+
+// rereadConfig reads a configuration file again after a signal. One that can't be read may still be being written, or the
+// file system may fail for a moment: it is tried again for a while. A further signal meanwhile asks for nothing else.
+func rereadConfig(ctx context.Context, path string, signals <-chan os.Signal) (*Config, error) {
+	for by := clock.Now().Add(reloadWithin); ; {
+		c, err := ReadConfig(path)
+		if err == nil || clock.Now() >= by {
+			return c, err
+		}
+		slog.Warn("configuration can't be read", "err", err)
+		select {
+		case <-signals:
+		default:
+		}
+		if !clock.Sleep(ctx, folderRetry) {
+			return nil, err
+		}
+	}
+}
+
+// ReadConfigAtStart is ReadConfig for a process that starts: a file system that fails for a moment refuses no start.
+func ReadConfigAtStart(path string) (c *Config, err error) {
+	err = patiently(context.Background(), folderWithin, "the configuration", func() error {
+		c, err = ReadConfig(path)
+		return err
+	})
+	return c, err
+}
+
 func (c *Config) check() error {
 	switch {
 	case c.Listen == "":
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 	"milletsail/internal/settings"
 )
 
@@ -119,6 +120,7 @@
 	if w.prompt {
 		span = 0
 	}
+	var due instant.Time // of an ask whose wait a move has cut short: further moves do not put it off
 	for {
 		select {
 		case <-ctx.Done():
@@ -128,7 +130,13 @@
 		here, base := w.begin(ctx)
 		var lists int
 		var err error
-		if clock.Sleep(here, least+w.draw(span)) {
+		wait := least + w.draw(span)
+		if !due.IsZero() {
+			wait = min(wait, clock.Until(due))
+		}
+		due = clock.Now().Add(wait)
+		if clock.Sleep(here, wait) {
+			due = 0
 			lists, err = w.watch(here, base)
 		}
 		if ctx.Err() != nil {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -69,11 +69,32 @@
 	Out     []attemptOut     `json:"out"`
 	Learned []policy.Learned `json:"learned"`
 	Clients int              `json:"clients"`
+	// Unwritten says that the journal could not be written: it may name other messages beside Live, those that are not over,
+	// and lack their last attempts and ends.
+	Unwritten bool                   `json:"unwritten,omitempty"`
+	Live      map[string]liveMessage `json:"live,omitempty"`
 	// Clocks translate the moments on the link, which are wall times there as programs of before wrote and read them: the
 	// same pair of readings is used at both ends, so that steps of the wall clock don't show. A program of before has none.
 	Clocks *clock.Pair `json:"clocks,omitempty"`
 }
 
+// liveMessage is what a journal that could not be written may lack of a message.
+type liveMessage struct {
+	Attempts int             `json:"attempts,omitempty"`
+	Owed     *journal.Notice `json:"owed,omitempty"`
+}
+
+// agree brings what the journal tells of a message in line with what the process before knows: attempts that it lacks may
+// have run.
+func (m liveMessage) agree(e *journal.Entry) {
+	for len(e.Attempts) < m.Attempts {
+		e.Attempts = append(e.Attempts, journal.Attempt{Begun: e.Taken, Doubt: true})
+	}
+	if m.Owed != nil {
+		e.Owed = m.Owed
+	}
+}
+
 // attemptOut is an attempt that the old process has out.
 type attemptOut struct {
 	ID      string    `json:"id"`
@@ -234,11 +255,20 @@
 // handover or, where that can't be had in time, by that process's end. Link and offer are nil without a handover: then
 // the journal tells all that is known.
 func takeOver(ctx context.Context, dir string) (*journal.Ownership, *link, *offer, error) {
+	last := time.Now().Add(folderWithin)
 	for by := time.Now().Add(askTime); ; {
-		if o, err := journal.Own(dir); o != nil || err != nil {
+		o, err := journal.Own(dir)
+		if o != nil || err != nil && (!journal.Transient(err) || time.Now().After(last)) {
 			return o, nil, nil, err
 		}
-		k, off, err := askFor(dir, by)
+		var k *link
+		var off *offer
+		if err == nil {
+			k, off, err = askFor(dir, by)
+		}
+		if shortOf(err) && time.Now().Before(last) {
+			by = time.Now().Add(askTime) // a lack of this process is no reason to end the one before
+		}
 		if err == nil {
 			if o, err := ownBy(ctx, dir, by); err == nil {
 				return o, k, off, nil
@@ -262,7 +292,8 @@
 // ownBy waits for the right to the folder.
 func ownBy(ctx context.Context, dir string, by time.Time) (*journal.Ownership, error) {
 	for {
-		if o, err := journal.Own(dir); o != nil || err != nil {
+		o, err := journal.Own(dir)
+		if o != nil || err != nil && !journal.Transient(err) {
 			return o, err
 		}
 		if time.Now().After(by) {
@@ -373,6 +404,12 @@
 	for _, learned := range l.d.Learned() {
 		off.Learned = append(off.Learned, learned.Translate(k.toLink))
 	}
+	if l.journal.Broken() != nil {
+		off.Unwritten, off.Live = true, map[string]liveMessage{}
+		for _, e := range l.journal.Entries() {
+			off.Live[e.ID] = liveMessage{Attempts: len(e.Attempts), Owed: e.Owed}
+		}
+	}
 	for _, m := range l.messages {
 		if m.cancel != nil {
 			a := m.Attempts[len(m.Attempts)-1]
--- a/internal/relay/lack.go
+++ b/internal/relay/lack.go
@@ -19,6 +19,12 @@
 	return errors.As(err, &errno) && !slices.Contains(remoteErrors, errno)
 }
 
+// shortOf tells whether something failed since this process or the machine has too little of something.
+func shortOf(err error) bool {
+	errno := syscall.Errno(0)
+	return errors.As(err, &errno) && slices.Contains([]syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EIO}, errno)
+}
+
 const (
 	// acceptAgain is the first wait after a failed accept; it doubles up to acceptAgainMost, so that a relay serves again at
 	// once when the trouble is over.
--- a/internal/relay/liststart.go
+++ b/internal/relay/liststart.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"log/slog"
 	"math"
-	"path/filepath"
 	"runtime/debug"
 
 	"milletsail/internal/endpoints"
@@ -24,7 +23,7 @@
 // earlier process of this relay was sent: an endpoint that drains gets nothing new from this one either.
 func (l *loop) openList(dir string) {
 	budget := int64(listShare * l.cfg.Limits.DiskMB * 1e6)
-	store, table, seq, found, err := endpoints.Open(filepath.Join(dir, listFolder), budget)
+	store, table, seq, found, err := openStore(dir, budget)
 	if err != nil {
 		slog.Warn("list of endpoints not kept on disk", "err", err)
 		table = endpoints.NewTable()
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -51,6 +51,8 @@
 	fresh    []*message // arrivals of this batch
 	sends    []send     // of this batch
 	effects  []func()   // of this batch, once its records are written
+	// unrecorded are the notices whose messages' ends are not on disk yet.
+	unrecorded []unrecordedNotice
 
 	gate      *gate
 	owner     *journal.Ownership
@@ -131,7 +133,10 @@
 	}
 	wait := max(0, clock.Until(l.wakeAt))
 	if l.list.storing {
-		return min(wait, storeEvery)
+		wait = min(wait, storeEvery)
+	}
+	for _, n := range l.unrecorded {
+		wait = min(wait, max(0, clock.Until(n.expires)))
 	}
 	return wait
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -61,8 +61,10 @@
 		return err
 	}
 	defer owner.Release()
-	kept, found, err := journal.Open(dir, journal.Options{DiskMB: (1 - listShare) * cfg.Limits.DiskMB, Relay: cfg.Name, Power: cfg.Durability == DurablePower,
-		Files: cfg.Files, Boot: cfg.Boot})
+	kept, found, err := loadJournal(ctx, cfg, dir)
+	if err != nil && ctx.Err() != nil {
+		return nil // nothing was taken on by this process
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -27,6 +27,14 @@
 		l.gate.lend(off.Clients)
 	}
 	for _, e := range l.journal.Entries() {
+		if off != nil && off.Unwritten {
+			live, ok := off.Live[e.ID]
+			if !ok { // its end could not be written
+				l.journal.Over(e)
+				continue
+			}
+			live.agree(e)
+		}
 		m := &message{Entry: e}
 		l.messages[e.ID] = m
 		l.pend(m)
--- /dev/null
+++ b/internal/relay/unrecorded_test.go
@@ -0,0 +1,85 @@
+package relay
+
+import (
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/journal"
+	"milletsail/policy"
+)
+
+// fullDisk is the file system, without room as long as a test says so.
+type fullDisk struct {
+	journal.FS
+	full atomic.Bool
+}
+
+type fullFile struct {
+	journal.File
+	disk *fullDisk
+}
+
+func (d *fullDisk) Create(path string) (journal.File, error) {
+	f, err := d.FS.Create(path)
+	return &fullFile{f, d}, err
+}
+
+func (f *fullFile) Write(b []byte) (int, error) {
+	if f.disk.full.Load() {
+		return 0, syscall.ENOSPC
+	}
+	return f.File.Write(b)
+}
+
+// The platform is told of a message's end once that is on disk, since a process after a kill would else send the message
+// on; or once its time is up, when no process does.
+func TestNoticeWaitsForItsRecord(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		left   time.Duration
+		before int // notices while nothing can be written
+	}{{"in time", time.Minute, 0}, {"its time is up", -time.Second, 1}} {
+		t.Run(c.name, func(t *testing.T) {
+			disk := &fullDisk{FS: journal.Disk}
+			kept, _, err := journal.Open(t.TempDir(), journal.Options{DiskMB: 3, Files: disk})
+			if err != nil {
+				t.Fatal(err)
+			}
+			classes := []policy.Class{{Name: "status", Deadline: time.Minute}}
+			d, err := policy.New(policy.Settings{Instances: 1, Slots: 1, HoldRoom: 9, MaxAttempts: 1, Classes: classes}, 1)
+			if err != nil {
+				t.Fatal(err)
+			}
+			notices := &notifier{wanted: make(chan struct{}, 1)}
+			l := &loop{cfg: &Config{}, d: d, figures: newFigures(classes), journal: kept, messages: map[string]*message{}, list: listAt(7), notices: notices}
+			l.cfg.policy.Classes = classes
+			m := &message{Entry: &journal.Entry{ID: "m", Class: "status", Dest: 7, Expires: clock.Now().Add(c.left)}}
+			l.messages["m"] = m
+			kept.Take(m.Entry)
+			l.commit()
+			disk.full.Store(true)
+			l.refuse(m, verdict{}, deferred, policy.ReasonTime)
+			l.commit()
+			if len(notices.owed) != c.before {
+				t.Errorf("%d notices while nothing can be written, want %d", len(notices.owed), c.before)
+			}
+			disk.full.Store(false)
+			l.stored(kept.Commit() == nil)
+			if len(notices.owed) != 1 {
+				t.Errorf("%d notices once it is written", len(notices.owed))
+			}
+		})
+	}
+}
+
+// What a journal that could not be written lacks, the process before tells: attempts may have run, and an end stays one.
+func TestUnwrittenJournalIsMadeUpFor(t *testing.T) {
+	e := &journal.Entry{ID: "m", Attempts: []journal.Attempt{{Host: "h1", Ended: true, Unrun: true}}}
+	liveMessage{Attempts: 3, Owed: &journal.Notice{ID: "m", Status: deferred}}.agree(e)
+	if len(e.Attempts) != 3 || !e.Attempts[2].Doubt || e.Attempts[2].Unrun || e.Owed == nil {
+		t.Errorf("%+v", e)
+	}
+}
