Take back what was refused from a segment, and count answers that have arrived

Cause: a commit whose sync failed left the messages that were refused for it on disk, and a process after a kill sent them on; one that may be repeated was even sent at once. A relay that was held up over the end of a call's time dropped an answer that lay there unread.

Change: a write that fails in part is cut off, one whose sync fails is followed by records that take the fresh messages back; what was not taken on is not sent. At the end of a call's time what has arrived is still read; the bound on answers to shared calls stays.

--- a/internal/endpoints/model_test.go
+++ b/internal/endpoints/model_test.go
@@ -84,6 +84,14 @@
 	return nil
 }
 
+func (f *modelFile) Truncate(size int64) error {
+	if f.fsys.fails() {
+		return f.fsys.reason()
+	}
+	f.data = bytes.Clone(f.data[:size])
+	return nil
+}
+
 func (f *modelFile) Close() error { return nil }
 
 func (m *modelFS) Open(path string) (io.ReadCloser, int64, error) {
--- a/internal/journal/fs.go
+++ b/internal/journal/fs.go
@@ -29,6 +29,8 @@
 	// Sync makes what was written outlast a power loss. After an error the system may have dropped what was not
 	// durable and call it clean, so a second Sync would prove nothing.
 	Sync() error
+	// Truncate cuts the file back; what is written next goes where the file ended before.
+	Truncate(size int64) error
 }
 
 // Disk is the operating system's file system.
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -108,6 +108,7 @@
 	before   uint32 // gist of the last record
 	reserved int    // for messages that may be taken on before the next Commit
 	pending  []byte
+	fresh    []*Entry   // taken on since the last Commit
 	old      []string   // files to remove once the next segment is durable
 	broken   error      // why the segment can't be written on
 	clocks   clock.Pair // of the segment
@@ -263,6 +264,7 @@
 		e.Taken = j.o.Clocks.Now()
 	}
 	j.note(record{op: opTaken, ref: j.seq + 1, entry: e})
+	j.fresh = append(j.fresh, e)
 }
 
 // Begin notes an attempt; it must be committed before the attempt's first byte goes out.
@@ -304,6 +306,7 @@
 // Commit begins a new segment from what is in memory, at once the first time, and then from time to time.
 func (j *Journal) Commit() error {
 	j.reserved = 0
+	defer func() { j.fresh = j.fresh[:0] }()
 	n := len(j.pending)
 	if n == 0 && j.broken == nil {
 		return nil
@@ -319,10 +322,7 @@
 	case j.file == nil:
 		err = errClosed
 	default:
-		if err = writeAll(j.file, j.pending); err == nil && j.o.Power {
-			err = j.file.Sync()
-		}
-		j.size += n
+		err = j.append(n)
 	}
 	j.pending = j.pending[:0]
 	if err != nil && err != errClosed {
@@ -334,6 +334,42 @@
 	return nil
 }
 
+// append writes what was noted to the segment.
+func (j *Journal) append(n int) error {
+	if err := writeAll(j.file, j.pending); err != nil {
+		if cut := j.file.Truncate(int64(j.size)); cut != nil {
+			slog.Warn("journal: what was written in part stays", "err", cut)
+		}
+		return err
+	}
+	if j.o.Power {
+		if err := j.file.Sync(); err != nil {
+			j.undo(j.file)
+			return err
+		}
+	}
+	j.size += n
+	return nil
+}
+
+// undo takes back the messages that were taken on by a write which is not durable: nobody is told that they were, and a
+// process that finds them in the segment after a kill must not deliver them.
+func (j *Journal) undo(f File) {
+	var b []byte
+	for _, e := range j.fresh {
+		j.seq++
+		r := record{op: opOver, ref: e.ref}
+		b, _ = frame(b, &r, j.seq, j.before, j.clocks)
+		j.before = r.gist()
+	}
+	if len(b) == 0 {
+		return
+	}
+	if err := writeAll(f, b); err != nil {
+		slog.Warn("journal: messages that were not taken on may stay in a segment", "messages", len(j.fresh), "err", err)
+	}
+}
+
 // Retry begins a new segment where the last one can't be written on, if it is time for that; it tells whether the
 // journal can be written to.
 func (j *Journal) Retry() bool { return j.broken == nil || j.Commit() == nil }
@@ -394,6 +430,8 @@
 	if j.o.Power {
 		if err = j.o.Files.SyncDir(j.dir); err != nil {
 			// It may or may not outlast a power loss: the one before stays, and this one is not written on.
+			j.seq, j.before, j.clocks = seq, before, clocks
+			j.undo(f)
 			_ = f.Close()
 			j.leave()
 			j.segment = next
--- a/internal/journal/model_test.go
+++ b/internal/journal/model_test.go
@@ -107,6 +107,15 @@
 	return nil
 }
 
+func (f *modelFile) Truncate(size int64) error {
+	if failed, err := f.m.call("truncate"); failed {
+		return errors.Join(err, syscall.EIO)
+	}
+	f.f.data = bytes.Clone(f.f.data[:size])
+	f.m.done("truncate")
+	return nil
+}
+
 func (f *modelFile) Close() error { return nil }
 
 func (m *model) Open(path string) (io.ReadCloser, int64, error) {
--- /dev/null
+++ b/internal/journal/refused_test.go
@@ -0,0 +1,37 @@
+package journal
+
+import (
+	"syscall"
+	"testing"
+)
+
+// A message whose Commit failed was refused, and a process that reads the folder after a kill must not find it: not after a
+// short write, nor after a sync that failed, be it of a record or of a new segment and its folder.
+func TestRefusedMessagesDoNotComeBack(t *testing.T) {
+	const mostCalls = 6 // of a Commit that begins a segment: create, write, sync, rename, sync of the folder, remove
+	for _, compaction := range []bool{false, true} {
+		for call := 1; call <= mostCalls; call++ {
+			m := newModel()
+			j, _, err := Open("/d", Options{DiskMB: 3, Power: true, Files: m, Boot: "one"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			j.Take(&Entry{ID: "before", Class: "order"})
+			commit(t, j)
+			if compaction {
+				j.size = j.limit
+			}
+			j.Take(&Entry{ID: "fresh", Class: "order"})
+			m.failAt, m.failFor, m.failure = m.calls+call, 1, syscall.EIO
+			failed := j.Commit() != nil
+			m.failAt = 0
+			after, _, err := Open("/d", Options{DiskMB: 3, Power: true, Files: m, Boot: "one"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if after.Get("before") == nil || (after.Get("fresh") != nil) == failed {
+				t.Errorf("compaction %v, call %d: commit failed %v, before %v, fresh %v", compaction, call, failed, after.Get("before"), after.Get("fresh"))
+			}
+		}
+	}
+}
--- a/internal/lab/shim/control.go
+++ b/internal/lab/shim/control.go
@@ -29,9 +29,11 @@
 	Rename
 	Truncate
 	ShortWrite // a write of which half is written
+	Receive    // a read of a connection
+	Send       // a write to one
 )
 
-var callNames = [...]string{"accept", "socket", "connect", "bind", "open", "read", "write", "sync", "rename", "truncate", "short-write"}
+var callNames = [...]string{"accept", "socket", "connect", "bind", "open", "read", "write", "sync", "rename", "truncate", "short-write", "receive", "send"}
 
 // ParseCall gives the call of a name, such as "accept".
 func ParseCall(name string) (Call, error) {
--- a/internal/lab/shim/shim.go
+++ b/internal/lab/shim/shim.go
@@ -47,10 +47,10 @@
 		{"Fsync", "if err = labFile(fd, labSync); err != nil {\n\t\treturn err\n\t}\n"},
 		{"Ftruncate", "if err = labFile(fd, labTruncate); err != nil {\n\t\treturn err\n\t}\n"},
 		{"Renameat", "if err = labPath(newpath, labRename); err != nil {\n\t\treturn err\n\t}\n"},
-		{"accept4", "if err = labFail(labAccept); err != nil {\n\t\treturn -1, err\n\t}\n"},
+		{"accept4", "if err = labFail(labAccept); err != nil {\n\t\treturn -1, err\n\t}\n\tdefer func() { labConnected(fd, err) }()\n"},
 		{"connect", "if err = labFail(labConnect); err != nil {\n\t\treturn err\n\t}\n"},
 		{"bind", "if err = labFail(labBind); err != nil {\n\t\treturn err\n\t}\n"},
-		{"socket", "if err = labFail(labSocket); err != nil {\n\t\treturn -1, err\n\t}\n"},
+		{"socket", "if err = labFail(labSocket); err != nil {\n\t\treturn -1, err\n\t}\n\tdefer func() { labConnected(fd, err) }()\n"},
 	} {
 		all = append(all, patch{file, regexp.MustCompile(`\nfunc ` + c.function + `\([^\n]*\{\n`), "\t" + c.check})
 	}
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -13,6 +13,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"regexp"
 	"slices"
 	"strconv"
@@ -121,12 +122,29 @@
 	if c.stall > 0 {
 		_ = c.SetReadDeadline(time.Now().Add(c.stall))
 		if err := c.call.Err(); err != nil { // its end may have set a deadline just before
-			return 0, err
+			_ = c.SetReadDeadline(past)
 		}
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	for try := 0; n == 0 && try < arrivedTries && c.arrived(err); try++ {
+		_ = c.SetReadDeadline(time.Now().Add(drainTime))
+		n, err = c.Conn.Read(b)
+	}
+	return n, err
 }
 
+// arrivedTries bounds the reads of what has arrived: the end of the call may set its deadline once more beside each.
+const arrivedTries = 3
+
+// arrived tells whether a read has failed for the end of its call's time although there is something to read: a relay that
+// was held up finds both at once, and the answer was there before.
+func (c *conn) arrived(err error) bool {
+	return errors.Is(err, os.ErrDeadlineExceeded) && c.call != nil && errors.Is(c.call.Err(), context.DeadlineExceeded) && unread(c.Conn)
+}
+
+// past is a deadline that has passed.
+var past = time.Unix(1, 0)
+
 // newPool keeps at most room idle connections, each for less than hostIdle.
 func newPool(connect, hostIdle time.Duration, room int, written *atomic.Int64) *pool {
 	return &pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, idle: map[string][]*conn{}, held: map[string]time.Time{},
@@ -169,7 +187,7 @@
 		p.put(r.addr, c)
 		return res
 	}
-	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
+	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(past) })
 	ends, reuse := p.exchange(ctx, c, left)
 	for i, sent := range left.parcels {
 		res[slices.IndexFunc(r.parcels, func(p parcel) bool { return p.ID == sent.ID })] = ends[i]
@@ -306,7 +324,10 @@
 	for range mostInterim {
 		c.stall = 0 // a host may work for as long as the call lasts
 		_ = c.SetReadDeadline(time.Time{})
-		if err := c.call.Err(); err != nil {
+		switch err := c.call.Err(); {
+		case errors.Is(err, context.DeadlineExceeded):
+			_ = c.SetReadDeadline(past) // only what has arrived counts
+		case err != nil:
 			return nil, err
 		}
 		if _, err := c.in.Peek(1); err != nil {
--- a/internal/relay/commit.go
+++ b/internal/relay/commit.go
@@ -43,7 +43,9 @@
 		}
 		// Without its record a later process may make an attempt again, which is harmless only in a safe class.
 		safe := func(s send) bool { return l.cfg.policy.Classes[l.class(s.m.Class)].Effect == policy.Safe }
-		if err == nil || !slices.ContainsFunc(sends[i:n], func(s send) bool { return !safe(s) }) {
+		// Nor is one sent that was not taken on after all.
+		refused := func(s send) bool { return s.m.replies != nil }
+		if err == nil || !slices.ContainsFunc(sends[i:n], func(s send) bool { return !safe(s) || refused(s) }) {
 			l.call(sends[i:n])
 		} else {
 			for _, s := range sends[i:n] {
