--- a/internal/relay/actions.go
+++ b/internal/relay/actions.go
@@ -154,11 +154,11 @@
 	}
 	go func() {
 		defer cancel()
-		begun := time.Now()
+		begun := clock.Now()
 		results := l.pool.call(ctx, r)
 		all := make(ended, len(sends))
 		for i, s := range sends {
-			all[i] = end(s, time.Since(begun), results[i])
+			all[i] = end(s, clock.Since(begun), results[i])
 		}
 		l.put(all)
 	}()
--- a/internal/relay/calls.go
+++ b/internal/relay/calls.go
@@ -104,7 +104,7 @@
 	mu    sync.Mutex
 	idle  map[string][]*conn // by address, used last at the end
 	count int
-	held  map[string]time.Time // by address, when calls there were last withheld
+	held  map[string]instant.Time // by address, when calls there were last withheld
 }
 
 // conn is a connection to a host.
@@ -112,7 +112,7 @@
 	net.Conn
 	limit *io.LimitedReader // what may still be read for the call
 	in    *bufio.Reader     // reads from limit
-	since time.Time         // idle since
+	since instant.Time      // idle since
 	call  context.Context   // of the call that the connection carries
 	stall time.Duration     // bounds the silence before the next bytes; 0 for no bound
 }
@@ -147,7 +147,7 @@
 
 // newPool keeps at most room idle connections, each for less than hostIdle.
 func newPool(connect, hostIdle time.Duration, room int, written *atomic.Int64) *pool {
-	return &pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, idle: map[string][]*conn{}, held: map[string]time.Time{},
+	return &pool{dialer: net.Dialer{Timeout: connect, KeepAlive: -1}, room: room, idle: map[string][]*conn{}, held: map[string]instant.Time{},
 		written: written, keep: time.Duration(idleShare * float64(hostIdle))}
 }
 
@@ -162,7 +162,7 @@
 		defer done()
 		writing = bounded
 	}
-	begun := time.Now()
+	begun := clock.Now()
 	c, err := p.get(writing, r.addr)
 	if ctx.Err() == nil && writing.Err() != nil || err == nil && p.withheld(r.addr, begun) {
 		if err == nil {
@@ -203,7 +203,7 @@
 // exchange writes a request and reads its answer; reuse tells whether the connection may carry another.
 func (p *pool) exchange(ctx context.Context, c *conn, r request) (res []result, reuse bool) {
 	deadline, _ := ctx.Deadline()
-	out, err := r.encode(time.Until(deadline))
+	out, err := r.encode(time.Until(deadline)) // by the monotonic reading that every deadline of a context holds
 	if err != nil {
 		return r.all(result{outcome: policy.ConnectError}), false
 	}
@@ -418,7 +418,7 @@
 	for list := p.idle[addr]; len(list) > 0; list = p.idle[addr] {
 		c := list[len(list)-1]
 		p.drop(addr, len(list)-1)
-		if c.up() && time.Since(c.since) < p.keep {
+		if c.up() && clock.Since(c.since) < p.keep {
 			p.mu.Unlock()
 			return c, nil
 		}
@@ -443,7 +443,7 @@
 		_ = c.Close()
 		return
 	}
-	c.since = time.Now()
+	c.since = clock.Now()
 	p.idle[addr] = append(p.idle[addr], c)
 	p.count++
 }
@@ -463,15 +463,15 @@
 func (p *pool) withhold(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.held[addr] = time.Now()
+	p.held[addr] = clock.Now()
 }
 
 // withheld tells whether calls to an address were withheld since a time.
-func (p *pool) withheld(addr string, since time.Time) bool {
+func (p *pool) withheld(addr string, since instant.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	at, ok := p.held[addr]
-	return ok && !at.Before(since)
+	return ok && at >= since
 }
 
 // retire closes the idle connections and keeps none from now on.
@@ -491,9 +491,9 @@
 // before any call that still waits for a connection.
 func (p *pool) sweep() {
 	p.mu.Lock()
-	maps.DeleteFunc(p.held, func(_ string, at time.Time) bool { return time.Since(at) > 2*p.dialer.Timeout })
+	maps.DeleteFunc(p.held, func(_ string, at instant.Time) bool { return clock.Since(at) > 2*p.dialer.Timeout })
 	p.mu.Unlock()
-	p.closeIf(func(_ string, c *conn) bool { return time.Since(c.since) >= p.keep || !c.up() })
+	p.closeIf(func(_ string, c *conn) bool { return clock.Since(c.since) >= p.keep || !c.up() })
 }
 
 func (p *pool) closeIf(unwanted func(string, *conn) bool) {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -4,6 +4,9 @@
 	"io"
 	"net"
 	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 )
 
 const (
@@ -31,10 +34,10 @@
 type client struct {
 	net.Conn
 	gate     *gate
-	stage    stage     // the gate's lock guards this and all that follows
-	heard    time.Time // when its last bytes came, or its last request ended
-	answered time.Time // when the last bytes were written to it
-	closed   bool      // by the relay
+	stage    stage        // the gate's lock guards this and all that follows
+	heard    instant.Time // when its last bytes came, or its last request ended
+	answered instant.Time // when the last bytes were written to it
+	closed   bool         // by the relay
 }
 
 // Read notes that the client is heard of. What crosses the relay's close is not read as a request.
@@ -46,7 +49,7 @@
 		if c.closed {
 			return 0, net.ErrClosed
 		}
-		c.heard = time.Now()
+		c.heard = clock.Now()
 		if c.stage == waiting {
 			c.stage = reading
 		}
@@ -57,7 +60,7 @@
 // Write notes that there may be an answer that the client has not read yet.
 func (c *client) Write(b []byte) (int, error) {
 	c.gate.mu.Lock()
-	c.answered = time.Now()
+	c.answered = clock.Now()
 	c.gate.mu.Unlock()
 	return c.Conn.Write(b)
 }
@@ -78,7 +81,7 @@
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
 	if !c.closed {
-		c.stage, c.heard = waiting, time.Now()
+		c.stage, c.heard = waiting, clock.Now()
 		c.gate.changed.Broadcast()
 	}
 }
@@ -87,10 +90,10 @@
 // side at once, and reads off what still comes, for a bounded time, so that the answer is not reset away.
 func (c *client) Close() error {
 	c.gate.mu.Lock()
-	again, fresh := c.closed, time.Since(c.answered) < lingerTime
+	again, fresh := c.closed, clock.Since(c.answered) < lingerTime
 	c.closed = true
 	if fresh && !again {
-		c.stage, c.heard = lingering, time.Now()
+		c.stage, c.heard = lingering, clock.Now()
 	}
 	c.gate.mu.Unlock()
 	switch {
--- /dev/null
+++ b/internal/relay/diagnostics_test.go
@@ -0,0 +1,33 @@
+package relay
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/journal"
+	"milletsail/policy"
+)
+
+// A step of the wall clock, and a message that is held past its time, are counted once, for on-call staff to see.
+func TestDiagnostics(t *testing.T) {
+	l := &loop{figures: newFigures([]policy.Class{{Name: "status"}}), messages: map[string]*message{}}
+	l.checkClocks() // the first reading tells nothing
+	for _, by := range []time.Duration{time.Hour, -10 * time.Second, 10 * time.Millisecond} {
+		l.clocks = clock.ReadPair()
+		l.clocks.Wall -= clock.Wall(by)
+		l.checkClocks()
+	}
+	l.messages["late"] = &message{Entry: &journal.Entry{ID: "late", Class: "status", Expires: clock.Now().Add(-time.Second)}}
+	l.messages["in time"] = &message{Entry: &journal.Entry{ID: "in time", Class: "status", Expires: clock.Now().Add(time.Minute)}}
+	l.messages["over"] = &message{Entry: &journal.Entry{ID: "over", Class: "status", Expires: clock.Now().Add(-time.Second)}, over: true}
+	l.checkOverdue()
+	l.checkOverdue()
+	l.figures.why.count("relay_undelivered", policy.ReasonBacklog)
+	want := []string{`relay_overdue{reason="status"} 1`, `relay_undelivered{reason="backlog"} 1`, `relay_wall_clock_steps{reason="back"} 1`,
+		`relay_wall_clock_steps{reason="forward"} 1`, "END"}
+	if got := l.figures.why.text(); got != strings.Join(want, "\n") {
+		t.Errorf("%s", got)
+	}
+}
--- a/internal/relay/discovery.go
+++ b/internal/relay/discovery.go
@@ -39,6 +39,8 @@
 	askAgain      = 250 * time.Millisecond
 	askAgainMost  = 2 * time.Second
 	askAgainAlone = 500 * time.Millisecond
+	// lackSpan is the span after an ask that failed for a lack of this machine.
+	lackSpan = time.Second
 )
 
 // unasked is the mode of discovery in which changes come to the relay's machine without its asking.
@@ -160,6 +162,9 @@
 	if lists > 0 || errors.Is(err, errSilent) {
 		return w.spread, 0
 	}
+	if lackHere(err) { // it is no crowd at discovery that this relay has to make way for
+		return min(w.spread, lackSpan), 0
+	}
 	most := askAgainAlone
 	if w.spread > 0 {
 		most = max(askAgainMost, 2*w.spread)
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -8,6 +8,9 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 )
 
 // patience is how long a client may be silent in the middle of a request before it counts as stalled: some take 2 s
@@ -75,13 +78,13 @@
 	if err != nil { // closed
 		return nil, err
 	}
-	c := &client{Conn: conn, gate: g, heard: time.Now()}
+	c := &client{Conn: conn, gate: g, heard: clock.Now()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for len(g.open) >= max(g.room-g.lent, int(minShare*float64(g.room)), 1) && !g.closed {
-		if worst := g.leastPromise(time.Now()); worst != nil && worst.stage == waiting && unread(worst.Conn) {
+		if worst := g.leastPromise(clock.Now()); worst != nil && worst.stage == waiting && unread(worst.Conn) {
 			// Its request is here, and only the goroutine that reads it has not come to it.
-			worst.stage, worst.heard = reading, time.Now()
+			worst.stage, worst.heard = reading, clock.Now()
 			continue
 		} else if worst != nil {
 			worst.closed = true
@@ -102,12 +105,12 @@
 // this before one that stopped in the middle of a request, and of these the one silent longest. One with a request that
 // waits for its answer stays, and so does one that was heard of within the patience that a request at an honest pace
 // needs, or whose answer may still be on its way.
-func (g *gate) leastPromise(now time.Time) (worst *client) {
+func (g *gate) leastPromise(now instant.Time) (worst *client) {
 	for c := range g.open {
 		if silent := now.Sub(c.heard); c.stage == answerDue || c.stage == reading && silent < patience || c.stage == lingering && silent < lingerLeast {
 			continue
 		}
-		if worst == nil || c.stage < worst.stage || c.stage == worst.stage && c.heard.Before(worst.heard) {
+		if worst == nil || c.stage < worst.stage || c.stage == worst.stage && c.heard < worst.heard {
 			worst = c
 		}
 	}
--- a/internal/relay/gate_test.go
+++ b/internal/relay/gate_test.go
@@ -8,10 +8,12 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"milletsail/internal/clock"
 )
 
 func TestLeastPromise(t *testing.T) {
-	now := time.Now()
+	now := clock.Now()
 	ago := func(s stage, d time.Duration) *client { return &client{stage: s, heard: now.Add(-d)} }
 	tests := []struct {
 		name string
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -226,14 +226,14 @@
 }
 
 // step sends one line of the handover itself.
-func (k *link) step(l line, by time.Time) error {
-	_ = k.conn.SetDeadline(by)
+func (k *link) step(l line, by instant.Time) error {
+	_ = k.conn.SetDeadline(clock.Deadline(by))
 	return json.NewEncoder(k.conn).Encode(l)
 }
 
 // await reads one line of the handover itself.
-func (k *link) await(by time.Time) (l line, err error) {
-	_ = k.conn.SetDeadline(by)
+func (k *link) await(by instant.Time) (l line, err error) {
+	_ = k.conn.SetDeadline(clock.Deadline(by))
 	err = k.in.Decode(&l)
 	return l, err
 }
@@ -255,10 +255,10 @@
 // handover or, where that can't be had in time, by that process's end. Link and offer are nil without a handover: then
 // the journal tells all that is known.
 func takeOver(ctx context.Context, dir string) (*journal.Ownership, *link, *offer, error) {
-	last := time.Now().Add(folderWithin)
-	for by := time.Now().Add(askTime); ; {
+	last := clock.Now().Add(folderWithin)
+	for by := clock.Now().Add(askTime); ; {
 		o, err := journal.Own(dir)
-		if o != nil || err != nil && (!journal.Transient(err) || time.Now().After(last)) {
+		if o != nil || err != nil && (!journal.Transient(err) || clock.Now() > last) {
 			return o, nil, nil, err
 		}
 		var k *link
@@ -266,8 +266,8 @@
 		if err == nil {
 			k, off, err = askFor(dir, by)
 		}
-		if shortOf(err) && time.Now().Before(last) {
-			by = time.Now().Add(askTime) // a lack of this process is no reason to end the one before
+		if shortOf(err) && clock.Now() < last {
+			by = clock.Now().Add(askTime) // a lack of this process is no reason to end the one before
 		}
 		if err == nil {
 			if o, err := ownBy(ctx, dir, by); err == nil {
@@ -275,12 +275,12 @@
 			}
 			k.close()
 		}
-		if time.Now().After(by) {
+		if clock.Now() > by {
 			slog.Warn("the process before does not hand over: it is ended", "err", err)
 			if err := journal.Depose(dir); err != nil {
 				slog.Error("it can't be ended", "err", err)
 			}
-			o, err := ownBy(ctx, dir, time.Now().Add(deposeTime))
+			o, err := ownBy(ctx, dir, clock.Now().Add(deposeTime))
 			return o, nil, nil, err
 		}
 		if !clock.Sleep(ctx, askAgainOwn) {
@@ -290,13 +290,13 @@
 }
 
 // ownBy waits for the right to the folder.
-func ownBy(ctx context.Context, dir string, by time.Time) (*journal.Ownership, error) {
+func ownBy(ctx context.Context, dir string, by instant.Time) (*journal.Ownership, error) {
 	for {
 		o, err := journal.Own(dir)
 		if o != nil || err != nil && !journal.Transient(err) {
 			return o, err
 		}
-		if time.Now().After(by) {
+		if clock.Now() > by {
 			return nil, errors.New("another process owns the folder")
 		}
 		if !clock.Sleep(ctx, askAgainOwn) {
@@ -306,13 +306,13 @@
 }
 
 // askFor asks the process that owns the folder for it.
-func askFor(dir string, by time.Time) (*link, *offer, error) {
+func askFor(dir string, by instant.Time) (*link, *offer, error) {
 	path, closeDir, err := folderSocket(dir)
 	if err != nil {
 		return nil, nil, err
 	}
 	defer closeDir()
-	c, err := net.DialTimeout("unix", path, time.Until(by))
+	c, err := net.DialTimeout("unix", path, clock.Until(by))
 	if err != nil {
 		return nil, nil, err
 	}
@@ -326,7 +326,7 @@
 }
 
 // ask goes through the new process's steps of the handover.
-func (k *link) ask(by time.Time) (*offer, error) {
+func (k *link) ask(by instant.Time) (*offer, error) {
 	if err := k.step(line{Step: stepAsk}, by); err != nil {
 		return nil, err
 	}
@@ -366,7 +366,7 @@
 				return
 			}
 			k := newLink(c)
-			if ask, err := k.await(time.Now().Add(offerTime)); err != nil || ask.Step != stepAsk {
+			if ask, err := k.await(clock.Now().Add(offerTime)); err != nil || ask.Step != stepAsk {
 				k.close()
 				continue
 			}
@@ -417,10 +417,10 @@
 				Host: a.Host, Begun: k.wallOf(a.Begun)})
 		}
 	}
-	err := k.step(line{Offer: off}, time.Now().Add(offerTime))
+	err := k.step(line{Offer: off}, clock.Now().Add(offerTime))
 	if err == nil {
 		var l line
-		if l, err = k.await(time.Now().Add(offerTime)); err == nil && l.Step != stepReady {
+		if l, err = k.await(clock.Now().Add(offerTime)); err == nil && l.Step != stepReady {
 			err = fmt.Errorf("step %q", l.Step)
 		}
 	}
@@ -433,7 +433,7 @@
 	l.list.close()
 	l.owner.Release()
 	// Past this point the newer process owns the folder, whether or not the line reaches it.
-	if err := k.step(line{Step: stepYours}, time.Now().Add(offerTime)); err != nil {
+	if err := k.step(line{Step: stepYours}, clock.Now().Add(offerTime)); err != nil {
 		slog.Warn("handover: last step", "err", err)
 	}
 	_ = k.conn.SetDeadline(time.Time{})
--- a/internal/relay/handover_test.go
+++ b/internal/relay/handover_test.go
@@ -284,12 +284,12 @@
 		take func(*link) error
 	}{
 		{"before it asks", func(*link) error { return nil }},
-		{"once it has asked", func(k *link) error { return k.step(line{Step: stepAsk}, time.Now().Add(long)) }},
+		{"once it has asked", func(k *link) error { return k.step(line{Step: stepAsk}, clock.Now().Add(long)) }},
 		{"with the offer", func(k *link) error {
-			if err := k.step(line{Step: stepAsk}, time.Now().Add(long)); err != nil {
+			if err := k.step(line{Step: stepAsk}, clock.Now().Add(long)); err != nil {
 				return err
 			}
-			_, err := k.await(time.Now().Add(long))
+			_, err := k.await(clock.Now().Add(long))
 			return err
 		}},
 	}
@@ -310,7 +310,7 @@
 	p.answer = func(*http.Request) int { return 0 }
 	p.take("status", "out", "25")
 	p.until("its call is out", func() bool { return slices.Contains(p.sent(), "out") })
-	k, off, err := askFor(p.dir, time.Now().Add(long))
+	k, off, err := askFor(p.dir, clock.Now().Add(long))
 	if err != nil || len(off.Out) != 1 {
 		t.Fatalf("offer %+v, %v", off, err)
 	}
@@ -331,7 +331,7 @@
 		fmt.Fprintln(os.Stderr, "own:", err)
 		os.Exit(1)
 	}
-	by := time.Now().Add(long)
+	by := clock.Now().Add(long)
 	heir(context.Background(), dir, new(diagnostics), func(k *link) {
 		switch step {
 		case "offered", "released":
--- a/internal/relay/lack.go
+++ b/internal/relay/lack.go
@@ -7,6 +7,8 @@
 	"slices"
 	"syscall"
 	"time"
+
+	"milletsail/internal/clock"
 )
 
 // remoteErrors of connect(2) come from the other end or the way there. All others are a lack of this machine.
@@ -56,10 +58,10 @@
 // listenFor listens, and tries again for a while where the system fails to: a lack that lasts a moment refuses no start. An
 // address that makes no sense is an error at once.
 func listenFor(name string, listen func() (net.Listener, error)) (net.Listener, error) {
-	for by := time.Now().Add(listenWithin); ; time.Sleep(listenRetry) {
+	for by := clock.Now().Add(listenWithin); ; time.Sleep(listenRetry) {
 		l, err := listen()
 		errno := syscall.Errno(0)
-		if err == nil || !errors.As(err, &errno) || time.Now().After(by) {
+		if err == nil || !errors.As(err, &errno) || clock.Now() >= by {
 			return l, err
 		}
 		slog.Warn("listen failed", "at", name, "err", err)
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,6 +13,7 @@
 	"milletsail/internal/clock"
 	"milletsail/internal/compat"
 	"milletsail/internal/fleet"
+	"milletsail/internal/instant"
 	"milletsail/internal/journal"
 	"milletsail/internal/settings"
 	"milletsail/policy"
@@ -196,14 +197,14 @@
 			break
 		}
 	}
-	l.shutdown(srv, time.Now().Add(lastWords))
+	l.shutdown(srv, clock.Now().Add(lastWords))
 }
 
 // drain brings a relay to its end. No request that was read goes unanswered: answers close their
 // connections, and those that stay unused are closed last.
 func (l *loop) drain(srv *server) {
-	begun := time.Now()
-	until := func(stage time.Duration) time.Duration { return time.Until(begun.Add(stage)) }
+	begun := clock.Now()
+	until := func(stage time.Duration) time.Duration { return clock.Until(begun.Add(stage)) }
 	srv.closing.Store(true)
 	time.Sleep(until(listenOn))
 	_ = l.gate.Close()
@@ -219,14 +220,14 @@
 
 // shutdown closes the clients' connections: those that rest at once, the others once the answers that are being written
 // are out. The process ends when the clients have read these, or at a moment.
-func (l *loop) shutdown(srv *server, by time.Time) {
+func (l *loop) shutdown(srv *server, by instant.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), lastWords)
 	defer cancel()
 	if err := srv.http.Shutdown(ctx); err != nil {
 		slog.Warn("connections left", "err", err)
 	}
 	// No request is taken up any more: what is left of the others ends with the process.
-	for l.gate.any(func(c *client) bool { return c.stage == lingering || c.stage == answerDue }) && time.Now().Before(by) {
+	for l.gate.any(func(c *client) bool { return c.stage == lingering || c.stage == answerDue }) && clock.Now() < by {
 		time.Sleep(askIdle / 10)
 	}
 }
--- a/internal/relay/reload_test.go
+++ b/internal/relay/reload_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -91,3 +92,18 @@
 		t.Error("no address")
 	}
 }
+
+// An ask that failed for a lack of this machine comes again soon, however often that happens: it is no crowd at discovery.
+func TestAskAgainAfterALack(t *testing.T) {
+	w := newWatcher("here:1", askWithin, func(listBatch) {}, func() {})
+	span := w.spread
+	for range 5 {
+		least := time.Duration(0)
+		if span, least = w.next(span, 0, &net.OpError{Op: "dial", Err: syscall.ENETUNREACH}); span > lackSpan || least > 0 {
+			t.Fatalf("a span of %v behind %v", span, least)
+		}
+	}
+	if span, _ = w.next(span, 0, &net.OpError{Op: "dial", Err: syscall.ECONNREFUSED}); span <= askAgain {
+		t.Errorf("after a refusal a span of %v", span)
+	}
+}
--- a/internal/zones/zones_test.go
+++ b/internal/zones/zones_test.go
@@ -77,3 +77,50 @@
 		}
 	}
 }
+
+// A kill in the middle of a write leaves a prefix of the new file beside the old one, which stands.
+func TestEachPrefixOfAnOrder(t *testing.T) {
+	dir, now := t.TempDir(), clock.Now()
+	book, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := book.Keep("a", now.Add(time.Hour), now); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(filepath.Join(dir, fileName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for n := range len(text) {
+		if err := os.WriteFile(filepath.Join(dir, fileName+".new"), text[:n], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		again, err := Open(dir)
+		if err != nil || len(again.InForce(now)) != 1 {
+			t.Fatalf("%d of %d bytes: %v, %v", n, len(text), err, again.InForce(now))
+		}
+	}
+}
+
+// An order runs as long as was said, also where the wall clock is stepped before the next process reads it; one of a boot
+// before, or of a version that knew wall times alone, runs by the wall clock and no longer than an order may.
+func TestOrderOverProcesses(t *testing.T) {
+	now := clock.ReadPair()
+	end := now.At.Add(time.Minute)
+	stepped := clock.Pair{At: now.At, Wall: now.Wall + clock.Wall(time.Hour)} // the wall clock was an hour ahead then
+	for _, c := range []struct {
+		name string
+		file file
+		want time.Duration
+	}{
+		{"the same boot", file{Format: format, Boot: clock.BootID(), Clocks: stepped, Orders: []fileOrder{{"a", stepped.WallOf(end).Time()}}}, time.Minute},
+		{"another boot", file{Format: format, Boot: "another", Clocks: stepped, Orders: []fileOrder{{"a", now.WallOf(end).Time()}}}, time.Minute},
+		{"wall times alone", file{Format: formatWall, Orders: []fileOrder{{"a", now.WallOf(end).Time()}}}, time.Minute},
+		{"a clock that was far ahead", file{Format: formatWall, Orders: []fileOrder{{"a", now.WallOf(now.At.Add(99 * time.Hour)).Time()}}}, most},
+	} {
+		if got := c.file.until(c.file.Orders[0]).Sub(now.At); got < c.want-time.Second || got > c.want+time.Second {
+			t.Errorf("%s: it runs %v, want %v", c.name, got, c.want)
+		}
+	}
+}
