--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -4,7 +4,9 @@
 
 import (
 	"context"
+	"errors"
 	"os"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -52,16 +54,31 @@
 
 // BootID tells one boot of the machine from another: moments of processes with the same one may be compared. It is empty
 // where the system does not say, and then nothing may be.
-func BootID() string {
-	text, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
-	if err != nil || len(text) < bootIDLength || !process.shared {
+func BootID() string { return bootID() }
+
+const (
+	// bootIDLength is the length of a boot's identity: a UUID.
+	bootIDLength = 36
+	// bootIDTries and bootIDRetry bound the reading of it, which may fail for a moment for want of descriptors.
+	bootIDTries, bootIDRetry = 50, 20 * time.Millisecond
+)
+
+var bootID = sync.OnceValue(func() string {
+	if !process.shared {
 		return ""
 	}
-	return string(text[:bootIDLength])
-}
-
-// bootIDLength is the length of a boot's identity: a UUID.
-const bootIDLength = 36
+	for range bootIDTries {
+		text, err := os.ReadFile("/proc/sys/kernel/random/boot_id")
+		if err == nil && len(text) >= bootIDLength {
+			return string(text[:bootIDLength])
+		}
+		if errors.Is(err, os.ErrNotExist) || errors.Is(err, os.ErrPermission) {
+			return ""
+		}
+		time.Sleep(bootIDRetry)
+	}
+	return ""
+})
 
 // Wall is a wall time, in nanoseconds since 1970. It is for logs and for what outlasts a boot: operators and time servers
 // may step the clock that it is read from.
--- a/policy/lack.go
+++ b/policy/lack.go
@@ -9,8 +9,16 @@
 // begins, up to lackPauseMost. Service has to be back within seconds of the lack's end.
 const lackPause, lackPauseMost = 20 * time.Millisecond, 320 * time.Millisecond
 
-// lacks has a queue wait a moment before it sends again.
-func (d *Dispatcher) lacks(q *queue) {
+// lacks takes in that a call could not be begun for one of its messages: its queue waits a moment before it sends again, and
+// what the call took of its pace and budget is there again.
+func (d *Dispatcher) lacks(c *call) {
+	q, ep := c.ep.q, c.ep
+	if c.open == 0 && q.pace > 0 {
+		q.tokens++
+	}
+	if c.open == 0 && (ep.sick || ep.ramping) {
+		ep.tokens++
+	}
 	if d.now < q.lackUntil { // one of several that were out
 		return
 	}
--- a/policy/lack_test.go
+++ b/policy/lack_test.go
@@ -29,9 +29,31 @@
 		if m := d.messages["m"]; len(m.attempts) != 1 || m.firstRun() == nil || ep.failures != 0 || ep.sick || ep.strikes[class] != 0 {
 			t.Errorf("class %d: %d attempts, %v failures", class, len(m.attempts), ep.failures)
 		}
+		if q := d.queues[0]; q.pace > 0 && d.tokens(q) < 0 {
+			t.Errorf("class %d: %v tokens", class, q.tokens)
+		}
 		expect(t, "delivered", d.Handle(moment(now+ms), []Event{Ended{ID: "m", Endpoint: "a", Attempt: 0, Outcome: OK, Over: true}}), "")
 		if q := d.queues[0]; q.lackPause != 0 || q.lackUntil != 0 {
 			t.Errorf("class %d: still a pause of %v", class, q.lackPause)
 		}
 	}
 }
+
+// A call to a cold endpoint that could not be begun gives its part of the budget back.
+func TestUnsentCallsCostNoBudget(t *testing.T) {
+	s := plain()
+	s.RampTime, s.ColdShare, s.OverloadFactor, s.OverloadFor, s.Weights = 10*time.Second, 0.2, 2.5, 1500*ms, WeightsNominal
+	d, err := New(s, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := moment(time.Hour)
+	expect(t, "to a cold endpoint", d.Handle(now, []Event{Listed{Whole: true, Endpoints: []Endpoint{{ID: "a", Weight: 50}}},
+		Recalled{Endpoint: "a", At: now.Add(-ms)}, arrive("m", 0)}), "m>a")
+	ep := d.endpoints["a"]
+	spent := ep.tokens
+	d.Handle(now, []Event{Ended{ID: "m", Endpoint: "a", Outcome: Unsent}})
+	if got := ep.tokens - spent; got != 1 {
+		t.Errorf("%v of a call came back", got)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -509,7 +509,7 @@
 	}
 	switch {
 	case e.Outcome == Unsent:
-		d.lacks(c.ep.q)
+		d.lacks(c)
 	case c.open == 0:
 		c.ep.q.begins()
 		d.learn(c, m, e)
