Fail a test where a number becomes a moment outside the translators

Need: the types hold only as long as nobody converts a wall time by hand. TestWallClockIsReadInOnePlace now finds conversions to instant.Time as well, and knows the files that translate.

--- a/internal/clock/clock_test.go
+++ b/internal/clock/clock_test.go
@@ -64,9 +64,11 @@
 var relayPackages = []string{"policy", "internal/relay", "internal/journal", "internal/endpoints", "internal/fleet", "internal/zones",
 	"internal/settings", "internal/clock", "internal/instant", "internal/atomicfile", "cmd/relay"}
 
-// handoverTimes is the one file beside this package that turns a time of the standard library into a wall time: on the link
-// of a handover, and in format 1 of the journal and the file of orders, moments are written in its form.
-var handoverTimes = map[string]bool{"internal/relay/handover.go": true, "internal/journal/v1.go": true, "internal/zones/zones.go": true}
+// translators are the files beside this package that turn a time of the standard library into a wall time, or a number into
+// a moment: on the link of a handover, in format 1 of the journal and in the file of orders moments are written as wall times,
+// and a segment's header holds one as a number.
+var translators = map[string]bool{"internal/relay/handoverlink.go": true, "internal/journal/v1.go": true, "internal/zones/zones.go": true,
+	"internal/journal/replay.go": true}
 
 // No part of the relay reads the wall clock by itself, or makes a moment out of a number: a difference between such a
 // reading and a moment is what lost messages in issue 31.
@@ -78,7 +80,7 @@
 				return err
 			}
 			rel, err := filepath.Rel(root, path)
-			if err == nil && wallReaders[filepath.ToSlash(filepath.Dir(rel))] == "" && !handoverTimes[filepath.ToSlash(rel)] {
+			if err == nil && wallReaders[filepath.ToSlash(filepath.Dir(rel))] == "" && !translators[filepath.ToSlash(rel)] {
 				reportWallTimes(t, path)
 			}
 			return err
@@ -89,7 +91,7 @@
 	}
 }
 
-// reportWallTimes fails the test for each call of a source file that gives a wall time.
+// reportWallTimes fails the test for each call of a source file that gives a wall time, and each conversion to a moment.
 func reportWallTimes(t *testing.T, path string) {
 	t.Helper()
 	files := token.NewFileSet()
@@ -106,6 +108,9 @@
 		if !ok {
 			return true
 		}
+		if from, ok := selector.X.(*ast.Ident); ok && from.Name == "instant" && selector.Sel.Name == "Time" {
+			t.Errorf("%s: a number becomes a moment", files.Position(call.Pos()))
+		}
 		for _, name := range wallMethods {
 			if selector.Sel.Name == name && len(call.Args) == 0 {
 				t.Errorf("%s: %s gives a wall time", files.Position(call.Pos()), name)
--- a/internal/instant/instant.go
+++ b/internal/instant/instant.go
@@ -4,7 +4,10 @@
 // to mix them. All deadlines, windows, waits and graces are moments of this type: steps of the wall clock don't move them.
 package instant
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Time is a moment on a machine's monotonic clock, in nanoseconds. Processes of one boot share it; on another machine, or
 // after another boot, the number means nothing. The zero Time is long ago: decades before the machine's boot.
@@ -14,6 +17,9 @@
 // deadline or window.
 const Boot Time = 1 << 60
 
+// Never is later than every moment.
+const Never Time = math.MaxInt64
+
 // Add gives the moment a span later.
 func (t Time) Add(d time.Duration) Time { return t + Time(d) }
 
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -2,7 +2,6 @@
 
 import (
 	"container/list"
-	"math"
 	"math/rand/v2"
 
 	"milletsail/internal/instant"
@@ -65,7 +64,7 @@
 }
 
 // never is later than every moment.
-const never = instant.Time(math.MaxInt64)
+const never = instant.Never
 
 func (d *Dispatcher) act(a Action) { d.actions = append(d.actions, a) }
 
