--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -95,8 +95,7 @@
 		d.ended(e)
 	case Withdrawn:
 		d.withdraw(e.ID)
-	case Listed:
-		d.listed(e)
+	case Listed: // taken in ahead of the others
 	case ListFailed:
 		if d.s.Subscribe {
 			d.resub = d.now.Add(subscribeAgain)
