--- a/policy/policy.go
+++ b/policy/policy.go
@@ -77,8 +77,8 @@
 	for _, m := range slices.Clone(d.resting) {
 		d.retire(m)
 	}
-	// Changes of the list go first: a Directory has them already, and what else a batch brings is to meet the same list with one
-	// as without.
+	// Changes of the list go first: a Directory has them already, and what else a batch brings is to meet the
+	// same list with one as without.
 	for _, e := range events {
 		if listed, ok := e.(Listed); ok {
 			d.listed(listed)
