Have a call that can't be begun pause its endpoint alone

Cause: where only one endpoint of a destination had no route, each try there paused the whole queue for up to 320 ms. Change: the pause is the endpoint's; the others serve on. Measured: TestUnsentCallsElsewhere; TestUnsentCalls as before.

--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -30,6 +30,7 @@
 	failedAt  instant.Time // the last failure of a call, here or as several relays found; 0 for never
 	usual     float64      // mean latency of calls that were not slow
 	crowdedAt instant.Time // when it last was known to serve this relay all the same; 0 for never
+	lack      lack         // it gets nothing for a moment, since a call there could not be begun
 	trial     *trial       // nil where it is not new on the list, or has proved itself
 }
 
--- a/policy/fleet.go
+++ b/policy/fleet.go
@@ -91,9 +91,9 @@
 // tries for all.
 func (d *Dispatcher) pausedTo(q *queue) instant.Time {
 	if d.tries(q) {
-		return max(q.waitUntil, q.lackUntil)
+		return q.waitUntil
 	}
-	return max(q.waitUntil, q.holdUntil, q.lackUntil)
+	return max(q.waitUntil, q.holdUntil)
 }
 
 // pacedBy takes in what other relays send a destination. One that has just started, and so has learned no
--- a/policy/lack.go
+++ b/policy/lack.go
@@ -1,16 +1,27 @@
 package policy
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"milletsail/internal/instant"
+)
 
 // This file decides what to do where a call could not be begun for a lack of this machine: descriptors, ports, memory of the
 // kernel, a route. It says nothing of the endpoint, and no attempt is used up.
 
-// The pause of a queue after a call that could not be begun: lackPause, and twice as long after each further one until a call
-// begins, up to lackPauseMost. Service has to be back within seconds of the lack's end.
+// The pause of an endpoint after a call that could not be begun: lackPause, and twice as long after each further one until a
+// call there begins, up to lackPauseMost. Service has to be back within seconds of the lack's end.
 const lackPause, lackPauseMost = 20 * time.Millisecond, 320 * time.Millisecond
 
-// lacks takes in that a call could not be begun for one of its messages: its queue waits a moment before it sends again, and
-// what the call took of its pace and budget is there again.
+// lack is the pause of an endpoint to which no call could be begun.
+type lack struct {
+	until instant.Time
+	pause time.Duration
+}
+
+// lacks takes in that a call could not be begun for one of its messages: its endpoint gets nothing for a moment, and what the
+// call took of pace and budget is there again.
 func (d *Dispatcher) lacks(c *call) {
 	q, ep := c.ep.q, c.ep
 	if c.open == 0 && q.pace > 0 {
@@ -19,12 +30,17 @@
 	if c.open == 0 && (ep.sick || ep.ramping) {
 		ep.tokens++
 	}
-	if d.now < q.lackUntil { // one of several that were out
+	if d.now < ep.lack.until { // one of several that were out
 		return
 	}
-	q.lackPause = min(max(lackPause, 2*q.lackPause), lackPauseMost)
-	q.lackUntil = d.now.Add(q.lackPause)
+	ep.lack.pause = min(max(lackPause, 2*ep.lack.pause), lackPauseMost)
+	ep.lack.until = d.now.Add(ep.lack.pause)
 }
 
-// begins notes that calls can be begun again.
-func (q *queue) begins() { q.lackPause, q.lackUntil = 0, 0 }
+// begins notes that a call to an endpoint has begun.
+func (ep *endpoint) begins() { ep.lack = lack{} }
+
+// lacking tells whether no call can be begun to any endpoint of a queue.
+func (q *queue) lacking(now instant.Time) bool {
+	return len(q.eps) > 0 && !slices.ContainsFunc(q.eps, func(ep *endpoint) bool { return now >= ep.lack.until })
+}
--- a/policy/lack_test.go
+++ b/policy/lack_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -33,8 +34,8 @@
 			t.Errorf("class %d: %v tokens", class, q.tokens)
 		}
 		expect(t, "delivered", d.Handle(moment(now+ms), []Event{Ended{ID: "m", Endpoint: "a", Attempt: 0, Outcome: OK, Over: true}}), "")
-		if q := d.queues[0]; q.lackPause != 0 || q.lackUntil != 0 {
-			t.Errorf("class %d: still a pause of %v", class, q.lackPause)
+		if ep.lack != (lack{}) {
+			t.Errorf("class %d: still a pause of %v", class, ep.lack.pause)
 		}
 	}
 }
@@ -57,3 +58,36 @@
 		t.Errorf("%v of a call came back", got)
 	}
 }
+
+// Where no call can be begun to one endpoint of a destination, the others serve on.
+func TestUnsentCallsElsewhere(t *testing.T) {
+	d := start(t, plain(), Endpoint{ID: "a"}, Endpoint{ID: "b"})
+	now := moment(time.Second)
+	served := 0
+	for i := range 20 {
+		now = now.Add(10 * ms)
+		actions := d.Handle(now, []Event{arrive(fmt.Sprint("m", i), 0)})
+		for len(actions) > 0 {
+			var ends []Event
+			for _, a := range actions {
+				send, ok := a.(Send)
+				switch {
+				case !ok:
+				case send.Endpoint == "a":
+					ends = append(ends, Ended{ID: send.ID, Endpoint: "a", Outcome: Unsent})
+				default:
+					served++
+					ends = append(ends, Ended{ID: send.ID, Endpoint: "b", Outcome: OK, Over: true, Took: ms})
+				}
+			}
+			if len(ends) == 0 {
+				break
+			}
+			now = now.Add(ms)
+			actions = d.Handle(now, ends)
+		}
+	}
+	if served != 20 {
+		t.Errorf("%d of 20 messages are served", served)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -153,7 +153,7 @@
 // abreast is how many calls of a queue are out at once: in a wait or an outage, as many as there were before.
 func (q *queue) abreast(now instant.Time) float64 {
 	n := math.Max(1, float64(len(q.out)))
-	if now < max(q.waitUntil, q.holdUntil, q.lackUntil) || q.down() {
+	if now < max(q.waitUntil, q.holdUntil) || q.lacking(now) || q.down() {
 		return math.Max(n, q.width)
 	}
 	return n
@@ -348,7 +348,7 @@
 // ready tells which message a queue would send now and where, if any.
 func (d *Dispatcher) ready(q *queue) (*endpoint, *message) {
 	most := max(1, int(math.Ceil(slotShare*float64(d.s.Slots))))
-	if len(q.held) == 0 || d.now < max(q.waitUntil, q.lackUntil) || len(q.out) >= most {
+	if len(q.held) == 0 || d.now < q.waitUntil || len(q.out) >= most {
 		return nil, nil
 	}
 	tries := d.tries(q)
@@ -438,7 +438,10 @@
 
 // open tells whether an endpoint may get a call now.
 func (d *Dispatcher) open(ep *endpoint) bool {
-	if ep.Draining || ep.Gone || ep.connCap > 0 && float64(len(ep.out)+1) > ep.connCap {
+	if ep.Draining || ep.Gone || d.now < ep.lack.until {
+		return false
+	}
+	if ep.connCap > 0 && float64(len(ep.out)+1) > ep.connCap {
 		return false
 	}
 	if ep.sick {
@@ -518,7 +521,7 @@
 	case e.Outcome == Unsent:
 		d.lacks(c)
 	case c.open == 0:
-		c.ep.q.begins()
+		c.ep.begins()
 		d.learn(c, m, e)
 		if len(c.ep.out) == 0 && d.crowded(c.ep) {
 			d.act(CloseIdle{Endpoint: c.ep.ID})
@@ -840,7 +843,7 @@
 func (d *Dispatcher) evictable(q *queue) bool {
 	allowance, depth := q.bucket, math.Max(1, q.pace*burstSpan.Seconds())
 	used := q.pace > 0 && allowance.fill(d.now, q.pace, depth) < depth
-	paused := d.now < max(q.waitUntil, q.holdUntil, q.lackUntil, q.toldUntil, q.pacedTo)
+	paused := d.now < max(q.waitUntil, q.holdUntil, q.toldUntil, q.pacedTo)
 	if used || paused || q.word.binds(d.now) || q.fulls > 0 || q.ill {
 		return false
 	}
@@ -851,5 +854,6 @@
 func (d *Dispatcher) endpointBinds(ep *endpoint) bool {
 	cold := ep.sick || ep.ramping && d.coldFor(ep) < d.s.RampTime
 	capped := d.crowded(ep) && d.now.Sub(max(ep.lastUsed, ep.crowdedAt)) < d.s.ConnIdle
-	return cold || capped || ep.failures > 0 || ep.trial != nil || ep.word.binds(d.now)
+	paused := d.now < ep.lack.until
+	return cold || capped || paused || ep.failures > 0 || ep.trial != nil || ep.word.binds(d.now)
 }
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -50,8 +50,6 @@
 	owed      map[int]float64 // calls that are to go to another zone
 	paced     Paced           // by other relays; used until pacedTo
 	pacedTo   instant.Time
-	lackUntil instant.Time // nothing is sent until then, since a call could not be begun
-	lackPause time.Duration
 	failing   []failing // at older endpoints, by class
 	arrivals  aged
 	misses    aged // of the virtual copy under the basic rule
--- a/policy/timer.go
+++ b/policy/timer.go
@@ -37,6 +37,9 @@
 			soon(at)
 		}
 		for _, ep := range q.eps {
+			if ep.lack.until > d.now {
+				soon(max(at, ep.lack.until))
+			}
 			if (ep.sick || ep.ramping) && d.epTokens(ep) < 1 {
 				soon(max(at, d.now.Add(wait(1-ep.tokens, d.budget(ep, d.coldFor(ep))))))
 			}
