Close bad clients that stood in the queue while accepts failed from when they came

Cause: after 3 s without an accept a peer that sends nothing had 2.5 s more, 4 s and over in all, where 3 s are owed. Change: connections that may have waited have so much less until their first bytes; who writes on has the whole time.

--- a/internal/relay/admin.go
+++ b/internal/relay/admin.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("admin endpoint: %w", err)
 	}
-	return &adminServer{listener: &acceptor{l, "admin endpoint", &f.why}, figures: f}, nil
+	return &adminServer{listener: &acceptor{Listener: l, name: "admin endpoint", why: &f.why}, figures: f}, nil
 }
 
 // serve answers calls until the listener is closed.
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -38,6 +38,10 @@
 	heard    instant.Time // when its last bytes came, or its last request ended
 	answered instant.Time // when the last bytes were written to it
 	closed   bool         // by the relay
+	accepted instant.Time
+	// waited is how long it may have stood in the system's queue while accepts failed, up to its first request: a peer that
+	// sends no proper request is owed its close from when it came.
+	waited time.Duration
 }
 
 // Read notes that the client is heard of. What crosses the relay's close is not read as a request.
@@ -53,10 +57,24 @@
 		if c.stage == waiting {
 			c.stage = reading
 		}
+		if c.waited > 0 { // whoever writes on, however slowly, has the whole time
+			_ = c.Conn.SetReadDeadline(clock.Deadline(min(c.accepted.Add(readTime), c.heard.Add(patience))))
+		}
 	}
 	return n, err
 }
 
+// SetReadDeadline is how net/http bounds the time to read a request.
+func (c *client) SetReadDeadline(t time.Time) error {
+	c.gate.mu.Lock()
+	waited := c.waited
+	c.gate.mu.Unlock()
+	if waited > 0 && !t.IsZero() {
+		t = t.Add(-waited)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
 // Write notes that there may be an answer that the client has not read yet.
 func (c *client) Write(b []byte) (int, error) {
 	c.gate.mu.Lock()
@@ -73,6 +91,7 @@
 	if !c.closed {
 		c.stage = answerDue
 	}
+	c.waited = 0
 	return !c.closed
 }
 
@@ -80,6 +99,7 @@
 func (c *client) rest() {
 	c.gate.mu.Lock()
 	defer c.gate.mu.Unlock()
+	c.waited = 0
 	if !c.closed {
 		c.stage, c.heard = waiting, clock.Now()
 		c.gate.changed.Broadcast()
--- a/internal/relay/gate.go
+++ b/internal/relay/gate.go
@@ -28,7 +28,8 @@
 // one keeps no client out.
 type gate struct {
 	net.Listener
-	room int
+	room   int
+	waited func() time.Duration // of the connection that was accepted last, for want of an accept; nil for never
 
 	mu      sync.Mutex
 	changed sync.Cond
@@ -44,7 +45,8 @@
 	if err != nil {
 		return nil, err
 	}
-	g := &gate{Listener: &acceptor{l, "clients", why}, room: clientRoom(c.Limits.Sockets, c.policy.Slots), open: map[*client]bool{}}
+	accepts := &acceptor{Listener: l, name: "clients", why: why}
+	g := &gate{Listener: accepts, waited: accepts.waited, room: clientRoom(c.Limits.Sockets, c.policy.Slots), open: map[*client]bool{}}
 	g.changed.L = &g.mu
 	return g, nil
 }
@@ -78,7 +80,10 @@
 	if err != nil { // closed
 		return nil, err
 	}
-	c := &client{Conn: conn, gate: g, heard: clock.Now()}
+	c := &client{Conn: conn, gate: g, heard: clock.Now(), accepted: clock.Now()}
+	if g.waited != nil {
+		c.waited = min(g.waited(), readTime-patience)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for len(g.open) >= max(g.room-g.lent, int(minShare*float64(g.room)), 1) && !g.closed {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -168,7 +168,7 @@
 			}
 			bound, err = listenInFolder(dir)
 		}
-		l := &acceptor{bound, "handover", why}
+		l := &acceptor{Listener: bound, name: "handover", why: why}
 		defer context.AfterFunc(ctx, func() { _ = l.Close() })()
 		for {
 			c, err := l.Accept()
--- a/internal/relay/lack.go
+++ b/internal/relay/lack.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 )
 
 // remoteErrors of connect(2) come from the other end or the way there. All others are a lack of this machine.
@@ -31,6 +32,8 @@
 	// acceptAgain is the first wait after a failed accept; it doubles up to acceptAgainMost, so that a relay serves again at
 	// once when the trouble is over.
 	acceptAgain, acceptAgainMost = 5 * time.Millisecond, 100 * time.Millisecond
+	// backlogTime is enough to take what has stood in the system's queue once accepts succeed again.
+	backlogTime = 200 * time.Millisecond
 	// listenWithin bounds the tries to listen at a start, listenRetry is the wait between them.
 	listenWithin, listenRetry = 5 * time.Second, 50 * time.Millisecond
 )
@@ -40,12 +43,19 @@
 	net.Listener
 	name string // for logs
 	why  *diagnostics
+
+	failed  time.Duration // how long the last failure lasted
+	cleared instant.Time  // until when connections come that may have waited for so long
 }
 
-// Accept gives the next connection, or net.ErrClosed.
+// Accept gives the next connection, or net.ErrClosed. It is for one goroutine.
 func (a *acceptor) Accept() (net.Conn, error) {
+	begun := clock.Now()
 	for wait := acceptAgain; ; wait = min(2*wait, acceptAgainMost) {
 		conn, err := a.Listener.Accept()
+		if err == nil && wait > acceptAgain {
+			a.failed, a.cleared = clock.Since(begun), clock.Now().Add(backlogTime)
+		}
 		if err == nil || errors.Is(err, net.ErrClosed) {
 			return conn, err
 		}
@@ -55,6 +65,14 @@
 	}
 }
 
+// waited is how long the connection that was accepted last may have stood in the system's queue for want of an accept.
+func (a *acceptor) waited() time.Duration {
+	if clock.Now() >= a.cleared {
+		return 0
+	}
+	return a.failed
+}
+
 // listenFor listens, and tries again for a while where the system fails to: a lack that lasts a moment refuses no start. An
 // address that makes no sense is an error at once.
 func listenFor(name string, listen func() (net.Listener, error)) (net.Listener, error) {
