--- a/review/stand/bed.go
+++ b/review/stand/bed.go
@@ -16,6 +16,12 @@
 
 // StartBed starts a platform, as many endpoints as destinations, and a relay, and waits until the relay is ready.
 func StartBed(ctx context.Context, record *Record, root, dir string, settings Object, destinations int,
+	answer func(*Call) []byte) (*Bed, error) {
+	return StartLimitedBed(ctx, record, root, dir, settings, DefaultLimits, destinations, answer)
+}
+
+// StartLimitedBed is StartBed for a relay with other limits.
+func StartLimitedBed(ctx context.Context, record *Record, root, dir string, settings Object, limits Limits, destinations int,
 	answer func(*Call) []byte) (*Bed, error) {
 	b := &Bed{}
 	var hosts []Member
@@ -28,20 +34,22 @@
 		b.ends = append(b.ends, e)
 		hosts = append(hosts, Member{Host: e.Name, Dial: e.Address, Site: "a", Class: "m2", Block: i + 1, Health: "SERVING", Share: 1})
 	}
-	if err := b.start(ctx, record, root, dir, settings, hosts); err != nil {
+	if err := b.start(ctx, record, root, dir, settings, limits, hosts); err != nil {
 		b.Close()
 		return nil, err
 	}
 	return b, nil
 }
 
-func (b *Bed) start(ctx context.Context, record *Record, root, dir string, settings Object, hosts []Member) (err error) {
+func (b *Bed) start(ctx context.Context, record *Record, root, dir string, settings Object, limits Limits,
+	hosts []Member) (err error) {
 	if b.Platform, err = StartPlatform(ctx, record, hosts); err != nil {
 		return err
 	}
 	if b.Relay, err = NewRelay(ctx, record, root, dir, false); err != nil {
 		return err
 	}
+	b.Relay.Limits = limits
 	b.Clients = &Clients{Address: b.Relay.Listen}
 	if err = b.Relay.WriteConfig(b.Platform.Address, b.Platform.Known(), settings); err != nil {
 		return err
--- a/review/stand/relay.go
+++ b/review/stand/relay.go
@@ -48,12 +48,19 @@
 		"tenants": []string{}, "weights": "off", "worth_by": "request"}
 }
 
+// Limits are the limits of a relay.
+type Limits struct{ MemoryMB, Sockets int }
+
+// DefaultLimits are the most that a relay gets on a scored day.
+var DefaultLimits = Limits{MemoryMB: 192, Sockets: 1024}
+
 // Relay is a relay that is run by the command of the deploy file.
 type Relay struct {
 	Listen  string
 	Admin   string
 	State   string
 	Log     string
+	Limits  Limits
 	dir     string
 	root    string
 	command string
@@ -84,7 +91,7 @@
 		return nil, errors.New("the deploy file names no command run")
 	}
 	r := &Relay{dir: dir, root: root, command: string(found[1]), record: record, State: filepath.Join(dir, "state"),
-		Log: filepath.Join(dir, "relay.log")}
+		Log: filepath.Join(dir, "relay.log"), Limits: DefaultLimits}
 	if err := os.MkdirAll(r.State, 0o700); err != nil {
 		return nil, err
 	}
@@ -104,7 +111,7 @@
 // WriteConfig writes the configuration file.
 func (r *Relay) WriteConfig(discovery string, known List, settings Object) error {
 	text, err := json.Marshal(Object{"name": "n1", "listen": r.Listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits": Object{"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}, "known": known, "settings": settings})
+		"limits": Object{"cores": 1.0, "memory_mb": r.Limits.MemoryMB, "sockets": r.Limits.Sockets, "disk_mb": 3}, "known": known, "settings": settings})
 	if err != nil {
 		return err
 	}
