--- a/review/1/main.go
+++ b/review/1/main.go
@@ -112,7 +112,7 @@
 // judge counts the messages that ran twice.
 func (s *scene) judge(bed *stand.Bed) (stand.Exit, error) {
 	if bed.Crashed() {
-		return stand.Broken, nil
+		return stand.NotRun, errors.New("the relay ended by itself")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
