Take a rejection for proof that nothing ran only once its body is read

Cause: upstream.Pool.roundTrip classified every response but the 200 to a batch by its status line and header, and read the body only afterwards, to see whether the connection can be reused. So 429, 503, 504 and 410, and 400 and 413 to a batch, counted as proof that nothing ran, though only a 200 may be believed of a response that can't be read.

Change: of a call with one message only a status line with 200 counts by itself. Every other response counts when its body is read to its end: within 1 s, without 0.5 s of silence, within the protocol's 64 KiB and in HTTP/1.x. Else the attempt may have run (reset, timed out, canceled); a wait and a load report of the header still apply. The log says "unreadable response" with endpoint, status and error.

--- a/internal/relay/endings_test.go
+++ b/internal/relay/endings_test.go
@@ -33,9 +33,9 @@
 	return r, err
 }
 
-// startResettingEndpoint starts an endpoint of destination 7. It holds the first call of each message until reset is closed, and
-// then resets the connection. It answers further calls 200 and sends the time of each to the returned channel.
-func (p *platform) startResettingEndpoint(t *testing.T, reset <-chan bool) (again <-chan time.Time) {
+// startFailingEndpoint starts an endpoint of destination 7. It ends the connection of the first call of each message by failFirst
+// and a close. It answers further calls 200 and sends the time of each to the returned channel.
+func (p *platform) startFailingEndpoint(t *testing.T, failFirst func(net.Conn)) (again <-chan time.Time) {
 	t.Helper()
 	repeats := make(chan time.Time, 9)
 	addr := serveRaw(t, func(c net.Conn) {
@@ -53,10 +53,7 @@
 			})
 			if first {
 				p.callStarted <- id
-				<-reset
-				if tcp, ok := c.(*net.TCPConn); ok {
-					_ = tcp.SetLinger(0)
-				}
+				failFirst(c)
 				return
 			}
 			repeats <- time.Now()
@@ -67,6 +64,18 @@
 	return repeats
 }
 
+// startResettingEndpoint is startFailingEndpoint for an endpoint that holds the first call of each message until reset is closed,
+// and then resets the connection.
+func (p *platform) startResettingEndpoint(t *testing.T, reset <-chan bool) (again <-chan time.Time) {
+	t.Helper()
+	return p.startFailingEndpoint(t, func(c net.Conn) {
+		<-reset
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+	})
+}
+
 // distinctNotifications returns the notifications that the platform received from a relay that has been killed, without
 // repetitions. On a busy machine the platform may answer a post too late; the relay then logs that and posts the notification
 // again. More repetitions than the log explains fail the test.
@@ -94,14 +103,38 @@
 	}
 	time.Sleep(resetDelay)
 	close(reset)
+	p.expectOnlyOrderEndedUndelivered(t, c)
+}
+
+// Guards against executing a message twice after an unreadable rejection (review case 1): a 503 without its complete body is no
+// proof that the message was not executed.
+func TestUnreadableRejectionIsNotRepeated(t *testing.T) {
+	t.Parallel()
+	p := newPlatform(t)
+	p.startFailingEndpoint(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, "HTTP/1.1 503 busy\r\nContent-Length: 64\r\n\r\nthe order is")
+	})
+	c := p.start()
+	for _, class := range []string{"status", "payment", "order"} {
+		p.submitAccepted(class, class, "25")
+		p.nextCall()
+	}
+	p.expectOnlyOrderEndedUndelivered(t, c)
+}
+
+// expectOnlyOrderEndedUndelivered waits for the end of the messages status, payment and order, whose first call may have executed
+// them, and kills the relay. The classes of the first two permit a second call; order, which is not idempotent, has to end by a
+// notification.
+func (p *platform) expectOnlyOrderEndedUndelivered(t *testing.T, relay *child) {
+	t.Helper()
 	p.waitUntil("the journal is empty", func() bool { return len(readEntries(t, p.stateDir)) == 0 })
-	p.kill(c)
+	p.kill(relay)
 	calls := p.calls()
 	slices.Sort(calls)
 	if want := []string{"order", "payment", "payment", "status", "status"}; !slices.Equal(calls, want) {
 		t.Errorf("calls for messages %v, want %v", calls, want)
 	}
-	if n := p.distinctNotifications(c); len(n) != 1 ||
+	if n := p.distinctNotifications(relay); len(n) != 1 ||
 		n[0] != (journal.Notification{ID: "order", Status: notifier.StatusUndeliverable}) {
 		t.Errorf("notifications %v, want a single one that message order is undeliverable", n)
 	}
--- a/internal/relay/upstream/conn.go
+++ b/internal/relay/upstream/conn.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,7 @@
 	"regexp"
 	"time"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/instant"
 	"milletsail/internal/relay/protocol"
 	"milletsail/internal/relay/socket"
@@ -21,6 +23,9 @@
 	// responseStallTimeout is how long an endpoint may send nothing in the middle of a response. After that the rest is not
 	// expected to arrive, and the call would only occupy a slot.
 	responseStallTimeout = 500 * time.Millisecond
+	// rejectionReadTimeout bounds the time to read the body of a response with a status other than 200. It ends a call whose
+	// response goes on without an end, so that the message has time left for another call.
+	rejectionReadTimeout = time.Second
 	// bodyDrainTimeout bounds the time to read and discard the body of a response for the sake of reusing its connection. It also
 	// bounds the wait for the rest of a response whose status line says that the message was delivered.
 	bodyDrainTimeout = 100 * time.Millisecond
@@ -45,6 +50,13 @@
 // errTooManyInterim reports that an endpoint sent maxInterimResponses interim responses and no final one.
 var errTooManyInterim = errors.New("too many interim (1xx) responses from the endpoint")
 
+// Errors of responses that do not follow the protocol.
+var (
+	errUnsupportedVersion = errors.New("unsupported protocol version")
+	errResponseTooLarge   = errors.New("response too large")
+	errBodyTooSlow        = errors.New("response body not complete in time")
+)
+
 // conn is a connection to an endpoint. It carries one call at a time. While it does, only the goroutine of that call uses it;
 // while it is idle, it belongs to the pool.
 type conn struct {
@@ -54,6 +66,7 @@
 	idleSince    instant.Time      // when the connection became idle
 	callErr      func() error      // returns why the current call has ended, or nil while it lasts; nil before the first call
 	stallTimeout time.Duration     // bounds the wait of each read for data; 0 for no bound
+	readUntil    instant.Time      // when reading a body ends at the latest; zero for no bound
 }
 
 // newConn returns a conn on a new network connection.
@@ -67,6 +80,9 @@
 // Read reads from the network connection, within stallTimeout where that is set. If the deadline of the call has passed but data
 // had arrived, it still returns that data.
 func (c *conn) Read(b []byte) (int, error) {
+	if !c.readUntil.IsZero() && clock.Now() >= c.readUntil {
+		return 0, errBodyTooSlow
+	}
 	if c.stallTimeout > 0 {
 		_ = c.SetReadDeadline(time.Now().Add(c.stallTimeout))
 		if err := c.callErr(); err != nil { // the call may have set pastDeadline as it ended, which the line above has overwritten
@@ -121,6 +137,38 @@
 	return nil, errTooManyInterim
 }
 
+// readBody reads the body of a response to its end. It fails if the response is not valid HTTP/1.1 to its end, if the body
+// exceeds protocol.MaxBodySize, or if that of a response other than 200 takes longer than rejectionReadTimeout.
+func (c *conn) readBody(resp *http.Response) ([]byte, error) {
+	if resp.ProtoMajor != 1 {
+		return nil, fmt.Errorf("%w: %s", errUnsupportedVersion, resp.Proto)
+	}
+	if resp.StatusCode != http.StatusOK {
+		c.readUntil = clock.Now().Add(rejectionReadTimeout)
+		defer func() { c.readUntil = 0 }()
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, protocol.MaxBodySize+1))
+	if err == nil && (len(body) > protocol.MaxBodySize || c.limited.N <= 0) {
+		err = errResponseTooLarge
+	}
+	return body, err
+}
+
+// drain reads and discards the rest of a response, for at most bodyDrainTimeout, and reports whether the connection may carry
+// another call.
+func (c *conn) drain(resp *http.Response) bool {
+	c.stallTimeout = 0
+	_ = c.SetDeadline(time.Now().Add(bodyDrainTimeout))
+	_, err := io.Copy(io.Discard, resp.Body)
+	return err == nil && c.keepAlive(resp)
+}
+
+// keepAlive reports whether the connection may carry another call after a response that was read to its end. It may not if the
+// endpoint sent more than that response, since the rest would be taken for the response to the next call.
+func (c *conn) keepAlive(resp *http.Response) bool {
+	return !resp.Close && c.reader.Buffered() == 0 && c.SetDeadline(time.Time{}) == nil
+}
+
 // peekStatusLine waits for the next line and returns it without consuming it. The result includes the line end, unless reading
 // fails before that or the line is longer than the buffer.
 func (c *conn) peekStatusLine() []byte {
--- a/internal/relay/upstream/pool.go
+++ b/internal/relay/upstream/pool.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"log/slog"
 	"maps"
 	"net"
@@ -133,31 +132,23 @@
 	if err != nil {
 		return call.resultForAll(Result{Outcome: interruptedOutcome(ctx)}), false
 	}
-	if single || resp.StatusCode != http.StatusOK {
+	if single && resp.StatusCode == http.StatusOK {
+		return call.resultForAll(classifyResponse(resp)), conn.drain(resp) // the status line alone is reliable
+	}
+	body, err := conn.readBody(resp)
+	if err != nil {
+		slog.Warn("unreadable response", "endpoint", call.Addr, "messages", len(call.Messages), "status", resp.StatusCode, "error", err)
+		return call.resultForAll(uncertainResult(resp, interruptedOutcome(ctx))), false
+	}
+	switch {
+	case resp.StatusCode != http.StatusOK:
 		results = call.resultForAll(call.resultOfResponse(resp))
-	} else {
-		// The results of the messages of a batch are known only from the complete body.
-		body, err := io.ReadAll(resp.Body)
-		if err != nil {
-			return call.resultForAll(Result{Outcome: interruptedOutcome(ctx)}), false
-		}
-		if call.responseTooLate() {
-			late := classifyResponse(resp)
-			late.Outcome, late.Completed = policy.TimedOut, false
-			return call.resultForAll(late), false // the response's RetryAfter and LoadReport still apply
-		}
+	case call.responseTooLate():
+		return call.resultForAll(uncertainResult(resp, policy.TimedOut)), false
+	default:
 		results = call.parseResults(resp, body)
 	}
-	return results, conn.drain(resp)
-}
-
-// drain reads and discards the rest of a response, for at most bodyDrainTimeout, and reports whether the connection may carry
-// another call.
-func (c *conn) drain(resp *http.Response) bool {
-	c.stallTimeout = 0
-	_ = c.SetDeadline(time.Now().Add(bodyDrainTimeout))
-	_, err := io.Copy(io.Discard, resp.Body)
-	return err == nil && !resp.Close && c.reader.Buffered() == 0 && c.SetDeadline(time.Time{}) == nil
+	return results, conn.keepAlive(resp)
 }
 
 // acquire returns the most recently used idle connection to an address that is still usable, or opens a new one.
--- a/internal/relay/upstream/response.go
+++ b/internal/relay/upstream/response.go
@@ -57,6 +57,14 @@
 	return policy.Canceled
 }
 
+// uncertainResult returns the result of a call that may have been executed although its response has a readable header. The
+// response's RetryAfter and LoadReport still apply.
+func uncertainResult(resp *http.Response, outcome policy.Outcome) Result {
+	result := classifyResponse(resp)
+	result.Outcome, result.Completed, result.AttemptsExhausted = outcome, false, false
+	return result
+}
+
 // resultForAll returns the same result for every message of the call.
 func (c Call) resultForAll(result Result) []Result {
 	return slices.Repeat([]Result{result}, len(c.Messages))
