Rest a connection to an endpoint after a response, and check it before the write

What arrived with the response closed the connection before, as did what was there when the pool took it. But a call that was waiting took the connection at once, and what arrived after the check was read as the response to that call.

The relay logged "attempt failed ... outcome=full" or nothing for calls that had run.

Change: a connection rests for 5 ms after a response; the pool takes one that has rested, else it waits for the first that will have. Then it is checked, and once more right before the write, where a call comes back as not sent. A response's own outcome does not change.

--- a/internal/relay/upstream/conn.go
+++ b/internal/relay/upstream/conn.go
@@ -63,7 +63,7 @@
 	net.Conn
 	limited      *io.LimitedReader // bounds the bytes that may still be read for the current call
 	reader       *bufio.Reader     // reads from limited
-	idleSince    instant.Time      // when the connection became idle
+	idleSince    instant.Time      // when the connection last became idle; zero before that
 	callErr      func() error      // returns why the current call has ended, or nil while it lasts; nil before the first call
 	stallTimeout time.Duration     // bounds the wait of each read for data; 0 for no bound
 	readUntil    instant.Time      // when reading a body ends at the latest; zero for no bound
@@ -184,6 +184,9 @@
 	}
 }
 
+// reused reports whether the connection has been idle after an earlier call.
+func (c *conn) reused() bool { return !c.idleSince.IsZero() }
+
 // reusable reports whether an idle connection is open and has no unread data. An endpoint may close a connection at any time; a
 // request written after that would end in a reset, and would have to be treated as possibly executed.
 func (c *conn) reusable() bool { return socket.IsQuiet(c.Conn) }
--- a/internal/relay/upstream/pool.go
+++ b/internal/relay/upstream/pool.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"maps"
@@ -15,6 +16,7 @@
 
 	"milletsail/internal/clock"
 	"milletsail/internal/instant"
+	"milletsail/internal/relay/protocol"
 	"milletsail/internal/relay/resource"
 	"milletsail/policy"
 )
@@ -24,6 +26,9 @@
 // closed some connections before the pool did, without a gain in goodput.
 const idleTimeoutShare = 0.8
 
+// errNotSettled reports that a call ended while it waited for protocol.ResponseSettleTime.
+var errNotSettled = errors.New("call ended before its connection had settled")
+
 // Pool makes calls to endpoints over connections that carry one call at a time. It does not use http.Transport for two reasons:
 // http.Transport resends a request with an Idempotency-Key when a cached connection breaks, which may execute it twice; and it
 // does not report whether the last byte of a request was written, which separates "not executed" from "may have been executed".
@@ -34,6 +39,8 @@
 	idleTimeout time.Duration
 	// written counts the messages of requests that were written completely.
 	written *atomic.Int64
+	// sleep waits like clock.Sleep; tests replace it.
+	sleep func(ctx context.Context, d time.Duration) bool
 
 	mu         sync.Mutex
 	capacity   int                     // maximum number of idle connections
@@ -47,7 +54,7 @@
 // number of messages of each completely written request to written.
 func NewPool(connectTimeout, endpointIdleTimeout time.Duration, capacity int, written *atomic.Int64) *Pool {
 	return &Pool{dialer: net.Dialer{Timeout: connectTimeout, KeepAlive: -1}, capacity: capacity, idle: map[string][]*conn{},
-		canceledAt: map[string]instant.Time{}, written: written,
+		canceledAt: map[string]instant.Time{}, written: written, sleep: clock.Sleep,
 		idleTimeout: time.Duration(idleTimeoutShare * float64(endpointIdleTimeout))}
 }
 
@@ -64,6 +71,9 @@
 	}
 	started := clock.Now()
 	conn, err := p.acquire(writing, call.Addr)
+	if errors.Is(err, errNotSettled) {
+		return call.resultForAll(Result{Outcome: policy.NotSent})
+	}
 	if ctx.Err() == nil && writing.Err() != nil || err == nil && p.canceledSince(call.Addr, started) {
 		if err == nil {
 			p.release(call.Addr, conn)
@@ -119,6 +129,9 @@
 	if err != nil {
 		return call.resultForAll(Result{Outcome: policy.ConnectError}), false
 	}
+	if conn.reused() && !conn.reusable() {
+		return call.resultForAll(Result{Outcome: policy.NotSent}), false // more than the last response has arrived, or the end
+	}
 	conn.callErr = ctx.Err
 	if n, _ := conn.Write(out); n < len(out) {
 		return call.resultForAll(Result{Outcome: policy.ConnectError}), false // an incomplete request is not executed
@@ -151,19 +164,21 @@
 	return results, conn.keepAlive(resp)
 }
 
-// acquire returns the most recently used idle connection to an address that is still usable, or opens a new one.
+// acquire returns the most recently used idle connection to an address that is still usable, or opens a new one. It waits until
+// protocol.ResponseSettleTime has passed since the last response on the connection.
 func (p *Pool) acquire(ctx context.Context, addr string) (*conn, error) {
-	p.mu.Lock()
-	for list := p.idle[addr]; len(list) > 0; list = p.idle[addr] {
-		c := list[len(list)-1]
-		p.removeIdle(addr, len(list)-1)
+	for c := p.takeIdle(addr); c != nil; c = p.takeIdle(addr) {
+		if unsettled := protocol.ResponseSettleTime - clock.Since(c.idleSince); unsettled > 0 && c.reusable() {
+			if !p.sleep(ctx, unsettled) {
+				p.release(addr, c)
+				return nil, errNotSettled
+			}
+		}
 		if c.reusable() && clock.Since(c.idleSince) < p.idleTimeout {
-			p.mu.Unlock()
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	p.mu.Unlock()
 	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
@@ -171,6 +186,24 @@
 	return newConn(raw), nil
 }
 
+// takeIdle removes an idle connection to an address from the pool and returns it, or returns nil if there is none. It prefers the
+// most recently used one of those that have settled; if none has, the one that settles first.
+func (p *Pool) takeIdle(addr string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[addr]
+	if len(list) == 0 {
+		return nil
+	}
+	i := len(list) - 1
+	for i > 0 && clock.Since(list[i].idleSince) < protocol.ResponseSettleTime {
+		i--
+	}
+	c := list[i]
+	p.removeIdle(addr, i)
+	return c
+}
+
 // release keeps a connection as idle for a later call, or closes it if the pool is full.
 func (p *Pool) release(addr string, c *conn) {
 	p.mu.Lock()
