Let a post of notifications start only once the last response has settled

If the platform then failed it or the connection broke, the notification was never sent again and the message was lost.

net/http closes an idle connection on which something arrives; it only needs a moment in which no post is written.

--- a/internal/relay/notifier/notifier.go
+++ b/internal/relay/notifier/notifier.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 	"milletsail/internal/journal"
 	"milletsail/internal/relay/protocol"
 )
@@ -53,16 +54,20 @@
 	notEmpty    chan struct{}  // signals Run that the queue may not be empty
 	singlePosts chan struct{}  // semaphore of MaxSinglePosts
 	singles     sync.WaitGroup // the goroutines that post single notifications
+	// sleep waits like clock.Sleep; tests replace it.
+	sleep func(ctx context.Context, d time.Duration) bool
 
-	mu    sync.Mutex
-	url   string // that notifications are posted to
-	queue []journal.Notification
+	mu          sync.Mutex
+	url         string // that notifications are posted to
+	queue       []journal.Notification
+	respondedAt instant.Time // when a response last arrived; zero before the first
 }
 
 // New returns a notifier that posts to discovery's address. It calls onReceived with the ids of the messages whose notifications
 // the platform has received.
 func New(discovery string, onReceived func(ids []string)) *Notifier {
 	n := &Notifier{onReceived: onReceived, notEmpty: make(chan struct{}, 1), singlePosts: make(chan struct{}, MaxSinglePosts),
+		sleep:  clock.Sleep,
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: postTimeout}}
 	n.Redirect(discovery)
 	return n
@@ -194,11 +199,37 @@
 	return batch, body
 }
 
-// post makes one attempt to post a body of encoded notifications. A nil error means that the platform has received them.
-func (n *Notifier) post(ctx context.Context, body []byte) error {
+// settle waits until protocol.ResponseSettleTime has passed since the last response, and returns the URL to post to. In that time
+// the client's transport closes an idle connection on which the platform sends more than its response, so that the rest is not
+// taken for the response to the next post.
+func (n *Notifier) settle(ctx context.Context) (url string, err error) {
+	for {
+		n.mu.Lock()
+		url, respondedAt := n.url, n.respondedAt
+		n.mu.Unlock()
+		left := protocol.ResponseSettleTime - clock.Since(respondedAt)
+		if respondedAt.IsZero() || left <= 0 {
+			return url, nil
+		}
+		if !n.sleep(ctx, left) {
+			return "", ctx.Err()
+		}
+	}
+}
+
+// recordResponse records that a response has arrived.
+func (n *Notifier) recordResponse() {
 	n.mu.Lock()
-	url := n.url
+	n.respondedAt = clock.Now()
 	n.mu.Unlock()
+}
+
+// post makes one attempt to post a body of encoded notifications. A nil error means that the platform has received them.
+func (n *Notifier) post(ctx context.Context, body []byte) error {
+	url, err := n.settle(ctx)
+	if err != nil {
+		return err
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
 	if err != nil {
 		return err
@@ -207,6 +238,7 @@
 	if err != nil {
 		return err
 	}
+	defer n.recordResponse()
 	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, protocol.MaxBodySize))
 	if resp.StatusCode == http.StatusBadRequest {
