Count notifications as received only by a response that is read to its end

A response that can't be read says nothing, so the notifications are posted again, which does no harm.

TestUnreadableResponseIsNoReceipt failed before ("response HTTP/1.1 200 OK Content-Length: 9, half: error <nil>") and passes now.

--- a/internal/relay/notifier/notifier.go
+++ b/internal/relay/notifier/notifier.go
@@ -240,7 +240,9 @@
 	}
 	defer n.recordResponse()
 	defer func() { _ = resp.Body.Close() }()
-	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, protocol.MaxBodySize))
+	if _, err := io.Copy(io.Discard, io.LimitReader(resp.Body, protocol.MaxBodySize)); err != nil {
+		return fmt.Errorf("read the platform's response to the notification post: %w", err)
+	}
 	if resp.StatusCode == http.StatusBadRequest {
 		return &malformedError{resp.Status}
 	}
--- a/internal/relay/notifier/surplus_test.go
+++ b/internal/relay/notifier/surplus_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -98,3 +99,22 @@
 		t.Error("second post counts as received, want the error of its own response, 503")
 	}
 }
+
+// Guards against counting a notification as received by a response that can't be read to its end.
+func TestUnreadableResponseIsNoReceipt(t *testing.T) {
+	for _, response := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalQQ",
+		"HTTP/1.1 204 No Content\r\nhalf a hea",
+	} {
+		addr := startPlatform(t, func(in *bufio.Reader, c net.Conn) {
+			if readPost(in) == nil {
+				_, _ = io.WriteString(c, response)
+			}
+		})
+		err := New(addr, nil).post(t.Context(), encode(journal.Notification{ID: "m", Status: StatusUndeliverable}))
+		if err == nil || errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("response %q: error %v, want one that says that it can't be read", response, err)
+		}
+	}
+}
