Take contradictory states of a message in a batch response for uncertain

Neither proves anything, so the message may have been executed and its outcome is failed. The same state twice counts as before.

--- a/internal/relay/upstream/response.go
+++ b/internal/relay/upstream/response.go
@@ -45,6 +45,9 @@
 	stateAttemptsExhausted = "spent"
 )
 
+// stateContradictory stands for the state of a message that a response names with different states.
+const stateContradictory = "contradictory"
+
 // interruptedOutcome returns the outcome of a call with the context ctx whose request was written completely but whose response
 // was not read completely.
 func interruptedOutcome(ctx context.Context) policy.Outcome {
@@ -80,7 +83,7 @@
 }
 
 // parseResults returns the results of the messages of a batch from the body of its response. A message that is missing from the
-// body, or has an unknown state in it, may have been executed; its outcome is Failed.
+// body, or has an unknown state or different states in it, may have been executed; its outcome is Failed.
 func (c Call) parseResults(resp *http.Response, body []byte) []Result {
 	failed := classifyResponse(resp)
 	failed.Outcome, failed.Completed = policy.Failed, false
@@ -90,25 +93,36 @@
 		slog.Warn("unreadable batch response", "endpoint", c.Addr, "messages", len(c.Messages), "error", err)
 		return results
 	}
+	states := map[int]string{} // by the index of the message
 	for _, status := range statuses {
 		i := c.indexOf(status.ID)
 		if i < 0 {
 			continue
 		}
-		switch status.State {
-		case stateDelivered:
-			results[i].Outcome, results[i].Completed = policy.OK, true
-		case stateRejected:
-			results[i].Outcome = policy.Rejected
-		case stateCompleted:
-			results[i].Outcome, results[i].Completed = policy.NotSent, true
-		case stateAttemptsExhausted:
-			results[i].Outcome, results[i].AttemptsExhausted = policy.NotSent, true
+		if state, named := states[i]; named && state != status.State {
+			status.State = stateContradictory
 		}
+		states[i] = status.State
+		results[i] = failed.withState(status.State)
 	}
 	return results
 }
 
+// withState returns the result of a message with a state in the response to a batch. r is its result without one.
+func (r Result) withState(state string) Result {
+	switch state {
+	case stateDelivered:
+		r.Outcome, r.Completed = policy.OK, true
+	case stateRejected:
+		r.Outcome = policy.Rejected
+	case stateCompleted:
+		r.Outcome, r.Completed = policy.NotSent, true
+	case stateAttemptsExhausted:
+		r.Outcome, r.AttemptsExhausted = policy.NotSent, true
+	}
+	return r
+}
+
 // classifyResponse returns the result that the protocol defines for the status and header of a response.
 func classifyResponse(resp *http.Response) Result {
 	result := Result{Outcome: policy.Failed, RetryAfter: parseRetryAfter(resp),
