--- a/internal/relay/upstream/response.go
+++ b/internal/relay/upstream/response.go
@@ -85,8 +85,7 @@
 // parseResults returns the results of the messages of a batch from the body of its response. A message that is missing from the
 // body, or has an unknown state or different states in it, may have been executed; its outcome is Failed.
 func (c Call) parseResults(resp *http.Response, body []byte) []Result {
-	failed := classifyResponse(resp)
-	failed.Outcome, failed.Completed = policy.Failed, false
+	failed := uncertainResult(resp, policy.Failed)
 	results := c.resultForAll(failed)
 	var statuses []messageStatus
 	if err := json.Unmarshal(body, &statuses); err != nil {
