Encode the long lists of tests before a watch asks for them

Cause of the entry TestSuccessorWatchesFromStoredVersion in KNOWN-RED.txt: the stand-in of discovery encoded 20,001 entries while the relay waited for its first byte. Under load that took longer than the 1.5 s after which the relay gives a silent watch up, as it should, and it watched from 40 again.

Five tests encode their list beforehand now. What they check is unchanged.

--- a/internal/relay/list_disk_test.go
+++ b/internal/relay/list_disk_test.go
@@ -140,11 +140,12 @@
 // endpoints of that list.
 func TestRestartWatchesFromVersionOnDisk(t *testing.T) {
 	p, known := newListPlatform(t)
+	list := completeList(t, 50, append(fillerHosts(manyHosts), known))
 	indexes := make(chan string, 1000)
 	p.serveWatch = func(a *watchResponse) {
 		indexes <- a.index()
 		if a.index() == "40" {
-			a.send(completeList(t, 50, append(fillerHosts(manyHosts), known)))
+			a.send(list)
 		}
 		a.keepAlive()
 	}
@@ -200,10 +201,11 @@
 func TestDiskTooSmallForList(t *testing.T) {
 	p, known := newListPlatform(t)
 	p.diskMB = 3
+	list := completeList(t, 50, append(fillerHosts(manyHosts), known))
 	indexes := make(chan string, 1000)
 	p.serveWatch = func(a *watchResponse) {
 		indexes <- a.index()
-		a.send(completeList(t, 50, append(fillerHosts(manyHosts), known)))
+		a.send(list)
 		a.keepAlive()
 	}
 	c := p.start()
@@ -274,11 +276,12 @@
 // stored.
 func TestSuccessorWatchesFromStoredVersion(t *testing.T) {
 	p, known := newListPlatform(t)
+	list := completeList(t, 50, append(fillerHosts(manyHosts), known))
 	indexes := make(chan string, 1000)
 	p.serveWatch = func(a *watchResponse) {
 		indexes <- a.index()
 		if a.index() == "40" {
-			a.send(completeList(t, 50, append(fillerHosts(manyHosts), known)))
+			a.send(list)
 		}
 		a.keepAlive()
 	}
@@ -302,11 +305,11 @@
 func TestManyChangesAreSummarizedInLog(t *testing.T) {
 	p, known := newListPlatform(t)
 	known.Health = draining
+	many, err := json.Marshal(Members{Seq: 50, Hosts: fillerHosts(manyHosts)})
+	if err != nil {
+		t.Fatal(err)
+	}
 	p.serveWatch = func(a *watchResponse) {
-		many, err := json.Marshal(Members{Seq: 50, Hosts: fillerHosts(manyHosts)})
-		if err != nil {
-			t.Error(err)
-		}
 		a.send(string(many) + "\n" + endpointUpdate(t, 51, known) + "\n")
 		a.keepAlive()
 	}
--- a/internal/relay/list_watch_test.go
+++ b/internal/relay/list_watch_test.go
@@ -194,10 +194,11 @@
 func TestCompleteListRemovesEndpoints(t *testing.T) {
 	p, removed := newListPlatform(t)
 	kept := p.addHost("h2", 7)
+	list := completeList(t, 50, append(fillerHosts(manyHosts), kept))
 	served := make(chan bool)
 	p.serveWatch = func(a *watchResponse) {
 		a.waitFor(served)
-		a.send(completeList(t, 50, append(fillerHosts(manyHosts), kept)))
+		a.send(list)
 		a.keepAlive()
 	}
 	c := p.start()
