Wait for the end of the compaction before a test counts the bytes of a change

The step that finishes it, and removes the old log, could then be the measured one.

The test waits until Store.Compacting (new) says that no compaction is in progress. With 0.1 s of sleep before the sync and 0.3 s before the measured change the old form fails 3 of 3 with the recorded figures ("map[300:74 30000:-1057738]"), the new one passes 3 of 3; beside 16 busy loops it passed 5 of 5.

--- a/internal/endpoints/compaction.go
+++ b/internal/endpoints/compaction.go
@@ -46,6 +46,9 @@
 	return s.compaction != nil
 }
 
+// Compacting reports whether a compaction is in progress, which includes the sync of its snapshot.
+func (s *Store) Compacting() bool { return s.compaction != nil }
+
 // compactionDue reports whether a compaction should start: to recover from a failed write, or because the logs are too large or
 // too many.
 func (s *Store) compactionDue() bool {
--- a/internal/relay/list_disk_test.go
+++ b/internal/relay/list_disk_test.go
@@ -112,6 +112,21 @@
 	return size
 }
 
+// waitForCompaction does the compaction of the store that is due, and waits for its end: the sync of the snapshot runs beside the
+// loop, and the old log is removed after that.
+func (l *loop) waitForCompaction(t *testing.T) {
+	t.Helper()
+	end := time.Now().Add(testTimeout)
+	for l.endpoints.maintainStore(); l.endpoints.store.Compacting(); l.endpoints.maintainStore() {
+		if time.Now().After(end) {
+			t.Fatal("timed out waiting for the end of the store's compaction")
+		}
+		if !l.endpoints.compacting {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
 // A store that rewrote the list for each change would wear out the disk with long lists: a change of one endpoint has to write
 // the same number of bytes for a short list as for a long one.
 func TestChangeWritesSameBytesForAnyListLength(t *testing.T) {
@@ -121,9 +136,7 @@
 		l := newListLoop(t, dir, 1000)
 		hosts := fillerHosts(n)
 		l.applyObject(t, Members{Seq: 50, Whole: true, Hosts: hosts})
-		for l.endpoints.maintainStore(); l.endpoints.compacting; {
-			l.endpoints.maintainStore()
-		}
+		l.waitForCompaction(t)
 		before := directorySize(t, dir)
 		changed := hosts[0]
 		changed.Health = draining
