Keep the ports of test relays bound until the tests end

Cause found for the entry TestLongListMalformed ("timed out waiting until the relay reports that it is healthy"): tests took the addresses of a relay by listening and closing, so that the next socket could get the same port. 10 of 20,000 set-ups of these tests had two equal addresses, such as those for clients and for operators. The relay then can't listen, retries for 5 s and ends, and the test waits for 20 s: with the two made equal the test fails with just the recorded line. The one recorded failure itself left no log, so that it had this cause is inferred, not shown.

A test whose relay ends before it is healthy fails at once, and a failed test prints the end of its relays' logs, so that a next failure tells why.

--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"io"
 	"math"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -151,13 +150,34 @@
 		p.discovery.CloseClientConnections()
 		p.discovery.Close()
 	})
-	l, err := (&net.ListenConfig{}).Listen(tb.Context(), "tcp", "127.0.0.1:0")
+	p.addr = closedAddress(tb)
+	return p
+}
+
+// closedAddress returns an address at which connections are refused and a relay can listen. Until the test ends, a socket that is
+// bound to it, and does not listen, keeps the system from giving the port to another socket.
+func closedAddress(tb testing.TB) string {
+	tb.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		tb.Fatal(err)
 	}
-	p.addr = l.Addr().String()
-	_ = l.Close()
-	return p
+	tb.Cleanup(func() { _ = syscall.Close(fd) })
+	// With SO_REUSEADDR, which listening sockets of package net have too, the address can be bound a second time.
+	err = errors.Join(syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1),
+		syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	local, ok := name.(*syscall.SockaddrInet4)
+	if !ok {
+		tb.Fatalf("socket address %v, want an IPv4 address", name)
+	}
+	return fmt.Sprint("127.0.0.1:", local.Port)
 }
 
 // addHost starts an endpoint of a destination and adds it to the list.
@@ -274,14 +294,35 @@
 type child struct {
 	*exec.Cmd
 	exited chan error
+	done   chan bool // closed when the process has ended
 	config string
 }
 
+// maxLoggedOutput is the maximum number of bytes of a relay's log that a failed test prints.
+const maxLoggedOutput = 8 << 10
+
+// logOutput prints the end of the relay's log. The process must have ended.
+func (c *child) logOutput(tb testing.TB) {
+	tb.Helper()
+	text := fmt.Sprint(c.Stderr)
+	tb.Logf("end of the relay's log:\n%s", text[max(0, len(text)-maxLoggedOutput):])
+}
+
+// hasEnded reports whether the process has ended.
+func (c *child) hasEnded() bool {
+	select {
+	case <-c.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // start starts a relay in a child process and waits until it serves clients.
 func (p *platform) start() *child {
 	p.t.Helper()
 	c := &child{Cmd: exec.CommandContext(context.WithoutCancel(p.t.Context()), os.Args[0]), exited: make(chan error, 1),
-		config: p.writeConfig()}
+		done: make(chan bool), config: p.writeConfig()}
 	c.Env = append(os.Environ(), childConfigVariable+"="+c.config, childStateVariable+"="+p.stateDir)
 	if p.limitDescriptors {
 		c.Env = append(c.Env, fmt.Sprint(childDescriptorsVariable, "=", p.sockets))
@@ -293,9 +334,22 @@
 	if err := c.Start(); err != nil {
 		p.t.Fatal(err)
 	}
-	go func() { c.exited <- c.Wait() }()
-	p.t.Cleanup(func() { _ = c.Process.Kill() })
-	p.waitUntilReady()
+	go func() {
+		c.exited <- c.Wait()
+		close(c.done)
+	}()
+	p.t.Cleanup(func() {
+		_ = c.Process.Kill()
+		if <-c.done; p.t.Failed() {
+			c.logOutput(p.t)
+		}
+	})
+	p.waitUntil("the relay reports that it is healthy", func() bool {
+		if c.hasEnded() {
+			p.t.Fatal("the relay ended before it reported that it is healthy")
+		}
+		return p.isHealthy()
+	})
 	return c
 }
 
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -240,13 +240,6 @@
 	}
 }
 
-// closedAddress returns an address at which connections are refused.
-func closedAddress(tb testing.TB) string {
-	tb.Helper()
-	p := newPlatform(tb)
-	return p.addr
-}
-
 // writeAcceptedMessages records messages as accepted in the journal, as an earlier process would have.
 func writeAcceptedMessages(t *testing.T, p *platform, ids ...string) {
 	t.Helper()
--- a/internal/relay/wire_admin_test.go
+++ b/internal/relay/wire_admin_test.go
@@ -93,10 +93,14 @@
 // waitUntilReady waits until the relay reports that it serves clients.
 func (p *platform) waitUntilReady() {
 	p.t.Helper()
-	p.waitUntil("the relay reports that it is healthy", func() bool {
-		resp, err := p.getHealth()
-		return err == nil && resp.StatusCode == http.StatusOK
-	})
+	p.waitUntil("the relay reports that it is healthy", p.isHealthy)
+}
+
+// isHealthy reports whether the relay reports that it serves clients.
+func (p *platform) isHealthy() bool {
+	p.t.Helper()
+	resp, err := p.getHealth()
+	return err == nil && resp.StatusCode == http.StatusOK
 }
 
 // writeConfigWithPeer writes the configuration of a relay in a fleet of two, whose other relay is represented by a socket for
