--- a/internal/relay/notifier/surplus_test.go
+++ b/internal/relay/notifier/surplus_test.go
@@ -1,12 +1,14 @@
 package notifier
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,36 +20,27 @@
 // testTimeout bounds every wait of a test; it is far longer than any expected wait.
 const testTimeout = 20 * time.Second
 
-// startPlatform starts a platform that handles each connection with serve and closes it afterwards. It returns its address.
-func startPlatform(t *testing.T, serve func(in *bufio.Reader, c net.Conn)) string {
+// startPlatform starts a platform. For the first post, respond writes the response to the post's connection, which is closed
+// afterwards; the platform answers 503 to others. It returns its address.
+func startPlatform(t *testing.T, respond func(c net.Conn)) string {
 	t.Helper()
-	l, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				serve(bufio.NewReader(c), c)
-			}()
+	var posts atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		if posts.Add(1) > 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
 		}
-	}()
-	return l.Addr().String()
-}
-
-// readPost reads one complete post and discards it.
-func readPost(in *bufio.Reader) error {
-	r, err := http.ReadRequest(in)
-	if err == nil {
-		_, err = io.Copy(io.Discard, r.Body)
-	}
-	return err
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = c.Close() }()
+		respond(c)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://")
 }
 
 // Guards against taking a second copy of the platform's response for the response to the next post, whose notification would then
@@ -55,27 +48,17 @@
 func TestSurplusIsNoResponseToNextPost(t *testing.T) {
 	const received = "HTTP/1.1 204 No Content\r\n\r\n"
 	resting, ended := make(chan bool), make(chan bool)
-	posts := make(chan int, 1)
-	posts <- 0
-	addr := startPlatform(t, func(in *bufio.Reader, c net.Conn) {
-		for readPost(in) == nil {
-			count := <-posts
-			posts <- count + 1
-			if count > 0 {
-				_, _ = io.WriteString(c, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
-				continue
-			}
+	addr := startPlatform(t, func(c net.Conn) {
+		_, _ = io.WriteString(c, received)
+		go func() {
+			<-resting
 			_, _ = io.WriteString(c, received)
-			go func() {
-				<-resting
-				_, _ = io.WriteString(c, received)
-			}()
-			if _, err := in.Peek(1); err != nil {
-				close(ended)
-				return
-			}
-			_, _ = io.WriteString(c, received) // the next post came without a rest: the copy arrives before its response
+		}()
+		if _, err := c.Read(make([]byte, 1)); err != nil {
+			close(ended)
+			return
 		}
+		_, _ = io.WriteString(c, received) // the next post came without a rest: the copy arrives in the place of its response
 	})
 	n := New(addr, nil)
 	n.sleep = func(ctx context.Context, d time.Duration) bool {
@@ -107,11 +90,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalQQ",
 		"HTTP/1.1 204 No Content\r\nhalf a hea",
 	} {
-		addr := startPlatform(t, func(in *bufio.Reader, c net.Conn) {
-			if readPost(in) == nil {
-				_, _ = io.WriteString(c, response)
-			}
-		})
+		addr := startPlatform(t, func(c net.Conn) { _, _ = io.WriteString(c, response) })
 		err := New(addr, nil).post(t.Context(), encode(journal.Notification{ID: "m", Status: StatusUndeliverable}))
 		if err == nil || errors.Is(err, context.DeadlineExceeded) {
 			t.Errorf("response %q: error %v, want one that says that it can't be read", response, err)
