Start test relays in one place, and name popIdle by the field's word

startWithConfig of the wire tests wrote the start of a child process again, without the check for a relay that ends early and without its log. start now calls it with the platform's configuration. takeIdle becomes popIdle.

--- a/internal/relay/platform_test.go
+++ b/internal/relay/platform_test.go
@@ -320,9 +320,15 @@
 
 // start starts a relay in a child process and waits until it serves clients.
 func (p *platform) start() *child {
+	p.t.Helper()
+	return p.startWithConfig(p.writeConfig())
+}
+
+// startWithConfig is start with the path of a configuration file.
+func (p *platform) startWithConfig(path string) *child {
 	p.t.Helper()
 	c := &child{Cmd: exec.CommandContext(context.WithoutCancel(p.t.Context()), os.Args[0]), exited: make(chan error, 1),
-		done: make(chan bool), config: p.writeConfig()}
+		done: make(chan bool), config: path}
 	c.Env = append(os.Environ(), childConfigVariable+"="+c.config, childStateVariable+"="+p.stateDir)
 	if p.limitDescriptors {
 		c.Env = append(c.Env, fmt.Sprint(childDescriptorsVariable, "=", p.sockets))
--- a/internal/relay/upstream/pool.go
+++ b/internal/relay/upstream/pool.go
@@ -167,7 +167,7 @@
 // acquire returns the most recently used idle connection to an address that is still usable, or opens a new one. It waits until
 // protocol.ResponseSettleTime has passed since the last response on the connection.
 func (p *Pool) acquire(ctx context.Context, addr string) (*conn, error) {
-	for c := p.takeIdle(addr); c != nil; c = p.takeIdle(addr) {
+	for c := p.popIdle(addr); c != nil; c = p.popIdle(addr) {
 		if unsettled := protocol.ResponseSettleTime - clock.Since(c.idleSince); unsettled > 0 && c.reusable() {
 			if !p.sleep(ctx, unsettled) {
 				p.release(addr, c)
@@ -186,9 +186,9 @@
 	return newConn(raw), nil
 }
 
-// takeIdle removes an idle connection to an address from the pool and returns it, or returns nil if there is none. It prefers the
+// popIdle removes an idle connection to an address from the pool and returns it, or returns nil if there is none. It prefers the
 // most recently used one of those that have settled; if none has, the one that settles first.
-func (p *Pool) takeIdle(addr string) *conn {
+func (p *Pool) popIdle(addr string) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	list := p.idle[addr]
--- a/internal/relay/upstream/surplus_test.go
+++ b/internal/relay/upstream/surplus_test.go
@@ -161,7 +161,7 @@
 	all[1].idleSince = all[1].idleSince.Add(-time.Minute)
 	all[2].idleSince = resting
 	for i, want := range []*conn{all[1], all[0], all[2]} {
-		if got := p.takeIdle("addr"); got != want {
+		if got := p.popIdle("addr"); got != want {
 			t.Errorf("take %d: wrong connection", i+1)
 		}
 	}
--- a/internal/relay/wire_admin_test.go
+++ b/internal/relay/wire_admin_test.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"context"
 	"encoding/binary"
 	"encoding/hex"
 	"encoding/json"
@@ -10,7 +9,6 @@
 	"net"
 	"net/http"
 	"os"
-	"os/exec"
 	"regexp"
 	"strings"
 	"testing"
@@ -75,21 +73,6 @@
 	return path
 }
 
-// startWithConfig starts a relay with a configuration file in a child process, and waits until it serves clients.
-func (p *platform) startWithConfig(path string) {
-	p.t.Helper()
-	relay := exec.CommandContext(context.WithoutCancel(p.t.Context()), os.Args[0])
-	relay.Env = append(os.Environ(), childConfigVariable+"="+path, childStateVariable+"="+p.stateDir)
-	if err := relay.Start(); err != nil {
-		p.t.Fatal(err)
-	}
-	p.t.Cleanup(func() {
-		_ = relay.Process.Kill()
-		_ = relay.Wait()
-	})
-	p.waitUntilReady()
-}
-
 // waitUntilReady waits until the relay reports that it serves clients.
 func (p *platform) waitUntilReady() {
 	p.t.Helper()
