Log which limit allowed an attempt at an endpoint that failed or came back

The policy now gives each Send the limit under which it was allowed and the rate of its budget; the relay logs and counts those that concern an endpoint that failed, is ejected or is in slow start, and each change of an endpoint's health.

--- a/internal/relay/actions.go
+++ b/internal/relay/actions.go
@@ -61,6 +61,7 @@
 	if _, listed := l.endpoints.table.Get(a.Endpoint); !listed {
 		return
 	}
+	slog.Info("endpoint health changed", "endpoint", a.Endpoint, "ejected", a.Ejected, "second_hand", a.SecondHand)
 	l.journal.RecordHealth(a.Endpoint, journal.HealthRecord{Ejected: a.Ejected, ChangedAt: a.At})
 	if !a.SecondHand {
 		l.fleet.ObserveHealth(a.Endpoint, a.Ejected)
@@ -93,6 +94,11 @@
 		s.timeout = min(timeLeft, wanted.Timeout)
 	}
 	l.journal.StartAttempt(msg.Entry, wanted.Endpoint, now)
+	if wanted.Limit != policy.Unlimited {
+		l.metrics.Reasons.Increment(limitedAttempts, wanted.Limit)
+		slog.Info("attempt to an endpoint after an outage or a failure", "request_id", wanted.ID, "destination", msg.Dest,
+			"endpoint", wanted.Endpoint, "attempt", s.attempt, "limit", wanted.Limit, "budget_per_second", wanted.Budget)
+	}
 	if !listed || endpoint.Block != msg.Dest {
 		// The protocol requires that a message is sent only to a listed endpoint of its destination.
 		slog.Error("send to an endpoint of another destination", "endpoint", wanted.Endpoint, "destination", msg.Dest)
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -15,6 +15,8 @@
 const (
 	// failedAttempts counts attempts that did not deliver their message, by outcome.
 	failedAttempts = "relay_calls_without_delivery"
+	// limitedAttempts counts attempts at endpoints that failed or recovered lately, by what limited them.
+	limitedAttempts = "relay_limited_calls"
 	// undeliveredMessages counts messages that ended without delivery, by the policy's reason.
 	undeliveredMessages = "relay_undelivered"
 )
--- a/policy/action.go
+++ b/policy/action.go
@@ -21,6 +21,10 @@
 		// If that is not possible, nothing may be written and the attempt ends as NotSent. 0 means no limit.
 		WriteTimeout time.Duration
 		Call         int
+		// Limit is what limited the call, and Budget the calls a second that this relay's slow start budget for
+		// the endpoint allowed then (0 where Limit is no budget). Both are for logs.
+		Limit  CallLimit
+		Budget float64
 	}
 	// Reject ends a message that was certainly not executed, or that is safe to repeat. The client may send
 	// it again after RetryAfter.
--- a/policy/call.go
+++ b/policy/call.go
@@ -11,4 +11,6 @@
 	size         int // total size of its messages, in bytes
 	messages     []*message
 	canceled     bool // whether cancelCall has canceled it
+	limit        CallLimit
+	budget       float64 // calls a second of the slow start budget at sentAt; 0 for no such limit
 }
--- /dev/null
+++ b/policy/call_limit.go
@@ -0,0 +1,51 @@
+package policy
+
+// CallLimit is the mechanism that limited the calls to an endpoint when one of them was started, for logs.
+type CallLimit int
+
+// The limits of a call, beside the send rate of its queue.
+const (
+	// Unlimited means that the endpoint counted as healthy.
+	Unlimited CallLimit = iota
+	// UnlimitedAfterFailure means that the endpoint counted as healthy, although the last call of this relay
+	// that ended there had failed, or one had failed within the last SlowStartWindow.
+	UnlimitedAfterFailure
+	// SlowStartBudget means that the endpoint was in slow start, and that its budget allowed the call.
+	SlowStartBudget
+	// ProbeBudget means that the endpoint was ejected, and that the slow start budget allowed a probe.
+	ProbeBudget
+	// ProbeTurn means that the endpoint was ejected, and that it was this relay's turn to probe it.
+	ProbeTurn
+)
+
+var callLimitNames = [...]string{
+	Unlimited:             "none",
+	UnlimitedAfterFailure: "none after a failure",
+	SlowStartBudget:       "slow start budget",
+	ProbeBudget:           "probe by budget",
+	ProbeTurn:             "probe by turn",
+}
+
+// String returns the name of a limit for logs and metrics.
+func (l CallLimit) String() string { return callLimitNames[l] }
+
+// callLimit returns the limit under which a call to an endpoint is started now.
+func (d *Dispatcher) callLimit(ep *endpoint) CallLimit {
+	switch {
+	case ep.outlier.ejected && d.probeTurn(ep) > 0:
+		return ProbeTurn
+	case ep.outlier.ejected:
+		return ProbeBudget
+	case ep.slowStart.active:
+		return SlowStartBudget
+	case ep.outlier.consecutiveFailures > 0 || d.failedRecently(ep):
+		return UnlimitedAfterFailure
+	}
+	return Unlimited
+}
+
+// failedRecently reports whether a call of this relay to an endpoint has failed within SlowStartWindow.
+func (d *Dispatcher) failedRecently(ep *endpoint) bool {
+	failedAt := ep.outlier.lastFailureAt
+	return failedAt > 0 && d.now.Sub(failedAt) < d.settings.SlowStartWindow
+}
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -106,7 +106,9 @@
 	if d.settings.CanaryAnalysis {
 		d.addCanaryCredit(queue, ep)
 	}
+	started.limit = d.callLimit(ep)
 	if ep.limitedBySlowStart() {
+		started.budget = d.slowStartBudget(ep, d.timeSinceRecovery(ep))
 		ep.slowStart.bucket.tokens = math.Max(0, d.slowStartTokens(ep)-1)
 	}
 	if ep.outlier.ejected || queue.singleProber(d.now) {
@@ -149,5 +151,7 @@
 		Timeout:      d.attemptTimeout(m, c),
 		WriteTimeout: writeTimeout,
 		Call:         c.number,
+		Limit:        c.limit,
+		Budget:       c.budget,
 	})
 }
