--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -23,5 +23,5 @@
 		policy.Arrived{ID: "m", Destination: 7, TimeLeft: 10 * time.Second},
 	})
 	fmt.Println(actions[0])
-	// Output: {m a 3.333333333s 0s 1}
+	// Output: {m a 3.333333333s 0s 1 none 0}
 }
