--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -72,7 +72,13 @@
 // startRun starts a run in the background and repeats it while it is invalid.
 func startRun(t *testing.T, name string, o Options) *pendingRun {
 	t.Helper()
-	s, p := loadScenario(t, name), &pendingRun{done: make(chan bool)}
+	return startScenario(t, loadScenario(t, name), o)
+}
+
+// startScenario starts a run of a scenario as startRun does.
+func startScenario(t *testing.T, s *scenario.Scenario, o Options) *pendingRun {
+	t.Helper()
+	p := &pendingRun{done: make(chan bool)}
 	ctx := t.Context()
 	go func() {
 		defer close(p.done)
