Limit the calls to endpoints that may be in an outage, not only to ejected ones

Cause: the slow start budget is the fleet's, but it bound a relay only where that relay had ejected the endpoint. One failed call tells a relay of an outage; an ejection takes a weight of two, an error response counts half, a failure that overlaps a success does not count, and a restart forgot what had been counted. All other relays that knew sent their queued messages as in health. Further, a recovery gave each relay a whole token for every endpoint of the destination, a process that started in a slow start had a full bucket, a slow start that began within a partial outage ended early, and a rough weight was taken for exact.

Change: an endpoint is suspected from the first failed, rejected, stalled or interrupted call on, unless it stands alone between successes. A suspected endpoint has the budget of an ejected one, and its next success starts a slow start. The budget is computed from what the operators' rule lets an endpoint withstand, with the smaller rate of a rough weight; calls are brought forward only where they fit. A slow start begins again when another endpoint of the destination recovers.

--- a/internal/relay/actions.go
+++ b/internal/relay/actions.go
@@ -45,6 +45,8 @@
 		l.batch.afterCommit = append(l.batch.afterCommit, func() { l.broadcast(action.Message) })
 	case policy.PersistHealth:
 		l.persistHealth(action)
+	case policy.PersistSuspicion:
+		l.persistSuspicion(action)
 	case policy.ZoneStateChanged:
 		slog.Info("zone state changed", "zone", action.Zone, "state", action.State)
 	case policy.CanaryStageChanged:
@@ -68,6 +70,13 @@
 	}
 }
 
+// persistSuspicion records in the journal that a call to a listed endpoint failed, or that its failures stood alone.
+func (l *loop) persistSuspicion(a policy.PersistSuspicion) {
+	if _, listed := l.endpoints.table.Get(a.Endpoint); listed {
+		l.journal.RecordHealth(a.Endpoint, journal.HealthRecord{Ejected: a.Suspected, ChangedAt: a.At})
+	}
+}
+
 // send is an attempt that the policy has decided on, as part of a call that is not started yet.
 type send struct {
 	message      *message
--- a/internal/relay/restart_test.go
+++ b/internal/relay/restart_test.go
@@ -237,6 +237,24 @@
 	}
 }
 
+// Guards against a process that sends without a limit to an endpoint at which its killed predecessor met one error response,
+// which ejects nothing: the endpoint may be in an outage.
+func TestSingleFailureSurvivesRestart(t *testing.T) {
+	p := newPlatform(t)
+	p.addHost("h1", 7)
+	p.hosts[0].Share = 0.05 // allows one probe in many seconds
+	p.respond = func(*http.Request) int { return http.StatusInternalServerError }
+	c := p.start()
+	p.submitAccepted("order", "a", "25") // its class is not sent again after an error response
+	p.waitUntil("the failure is recorded", func() bool { return readHealth(t, p.stateDir)["h1"].Ejected })
+	p.kill(c)
+	p.update(func() { p.respond = func(*http.Request) int { return http.StatusOK } })
+	p.start()
+	if resp := p.submit("status", "b", "25"); resp.StatusCode != http.StatusTooManyRequests {
+		t.Errorf("message after the restart was answered %s, want 429, since the next probe is too late", resp.Status)
+	}
+}
+
 // Guards against a message that never ends because the settings no longer have its class.
 func TestClassRemovedFromSettings(t *testing.T) {
 	dir := t.TempDir()
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -75,7 +75,8 @@
 	for _, prior := range entry.Attempts {
 		// An attempt that was in flight when the process ended may have been executed.
 		arrived.PriorAttempts = append(arrived.PriorAttempts, policy.PriorAttempt{Endpoint: prior.Host,
-			SentAt: min(prior.StartedAt, clock.Now()), NotExecuted: prior.Ended && prior.NotExecuted})
+			SentAt: min(prior.StartedAt, clock.Now()), NotExecuted: prior.Ended && prior.NotExecuted,
+			Interrupted: !prior.Ended})
 	}
 	if hasAttempt && attempt.Attempt == len(entry.Attempts)-1 {
 		delete(inFlight, entry.ID)
@@ -104,7 +105,7 @@
 // to cancel the call.
 func (l *loop) resumeInFlight(link *handover.Link, m *message, a handover.Attempt, arrived *policy.Arrived) {
 	last := &arrived.PriorAttempts[a.Attempt]
-	last.InFlight, last.Call = true, a.Call
+	last.InFlight, last.Interrupted, last.Call = true, false, a.Call
 	m.call = a.Call
 	m.cancel = func() { link.Send(handover.Message{Cancel: &handover.Attempt{ID: a.ID, Attempt: a.Attempt}}) }
 }
--- a/policy/action.go
+++ b/policy/action.go
@@ -65,6 +65,14 @@
 		// that this relay was isolated when it ejected the endpoint.
 		SecondHand bool
 	}
+	// PersistSuspicion records that a call to an endpoint failed, or that its failures stood alone. A later
+	// process of this relay restores a failure like an ejection, with StateRestored: it cannot know whether
+	// the endpoint has come back meanwhile.
+	PersistSuspicion struct {
+		Endpoint  string
+		Suspected bool
+		At        instant.Time // time of the failure; otherwise of the last recovery, or 0 for never
+	}
 	// ZoneStateChanged reports the new state of a zone, for logs.
 	ZoneStateChanged struct {
 		Zone  int
@@ -96,6 +104,7 @@
 func (Subscribe) action()            {}
 func (Broadcast) action()            {}
 func (PersistHealth) action()        {}
+func (PersistSuspicion) action()     {}
 func (PublishRate) action()          {}
 func (ZoneStateChanged) action()     {}
 func (CanaryStageChanged) action()   {}
--- a/policy/api.go
+++ b/policy/api.go
@@ -250,6 +250,8 @@
 	// AttemptEnded reports the outcome.
 	InFlight bool
 	Call     int // call number of an attempt in flight, shared by the attempts of one call
+	// Interrupted means that the earlier process ended before the outcome of the attempt was known.
+	Interrupted bool
 }
 
 // InheritedEndpoint is the part of StateInherited that concerns one endpoint.
--- a/policy/call_limit.go
+++ b/policy/call_limit.go
@@ -12,6 +12,9 @@
 	UnlimitedAfterFailure
 	// SlowStartBudget means that the endpoint was in slow start, and that its budget allowed the call.
 	SlowStartBudget
+	// SuspicionBudget means that the endpoint was suspected to be in an outage (suspected), and that the slow
+	// start budget allowed the call.
+	SuspicionBudget
 	// ProbeBudget means that the endpoint was ejected, and that the slow start budget allowed a probe.
 	ProbeBudget
 	// ProbeTurn means that the endpoint was ejected, and that it was this relay's turn to probe it.
@@ -22,6 +25,7 @@
 	Unlimited:             "none",
 	UnlimitedAfterFailure: "none after a failure",
 	SlowStartBudget:       "slow start budget",
+	SuspicionBudget:       "budget after a failure",
 	ProbeBudget:           "probe by budget",
 	ProbeTurn:             "probe by turn",
 }
@@ -36,9 +40,11 @@
 		return ProbeTurn
 	case ep.outlier.ejected:
 		return ProbeBudget
+	case d.limitedBySuspicion(ep):
+		return SuspicionBudget
 	case ep.slowStart.active:
 		return SlowStartBudget
-	case ep.outlier.consecutiveFailures > 0 || d.failedRecently(ep):
+	case ep.outlier.notified || d.failedRecently(ep):
 		return UnlimitedAfterFailure
 	}
 	return Unlimited
--- a/policy/cold_fleet_simulation_test.go
+++ b/policy/cold_fleet_simulation_test.go
@@ -81,7 +81,7 @@
 		endpoints:  1 + random.Intn(3),
 		budget:     2 * math.Pow(30, random.Float64()), // 2 to 60
 		kind:       outageKind(random.Intn(int(outageKinds))),
-		errorShare: between(0.6, 1),
+		errorShare: between(0.5, 1),
 		outage:     time.Duration(between(5, 12.5) * float64(time.Second)),
 		spread:     between(0, 1),
 		load:       between(0.6, 0.95),
@@ -243,6 +243,9 @@
 	slices.SortFunc(ids, func(a, b string) int { return cmp.Or(cmp.Compare(len(a), len(b)), cmp.Compare(a, b)) })
 	for _, id := range ids {
 		m := r.messages[id]
+		if m.open != nil {
+			m.attempts[m.open.number].Interrupted = true
+		}
 		m.open = nil
 		r.inbox = append(r.inbox, policy.Arrived{ID: id, TimeLeft: m.expires - f.now, Resumed: true,
 			PriorAttempts: slices.Clone(m.attempts)})
@@ -378,12 +381,15 @@
 		r.timerAt = f.now + action.After
 	case policy.PersistHealth:
 		r.health[action.Endpoint] = action
+	case policy.PersistSuspicion:
+		r.health[action.Endpoint] = policy.PersistHealth{Endpoint: action.Endpoint, Ejected: action.Suspected,
+			At: action.At}
 	case policy.Broadcast:
 		for _, other := range f.relayList {
 			if other != r && f.random.Float64() >= f.gossipLoss {
 				f.at(f.now+time.Duration(1+f.random.Intn(17))*time.Millisecond, func() {
 					if other.running {
-						other.inbox = append(other.inbox, policy.GossipReceived{Message: action.Message})
+						other.inbox = append(other.inbox, policy.GossipReceived(action))
 					}
 				})
 			}
--- a/policy/decisions_digest_test.go
+++ b/policy/decisions_digest_test.go
@@ -22,7 +22,7 @@
 const (
 	// seedsPerCase is the number of seeds that each simulation case runs with; the cases of the
 	// eventGenerator run with four times as many. Each seed has its own digest.
-	seedsPerCase = 3
+	seedsPerCase = 6
 	// stepsPerSeed is the number of batches that each relay handles in a run.
 	stepsPerSeed = 700
 	// rulesSteps is the number of batches in a run of the eventGenerator, which drives one relay.
--- a/policy/decisions_record_test.go
+++ b/policy/decisions_record_test.go
@@ -137,6 +137,11 @@
 		h.strings(action.Endpoint)
 		h.bools(action.Ejected, action.SecondHand)
 		h.times(action.At)
+	case policy.PersistSuspicion:
+		h.beginAction("suspect")
+		h.strings(action.Endpoint)
+		h.bools(action.Suspected)
+		h.times(action.At)
 	case policy.PublishRate:
 		h.beginAction("share")
 		h.ints(action.Destination)
--- a/policy/decisions_simulation_actions_test.go
+++ b/policy/decisions_simulation_actions_test.go
@@ -29,10 +29,9 @@
 		relay.subscribed = true
 		relay.inbox = append(relay.inbox, s.completeList())
 	case policy.PersistHealth:
-		if _, known := relay.persisted[action.Endpoint]; !known {
-			relay.persistedOrder = append(relay.persistedOrder, action.Endpoint)
-		}
-		relay.persisted[action.Endpoint] = action
+		relay.persist(action)
+	case policy.PersistSuspicion:
+		relay.persist(policy.PersistHealth{Endpoint: action.Endpoint, Ejected: action.Suspected, At: action.At})
 	case policy.PublishRate:
 		s.publishedRates = append(s.publishedRates, action)
 	case policy.Broadcast:
@@ -40,6 +39,14 @@
 	}
 }
 
+// persist records the health of an endpoint for the next process.
+func (r *simulatedRelay) persist(health policy.PersistHealth) {
+	if _, known := r.persisted[health.Endpoint]; !known {
+		r.persistedOrder = append(r.persistedOrder, health.Endpoint)
+	}
+	r.persisted[health.Endpoint] = health
+}
+
 // broadcast queues a gossip message for the other relays. One in 20 is lost, and one in 20 arrives twice.
 func (s *simulation) broadcast(from *simulatedRelay, action policy.Broadcast) {
 	for _, relay := range s.relays {
--- a/policy/dispatcher.go
+++ b/policy/dispatcher.go
@@ -34,6 +34,8 @@
 	zones         zoneTable
 	canaryCount   int
 	store         stateStore
+	// suspicionChanges holds the endpoints with a failed call, or a first success after one, in this batch.
+	suspicionChanges []*endpoint
 
 	stopping        bool // whether the process is about to end, so that nothing more is sent
 	storageReadOnly bool // whether attempts cannot be recorded for a later process
--- a/policy/endpoint_selection.go
+++ b/policy/endpoint_selection.go
@@ -69,7 +69,7 @@
 	if ep.outlier.ejected {
 		return d.mayProbe(ep)
 	}
-	if ep.slowStart.active && d.slowStartTokens(ep) < 1 {
+	if d.limitedBySlowStart(ep) && d.slowStartTokens(ep) < 1 {
 		return false
 	}
 	return !ep.unresponsive(d.now) || len(ep.calls) < maxUnhealthyCalls
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -45,6 +45,9 @@
 		open:        prior.InFlight,
 		notExecuted: prior.NotExecuted,
 	})
+	if prior.Interrupted && !ep.Removed {
+		d.suspectInterrupted(ep, prior.SentAt)
+	}
 	if !prior.NotExecuted {
 		resumed.keyBlockedUntil = max(resumed.keyBlockedUntil, d.now.Add(d.settings.OrderedKeyDelay))
 	}
@@ -181,7 +184,9 @@
 	ep.outlier.ejectedAt = state.EjectedAt
 	ep.outlier.lastSuccessAt = state.LastSuccessAt
 	ep.outlier.consecutiveFailures = state.ConsecutiveFailures
-	ep.slowStart.active = state.SlowStarting
+	ep.outlier.notified = state.ConsecutiveFailures > 0
+	ep.outlier.suspicionRecorded = ep.outlier.notified && !state.Ejected
+	ep.slowStart.active, ep.slowStart.afterEjection = state.SlowStarting, state.SlowStarting
 	ep.slowStart.recoveredAt = state.RecoveredAt
 	ep.slowStart.bucket.reset(state.Tokens, state.TokensAt)
 	ep.connections.limit = state.ConnectionLimit
@@ -229,6 +234,7 @@
 	case restored.Ejected:
 		d.eject(ep)
 	case slowStarting:
-		ep.slowStart.active, ep.slowStart.recoveredAt = true, restored.At
+		ep.slowStart.active, ep.slowStart.afterEjection, ep.slowStart.recoveredAt = true, true, restored.At
+		ep.slowStart.bucket.reset(d.firstTokens(ep), d.now)
 	}
 }
--- a/policy/outcome.go
+++ b/policy/outcome.go
@@ -119,6 +119,7 @@
 	case OK:
 		d.recordDelivery(outcome)
 	case Rejected:
+		d.notify(ep, outcome.call.sentAt)
 		d.recordRejection(queue, limitMessage{
 			destination: queue.destination.number,
 			retryAfter:  outcome.RetryAfter,
@@ -132,6 +133,8 @@
 		lateForQueue := outcome.seconds > stalledFactor*queue.latency.mean
 		if lateForQueue && (outcome.Outcome == TimedOut || outcome.call.canceled) {
 			d.recordFailure(ep, outcome.call, 1)
+		} else if outcome.Outcome == TimedOut {
+			d.notify(ep, outcome.call.sentAt)
 		}
 	case NotSent, NotStarted:
 	}
@@ -169,6 +172,7 @@
 	}
 	if ep.outlier.lastSuccessAt > c.sentAt {
 		ep.connections.lowerLimit(len(ep.calls))
+		d.notify(ep, c.sentAt)
 		return
 	}
 	d.recordFailure(ep, c, 1)
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -1,10 +1,6 @@
 package policy
 
-import (
-	"math"
-
-	"milletsail/internal/instant"
-)
+import "milletsail/internal/instant"
 
 const (
 	// ejectionThreshold is the number of consecutive failures that ejects an endpoint. It is above 1, since
@@ -29,6 +25,14 @@
 	// 0 for never.
 	lastFailureAt instant.Time
 	lastSuccessAt instant.Time // last success of a call of this relay; 0 for never
+	// successesSince is the time of the first success after at least circuitOpenAfter without any; 0 for
+	// never.
+	successesSince    instant.Time
+	notified          bool         // whether a call has failed or was rejected since the last success
+	failingSince      instant.Time // time of the first such call
+	failureShare      float64      // moving average of the share of failed calls, at resultAt
+	resultAt          instant.Time // time of the last result that counted in failureShare
+	suspicionRecorded bool         // whether a later process would restore a suspicion
 }
 
 // healthSource says who observed a change in the health of an endpoint.
@@ -45,12 +49,12 @@
 }
 
 // countFailure counts a failed call with the given weight. It reports whether the failure counts towards an
-// ejection, which it does not if the call was sent before the last success.
+// ejection, which it does not if the call was sent before a success within circuitOpenAfter.
 func (o *outlierDetector) countFailure(now instant.Time, failed *call, weight float64) (counts bool) {
 	for _, m := range failed.messages {
 		o.classFailures[m.Class] += weight / float64(len(failed.messages))
 	}
-	if o.lastSuccessAt > failed.sentAt {
+	if o.lastSuccessAt > failed.sentAt && o.succeededSince(now.Add(-circuitOpenAfter)) {
 		return false
 	}
 	o.consecutiveFailures += weight
@@ -74,19 +78,27 @@
 // allowance remains; the send rate then counts at most rateWindow of quiet time, and so rises slowly.
 func (d *Dispatcher) recordSuccess(ep *endpoint, capacityRemains bool) {
 	queue := ep.queue
+	d.recordAcceptance(queue)
+	failed, wasSuspected := ep.outlier.notified, d.suspected(ep)
+	if !ep.outlier.succeededSince(d.now.Add(-circuitOpenAfter)) {
+		ep.outlier.successesSince = d.now
+	}
+	ep.outlier.recordResult(d.now, 0)
 	ep.outlier.consecutiveFailures, ep.outlier.lastSuccessAt, queue.lastSuccessAt = 0, d.now, d.now
+	ep.outlier.notified = false
 	ep.connections.raiseLimit()
+	if failed && !ep.outlier.ejected {
+		d.endSuspicion(ep, wasSuspected)
+	}
 	if ep.outlier.ejected && d.mayRecover(ep) {
-		d.startSlowStart(ep, math.Max(d.slowStartTokens(ep), d.initialTokens(ep)), firstHand)
+		d.startSlowStart(ep, d.slowStartTokens(ep), firstHand)
 		if d.settings.Gossip {
 			d.emit(Broadcast{Message: encodeEndpointMessage(endpointRecoveredType, ep.ID)})
 		}
 		queue.peerReport = peerReport{}
 		for _, other := range queue.endpoints {
 			other.peerReport = peerReport{}
-			bucket := &other.slowStart.bucket
-			// Most outages end for all endpoints of a destination at once.
-			bucket.tokens = math.Max(bucket.tokens, 1)
+			d.advanceProbe(other)
 		}
 	}
 	queue.circuit.consecutiveRejections, queue.outageSuspected = 0, false
@@ -98,7 +110,10 @@
 // recordFailure handles a failed call, and ejects its endpoint after ejectionThreshold consecutive failures.
 // A relay with a low rate whose probe budget is spent after one failure ejects it at half that threshold.
 func (d *Dispatcher) recordFailure(ep *endpoint, failed *call, weight float64) {
+	d.notify(ep, failed.sentAt)
+	ep.outlier.recordResult(d.now, 1)
 	if !ep.outlier.countFailure(d.now, failed, weight) {
+		d.recordOverlappedFailure(ep, failed)
 		return
 	}
 	failures := ep.outlier.consecutiveFailures
@@ -121,6 +136,7 @@
 	ep.slowStart.active = false
 	ep.slowStart.bucket.reset(d.initialTokens(ep), max(d.now, ep.queue.circuit.retryAfterUntil))
 	isSecondHand := source == secondHand || d.zones.isolated
+	ep.outlier.suspicionRecorded = false // the ejection replaces it
 	d.emit(PersistHealth{Endpoint: ep.ID, Ejected: true, At: d.now, SecondHand: isSecondHand})
 	if ep.queue.separateRoute {
 		d.reroute(ep.queue)
--- a/policy/peer_report.go
+++ b/policy/peer_report.go
@@ -1,6 +1,10 @@
 package policy
 
-import "milletsail/internal/instant"
+import (
+	"slices"
+
+	"milletsail/internal/instant"
+)
 
 // peerReport is the latest report of what other relays observe of an endpoint or a destination. Its times are
 // by this relay's clock.
@@ -83,6 +87,10 @@
 	switch {
 	case queue == nil:
 	case limit.accepted:
+		d.recordAcceptance(queue)
+		if slices.ContainsFunc(queue.endpoints, func(ep *endpoint) bool { return ep.outlier.notified }) {
+			queue.acceptedElsewhereAt = max(queue.acceptedElsewhereAt, d.now.Add(-limit.callAge))
+		}
 		d.closeCircuit(queue, limit)
 	default:
 		queue.circuit.announcedUntil = max(queue.circuit.announcedUntil, d.openCircuit(queue, limit))
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -48,8 +48,11 @@
 	locality localityBalancer
 	baseline []failureRate // failure rate of endpoints that are not canaries, by class
 
-	lastSuccessAt   instant.Time // 0 for never
-	outageSuspected bool         // whether an endpoint was ejected and none has succeeded or recovered since
+	lastSuccessAt instant.Time // 0 for never
+	// acceptedElsewhereAt is the send time of the last call of another relay that the destination is known to
+	// have accepted after it rejected one of this relay; 0 for none.
+	acceptedElsewhereAt instant.Time
+	outageSuspected     bool // whether an endpoint was ejected and none has succeeded or recovered since
 }
 
 // enqueue inserts a message into a queue at its place in the order of arrival.
--- a/policy/queueing_delay.go
+++ b/policy/queueing_delay.go
@@ -61,7 +61,7 @@
 	}
 	slowStartWait := math.Inf(1)
 	for _, ep := range q.endpoints {
-		if !ep.limitedBySlowStart() {
+		if !d.limitedBySlowStart(ep) {
 			return delay
 		}
 		slowStartWait = math.Min(slowStartWait, d.slowStartDelay(ep, calls))
--- a/policy/resource_backoff.go
+++ b/policy/resource_backoff.go
@@ -47,7 +47,7 @@
 	if c.openAttempts == 0 && ep.queue.limiter.rate > 0 {
 		ep.queue.limiter.bucket.tokens++
 	}
-	if c.openAttempts == 0 && ep.limitedBySlowStart() {
+	if c.openAttempts == 0 && d.limitedBySlowStart(ep) {
 		ep.slowStart.bucket.tokens++
 	}
 	ep.resourceBackoff.extend(d.now)
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -107,7 +107,7 @@
 		d.addCanaryCredit(queue, ep)
 	}
 	started.limit = d.callLimit(ep)
-	if ep.limitedBySlowStart() {
+	if d.limitedBySlowStart(ep) {
 		started.budget = d.slowStartBudget(ep, d.timeSinceRecovery(ep))
 		ep.slowStart.bucket.tokens = math.Max(0, d.slowStartTokens(ep)-1)
 	}
--- a/policy/timer.go
+++ b/policy/timer.go
@@ -69,7 +69,7 @@
 		if ep.resourceBackoff.until > d.now {
 			next.add(max(sendAt, ep.resourceBackoff.until))
 		}
-		if ep.limitedBySlowStart() && d.slowStartTokens(ep) < 1 {
+		if d.limitedBySlowStart(ep) && d.slowStartTokens(ep) < 1 {
 			budget := d.slowStartBudget(ep, d.timeSinceRecovery(ep))
 			next.add(max(sendAt, d.now.Add(tokenDelay(1-ep.slowStart.bucket.tokens, budget))))
 		}
