--- a/policy/policy.go
+++ b/policy/policy.go
@@ -12,8 +12,9 @@
 //   - Calls: choice of a route and an endpoint (routing.go, endpoint_selection.go), slots (scheduler.go),
 //     stalled calls (stalled_calls.go), outcomes (outcome.go).
 //   - Limits of a destination: send rate (sendrate.go), circuit state and backoff (circuit.go).
-//   - Health of an endpoint: outlier detection (outlier.go), slow start (slowstart.go), connection limit
-//     (connection_limit.go), shortage of local resources (resource_backoff.go).
+//   - Health of an endpoint: outlier detection (outlier.go), suspicion after a failure that ejects nothing
+//     (suspicion.go), slow start (slowstart.go), connection limit (connection_limit.go), shortage of local
+//     resources (resource_backoff.go). What limited a call is in call_limit.go.
 //   - New versions: canaries and their analysis (canary.go, canary_analysis.go).
 //   - Zones: locality and spillover (locality.go), evacuation and recovery (zone_evacuation.go).
 //   - Other relays: their reports (peer_report.go), turns to probe (probing.go), shared rates
