Suspect an endpoint as soon as a call there takes far longer than usual

Cause: in an outage without answers, a call sent in its last 2.5 s fails only after the return; until then its relay sent further messages as in health. Change: the wait is six times the usual latency, as for an unresponsive endpoint, and 2.5 s only where no latency is known.

--- a/policy/suspicion.go
+++ b/policy/suspicion.go
@@ -95,19 +95,18 @@
 	d.noteSuspicion(ep)
 }
 
-// suspectStalled suspects the endpoints with a call that has been in flight for circuitOpenAfter, and far
-// longer than usual, while none succeeded. In an outage without answers, a failure may come only after the
-// return.
+// suspectStalled suspects the endpoints at which no call has succeeded for circuitOpenAfter, and one has been
+// in flight far longer than usual, or for circuitOpenAfter if no latency is known. In an outage without
+// answers, a failure may come only after the return.
 func (d *Dispatcher) suspectStalled() {
 	since := d.now.Add(-circuitOpenAfter)
 	for _, q := range d.active {
 		for _, c := range q.calls {
 			ep := c.endpoint
-			usual := q.latency.mean > 0 && !ep.unresponsive(d.now)
-			if c.sentAt >= since || ep.outlier.notified || ep.outlier.succeededSince(since) || usual {
-				continue
+			stalled := ep.unresponsive(d.now) || q.latency.mean == 0 && c.sentAt < since
+			if stalled && !ep.outlier.notified && !ep.outlier.succeededSince(since) {
+				d.suspectUnanswered(ep, c.sentAt)
 			}
-			d.suspectUnanswered(ep, c.sentAt)
 		}
 	}
 }
