--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -20,8 +20,6 @@
 	// burstDeviations is the excess of random calls over their mean, in square roots of the mean, that is
 	// provided for.
 	burstDeviations = 3.0
-	// maxRoughWeightError is the largest ratio of a listed rate to the actual one with WeightsRough.
-	maxRoughWeightError = 1.5
 	// slowStartBurst is the share of the budget for one OverloadWindow that may be sent at once.
 	slowStartBurst = 1.0 / 3
 )
@@ -104,7 +102,7 @@
 
 // fleetBudget returns the calls that all relays together may make to an endpoint within OverloadWindow, at
 // the given time after its recovery. If the destination has no listed rate, one call a second per relay is
-// assumed. A rough rate may be too high, so the endpoint may withstand less than it suggests.
+// assumed. A rough rate is taken as exact.
 func (d *Dispatcher) fleetBudget(ep *endpoint, sinceRecovery time.Duration) float64 {
 	rate := ep.queue.limiter.listedRate
 	if rate == 0 {
@@ -113,11 +111,7 @@
 	endpoints := float64(max(1, len(ep.queue.endpoints)))
 	capacity := rate * d.settings.slowStartShare(sinceRecovery) / endpoints
 	calls := d.settings.OverloadFactor * capacity * d.settings.OverloadWindow.Seconds()
-	leastCalls := calls
-	if d.settings.Weights == WeightsRough {
-		leastCalls /= maxRoughWeightError
-	}
-	largest := largestBudget(leastCalls, d.relayCount())
+	largest := largestBudget(calls, d.relayCount())
 	if ep.outlier.ejected || ep.slowStart.afterEjection {
 		return math.Min(slowStartSafety*calls, largest)
 	}
