Log the limit of failed attempts, suspicions, and calls beside a failing endpoint

Change: the limit 'none beside a failure', the key 'limit' in 'attempt failed', the key 'endpoints' in the line of a limited attempt, and the line 'endpoint suspicion changed'. Decisions are as before.

Measured: go test ./policy ./docs passes, with the digests of decisions unchanged.

--- a/internal/relay/actions.go
+++ b/internal/relay/actions.go
@@ -72,9 +72,12 @@
 
 // persistSuspicion records in the journal that a call to a listed endpoint failed, or that its failures stood alone.
 func (l *loop) persistSuspicion(a policy.PersistSuspicion) {
-	if _, listed := l.endpoints.table.Get(a.Endpoint); listed {
-		l.journal.RecordHealth(a.Endpoint, journal.HealthRecord{Ejected: a.Suspected, ChangedAt: a.At})
+	endpoint, listed := l.endpoints.table.Get(a.Endpoint)
+	if !listed {
+		return
 	}
+	slog.Info("endpoint suspicion changed", "endpoint", a.Endpoint, "destination", endpoint.Block, "suspected", a.Suspected)
+	l.journal.RecordHealth(a.Endpoint, journal.HealthRecord{Ejected: a.Suspected, ChangedAt: a.At})
 }
 
 // send is an attempt that the policy has decided on, as part of a call that is not started yet.
@@ -86,6 +89,7 @@
 	timeout      time.Duration // limit for this attempt, at most the message's time left
 	writeTimeout time.Duration // the request must be written within it or not at all; 0 for no limit
 	expiresAt    instant.Time  // when the message expires
+	limit        policy.CallLimit
 }
 
 // send records the start of an attempt in the journal and adds the attempt to the batch. It does nothing for a message that has
@@ -98,7 +102,7 @@
 	endpoint, listed := l.endpoints.table.Get(wanted.Endpoint)
 	timeLeft := msg.ExpiresAt.Sub(now)
 	s := send{message: msg, call: wanted.Call, attempt: len(msg.Attempts), endpoint: endpoint, timeout: timeLeft,
-		writeTimeout: wanted.WriteTimeout, expiresAt: msg.ExpiresAt}
+		writeTimeout: wanted.WriteTimeout, expiresAt: msg.ExpiresAt, limit: wanted.Limit}
 	if wanted.Timeout > 0 {
 		s.timeout = min(timeLeft, wanted.Timeout)
 	}
@@ -106,7 +110,8 @@
 	if wanted.Limit != policy.Unlimited {
 		l.metrics.Reasons.Increment(limitedAttempts, wanted.Limit)
 		slog.Info("attempt to an endpoint after an outage or a failure", "request_id", wanted.ID, "destination", msg.Dest,
-			"endpoint", wanted.Endpoint, "attempt", s.attempt, "limit", wanted.Limit, "budget_per_second", wanted.Budget)
+			"endpoint", wanted.Endpoint, "endpoints", l.countEndpoints(msg.Dest), "attempt", s.attempt, "limit", wanted.Limit,
+			"budget_per_second", wanted.Budget)
 	}
 	if !listed || endpoint.Block != msg.Dest {
 		// The protocol requires that a message is sent only to a listed endpoint of its destination.
@@ -117,6 +122,14 @@
 	l.batch.sends = append(l.batch.sends, s)
 }
 
+// countEndpoints returns the number of listed endpoints of a destination.
+func (l *loop) countEndpoints(destination int) (count int) {
+	for range l.endpoints.table.ByDestination(destination) {
+		count++
+	}
+	return count
+}
+
 // completeUnsent ends an attempt for which no request was sent.
 func (l *loop) completeUnsent(s send, outcome policy.Outcome) {
 	l.completeAttempt(s.end(0, upstream.Result{Outcome: outcome}))
@@ -124,7 +137,8 @@
 
 // end returns the event that reports the result of an attempt.
 func (s send) end(latency time.Duration, result upstream.Result) attemptEnded {
-	return attemptEnded{id: s.message.ID, attempt: s.attempt, endpoint: s.endpoint.Host, latency: latency, Result: result}
+	return attemptEnded{id: s.message.ID, attempt: s.attempt, endpoint: s.endpoint.Host, limit: s.limit, latency: latency,
+		Result: result}
 }
 
 // responseDeadline returns the time by which the response to a call with several messages has to be read: responseMargin before
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -29,7 +29,8 @@
 	if attempt.Outcome != policy.OK {
 		l.metrics.Reasons.Increment(failedAttempts, attempt.Outcome)
 		slog.Info("attempt failed", "request_id", attempt.id, "destination", msg.Dest, "endpoint", attempt.endpoint,
-			"attempt", attempt.attempt, "outcome", attempt.Outcome, "latency", attempt.latency, "retry_after", attempt.RetryAfter)
+			"attempt", attempt.attempt, "limit", attempt.limit, "outcome", attempt.Outcome, "latency", attempt.latency,
+			"retry_after", attempt.RetryAfter)
 	}
 	l.observeFailure(attempt)
 	if l.journal.Get(msg.ID) == msg.Entry {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -29,6 +29,7 @@
 		id       string // of the message
 		attempt  int    // index in the message's Attempts
 		endpoint string
+		limit    policy.CallLimit // what limited the call, for logs; unknown for calls of the previous process
 		latency  time.Duration
 		upstream.Result
 	}
--- a/policy/call_limit.go
+++ b/policy/call_limit.go
@@ -1,5 +1,7 @@
 package policy
 
+import "slices"
+
 // CallLimit is the mechanism that limited the calls to an endpoint when one of them was started, for logs.
 type CallLimit int
 
@@ -10,6 +12,9 @@
 	// UnlimitedAfterFailure means that the endpoint counted as healthy, although the last call of this relay
 	// that ended there had failed, or one had failed within the last SlowStartWindow.
 	UnlimitedAfterFailure
+	// UnlimitedBesideFailure means that the endpoint counted as healthy, although the last call of this relay
+	// to another endpoint of the same queue had failed, or that endpoint was ejected or in slow start.
+	UnlimitedBesideFailure
 	// SlowStartBudget means that the endpoint was in slow start, and that its budget allowed the call.
 	SlowStartBudget
 	// SuspicionBudget means that the endpoint was suspected to be in an outage (suspected), and that the slow
@@ -22,12 +27,13 @@
 )
 
 var callLimitNames = [...]string{
-	Unlimited:             "none",
-	UnlimitedAfterFailure: "none after a failure",
-	SlowStartBudget:       "slow start budget",
-	SuspicionBudget:       "budget after a failure",
-	ProbeBudget:           "probe by budget",
-	ProbeTurn:             "probe by turn",
+	Unlimited:              "none",
+	UnlimitedAfterFailure:  "none after a failure",
+	UnlimitedBesideFailure: "none beside a failure",
+	SlowStartBudget:        "slow start budget",
+	SuspicionBudget:        "budget after a failure",
+	ProbeBudget:            "probe by budget",
+	ProbeTurn:              "probe by turn",
 }
 
 // String returns the name of a limit for logs and metrics.
@@ -46,10 +52,20 @@
 		return SlowStartBudget
 	case ep.outlier.notified || d.failedRecently(ep):
 		return UnlimitedAfterFailure
+	case d.failingSibling(ep):
+		return UnlimitedBesideFailure
 	}
 	return Unlimited
 }
 
+// failingSibling reports whether another endpoint of the same queue may be in an outage, or in slow start.
+func (d *Dispatcher) failingSibling(ep *endpoint) bool {
+	return slices.ContainsFunc(ep.queue.endpoints, func(sibling *endpoint) bool {
+		limited := sibling.outlier.ejected || sibling.outlier.notified || sibling.slowStart.active
+		return sibling != ep && limited
+	})
+}
+
 // failedRecently reports whether a call of this relay to an endpoint has failed within SlowStartWindow.
 func (d *Dispatcher) failedRecently(ep *endpoint) bool {
 	failedAt := ep.outlier.lastFailureAt
