Send SIGHUP to a test relay whose configuration changed while it started

Cause: Relay.Reload of the lab takes a process that is not ready for one that has yet to read its configuration. Now the signal follows as soon as the process is ready. The relay is unchanged.

--- a/internal/lab/relays/relays.go
+++ b/internal/lab/relays/relays.go
@@ -88,7 +88,9 @@
 	exited       chan struct{}
 	exitExpected bool // an exit is expected and is not a crash
 	ready        bool
-	log          *os.File
+	// reloadWhenReady is whether the configuration has changed since the process was started.
+	reloadWhenReady bool
+	log             *os.File
 }
 
 // New prepares the relays with their directories below dir and starts none. env is added to the processes'
@@ -252,8 +254,12 @@
 		if ready() {
 			r.mu.Lock()
 			p.ready = true
+			reload := p.reloadWhenReady
 			r.mu.Unlock()
 			r.recordEvent("ready")
+			if reload {
+				return r.signalReload(p)
+			}
 			return nil
 		}
 		select {
@@ -426,7 +432,8 @@
 	_ = p.cmd.Process.Signal(syscall.SIGCONT)
 }
 
-// Reload moves a relay's discovery, writes a configuration with the new address, and sends SIGHUP.
+// Reload moves a relay's discovery, writes a configuration with the new address, and sends SIGHUP. A process that is
+// starting may have read the old configuration, and gets the signal once it is ready.
 func (r *Relay) Reload() error {
 	p := r.servingProcess()
 	if p == nil {
@@ -437,11 +444,17 @@
 	}
 	r.mu.Lock()
 	ready := p.ready
+	p.reloadWhenReady = !ready
 	err := r.writeConfig()
 	r.mu.Unlock()
 	if err != nil || !ready {
 		return err
 	}
+	return r.signalReload(p)
+}
+
+// signalReload sends SIGHUP to a process of a relay.
+func (r *Relay) signalReload(p *process) error {
 	r.recordEvent("hup")
 	return p.cmd.Process.Signal(syscall.SIGHUP)
 }
