Reproduce the overload of cold destinations through siblings, by processes and by simulation

What the stand-ins could not see: failures at another endpoint of the destination, the sum over its endpoints, arrivals above the capacity at the return, fewer calls than relays, outages of a part of the endpoints or of a minute, rejections with Retry-After, and endpoints listed in the outage that share it (in the lab they were healthy).

Change: checker, simulation and their draws hold three readings of the rule: an endpoint falls, told there; an endpoint falls, told at any endpoint of the destination; the destination falls as a whole. New draws drawCrowdedColdCase, scenario cold-siblings, key 'replacements' of a fault, and a line for each reading in the lab's report. The lab's margin is as it was.

--- a/internal/lab/checker/checker.go
+++ b/internal/lab/checker/checker.go
@@ -77,6 +77,8 @@
 	Truncated     bool        `json:"cut,omitempty"`  // the history has no end event
 	Messages      int         `json:"messages"`       // accepted hand-ins whose outcome was in time
 	Calls         int         `json:"calls"`
+	// ColdWindows holds, for each reading of the rule on cold destinations, the window that came closest to breaking it.
+	ColdWindows []ColdWindow `json:"cold_windows,omitempty"`
 }
 
 // Passed reports whether the run is valid and breaks no rule.
@@ -187,7 +189,7 @@
 	}
 	c.checkRetryAfter()
 	c.checkLists()
-	c.checkColdEndpoints()
+	c.checkReturns()
 	c.checkPeers()
 	c.verdict.Calls = len(c.callsInOrder)
 	sort.SliceStable(c.verdict.Violations, func(i, j int) bool {
@@ -717,59 +719,6 @@
 	return slices.ContainsFunc(e.Hosts, func(h history.ListEntry) bool { return h.Host == host && h.Health == "SERVING" })
 }
 
-// checkColdEndpoints reports endpoints that got more calls than their budget and its margin after coming back cold, if at least
-// observerShare of these calls came from relays that had seen the endpoint fail.
-func (c *checker) checkColdEndpoints() {
-	f := c.parameters
-	at := map[string][]*call{}
-	for _, k := range c.callsInOrder {
-		at[k.Host] = append(at[k.Host], k)
-	}
-	for host, outages := range c.endpointOutages {
-		for _, o := range outages {
-			if o.restored == forever || !(o.capacity > 0) {
-				continue
-			}
-			observers := map[int]bool{}
-			for _, k := range at[host] {
-				if k.Time >= o.from && k.Time < o.restored && !slices.Contains([]string{"200"}, replyStatus(k)) && k.finished < forever {
-					observers[relayOf(&k.Event)] = true
-				}
-				if k.Time < o.from && k.finished >= o.from && k.finished < o.restored && k.replied == 0 {
-					observers[relayOf(&k.Event)] = true // the call was in flight when the outage began, and failed
-				}
-			}
-			var window []*call
-			for _, k := range at[host] {
-				if k.Time < o.restored || k.Time > min(o.restored+f.RampTime, o.overloaded) {
-					continue
-				}
-				window = append(window, k)
-				for window[0].Time < k.Time-f.OverloadFor {
-					window = window[1:]
-				}
-				warmth := math.Min(1, f.ColdShare+(1-f.ColdShare)*float64(k.Time-o.restored)/float64(f.RampTime))
-				budget := f.OverloadFactor * o.capacity * warmth * f.OverloadFor.Duration().Seconds()
-				if float64(len(window)) <= budget+coldSigmas*math.Sqrt(budget) {
-					continue
-				}
-				fromObservers, lines := 0, []int{}
-				for _, w := range window {
-					lines = append(lines, w.lines[0])
-					if observers[relayOf(&w.Event)] {
-						fromObservers++
-					}
-				}
-				if float64(fromObservers) >= observerShare*float64(len(window)) {
-					c.addViolation(PushedOver, relayOf(&k.Event), "", fmt.Sprintf("%s got %d calls within %s (budget %.0f plus a margin for chance) %s after its return; %d came from relays that had seen it fail",
-						host, len(window), formatDuration(f.OverloadFor), budget, formatDuration(k.Time-o.restored), fromObservers), lines...)
-					break
-				}
-			}
-		}
-	}
-}
-
 // replyStatus returns the state of one message of the reply to a call, with "200" for "delivered", or "" without a reply. If
 // the states in a bulk reply differ, the order of the map decides which of them it returns, so this varies between checks.
 func replyStatus(k *call) string {
--- a/internal/lab/checker/checker_test.go
+++ b/internal/lab/checker/checker_test.go
@@ -135,6 +135,23 @@
 			}
 		}
 	}
+	// coldDestination builds a destination both of whose endpoints come back at 20 s, as in coldEndpoint, and then get calls
+	// from a relay that saw only the second one fail.
+	coldDestination := func(first, second int) func(*historyBuilder) {
+		return func(p *historyBuilder) {
+			p.add(10*s, history.Event{Kind: history.Outage, Host: "h1"}).add(10*s, history.Event{Kind: history.Outage, Host: "h2"})
+			p.accepted(10*s, "seen", "status").call(11*s, "h2", "seen").reply(11*s+ms, "503", 0).notification(12*s, "seen", "deferred")
+			p.add(20*s, history.Event{Kind: history.Back, Host: "h1", Rate: 10}).add(20*s, history.Event{Kind: history.Back, Host: "h2", Rate: 10})
+			for i := range first + second {
+				id, at, host := fmt.Sprint("c", i), 20*s+time.Duration(i+1)*ms, "h1"
+				if i >= first {
+					host = "h2"
+				}
+				p.add(19*s, history.Event{Kind: history.HandIn, ID: id, Message: 10 + i, Relay: history.IntPtr(relay), Class: "status", Dest: history.IntPtr(7), TimeLeft: 10e6})
+				p.call(at, host, id).reply(at, "200", 0)
+			}
+		}
+	}
 	cases := []struct {
 		rule, name    string
 		breaks, keeps func(*historyBuilder)
@@ -256,6 +273,8 @@
 			p.call(4*s, "h1", "m").reply(4*s, "200", 0)
 		}},
 		{PushedOver, "too much", coldEndpoint(17, 17), coldEndpoint(16, 16)},
+		{PushedOver, "by relays that saw another endpoint fail", coldDestination(17, 0), coldDestination(16, 0)},
+		{PushedOver, "too much for the destination, not for an endpoint", coldDestination(15, 15), coldDestination(15, 14)},
 		{PushedOver, "by relays that knew", coldEndpoint(17, 12), coldEndpoint(17, 11)},
 		{Unknown, "no hand-in", func(p *historyBuilder) {
 			p.call(s, "h1", "x").add(s, history.Event{Kind: history.Reply, Call: 1, Status: "400", Detail: "unknown"})
--- a/internal/lab/history/history.go
+++ b/internal/lab/history/history.go
@@ -159,6 +159,8 @@
 type Host struct {
 	Dest int    `json:"dest"`
 	Zone string `json:"zone"`
+	// Replaces reports whether a fault lists it in place of another endpoint.
+	Replaces bool `json:"replaces,omitempty"`
 }
 
 // Micros is a time in microseconds.
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -203,7 +203,7 @@
 		facts.Zones = append(facts.Zones, f.Zone(r))
 	}
 	for _, h := range s.Hosts {
-		facts.Hosts[h.Name] = history.Host{Dest: h.Dest, Zone: h.Zone}
+		facts.Hosts[h.Name] = history.Host{Dest: h.Dest, Zone: h.Zone, Replaces: h.AddedByFault > 0}
 	}
 	return facts
 }
--- a/internal/lab/report/report.go
+++ b/internal/lab/report/report.go
@@ -655,6 +655,10 @@
 	if f.Overloaded > 0 {
 		line("cold endpoints", "%d overloads", f.Overloaded)
 	}
+	for _, w := range f.Verdict.ColdWindows {
+		line("cold", "%s: %s got %d calls in a window, %d from relays that had seen the outage; budget %.1f, threshold %.1f", w.Reading,
+			w.Overloaded, w.Calls, w.FromObservers, w.Budget, w.Threshold)
+	}
 	line("the lab", "%d of %d timed events late, by at most %s", f.Lab.Late, f.Lab.Events, seconds(f.Lab.MaxLateness))
 	line("verdict", "%s (%d accepted hand-ins with an outcome in time, %d calls)", f.Verdict.String(), f.Verdict.Messages, f.Verdict.Calls)
 	return w.Flush()
--- a/internal/lab/scenario/faults.go
+++ b/internal/lab/scenario/faults.go
@@ -21,15 +21,16 @@
 	Destinations []int    `toml:"destinations"`
 	Endpoints    []string `toml:"endpoints"`
 	Zone         string   `toml:"zone"`
-	Share        float64  `toml:"share"`     // share of the selected relays or endpoints, drawn at random; 0 for all
-	Stagger      Duration `toml:"step"`      // delay from one affected relay or endpoint to the next
-	Magnitude    float64  `toml:"size"`      // meaning and unit depend on Kind; see Kinds
-	Wait         Duration `toml:"wait"`      // Retry-After that a shut destination sends; 0 for none
-	OrderZone    string   `toml:"of"`        // zone that an evacuate or restore order names
-	Direction    string   `toml:"direction"` // data that a cut drops: "to" the endpoints, "from" them or "both"
-	Call         string   `toml:"call"`      // system call that fails, by its name in package shim
-	Errno        string   `toml:"errno"`     // error that the system calls return, such as "ENFILE"
-	Count        int      `toml:"count"`     // number of system calls that fail; 0 for all within Duration
+	Share        float64  `toml:"share"`        // share of the selected relays or endpoints, drawn at random; 0 for all
+	Stagger      Duration `toml:"step"`         // delay from one affected relay or endpoint to the next
+	Magnitude    float64  `toml:"size"`         // meaning and unit depend on Kind; see Kinds
+	Replacements bool     `toml:"replacements"` // also affects the endpoints that replace the selected ones
+	Wait         Duration `toml:"wait"`         // Retry-After that a shut destination sends; 0 for none
+	OrderZone    string   `toml:"of"`           // zone that an evacuate or restore order names
+	Direction    string   `toml:"direction"`    // data that a cut drops: "to" the endpoints, "from" them or "both"
+	Call         string   `toml:"call"`         // system call that fails, by its name in package shim
+	Errno        string   `toml:"errno"`        // error that the system calls return, such as "ENFILE"
+	Count        int      `toml:"count"`        // number of system calls that fail; 0 for all within Duration
 }
 
 // faultTarget is what a kind of fault affects.
@@ -273,8 +274,12 @@
 	f := &s.Faults[i]
 	var candidates []int
 	for n, h := range s.Hosts {
-		if h.AddedByFault == 0 && (len(f.Destinations) == 0 || slices.Contains(f.Destinations, h.Dest)) && (f.Zone == "" || h.Zone == f.Zone) &&
-			(len(f.Endpoints) == 0 || slices.Contains(f.Endpoints, h.Name)) {
+		original := h
+		if f.Replacements && h.AddedByFault > 0 {
+			original = s.Hosts[h.Replaces]
+		}
+		if original.AddedByFault == 0 && (len(f.Destinations) == 0 || slices.Contains(f.Destinations, h.Dest)) && (f.Zone == "" || h.Zone == f.Zone) &&
+			(len(f.Endpoints) == 0 || slices.Contains(f.Endpoints, original.Name)) {
 			candidates = append(candidates, n)
 		}
 	}
--- a/policy/cold_fleet_simulation_test.go
+++ b/policy/cold_fleet_simulation_test.go
@@ -61,13 +61,22 @@
 	weights      policy.Weights
 	weightError  float64 // listed rate as a multiple of the actual one
 	settings     policy.Settings
+	// The following are not part of drawColdCase.
+	out        int           // number of endpoints that the outages take; 0 for all
+	quiet      float64       // arrivals in the first outage, as a share of those before it; 0 for as many
+	crowd      float64       // arrivals from crowdLead before the first return on, as a share of the capacity; 0 for no crowd
+	crowdLead  time.Duration // time from the start of the crowd to the return
+	retryAfter time.Duration // Retry-After of the rejections in an outage; 0 for none
+	replaces   bool          // whether the endpoints are replaced one after another during the outage
 }
 
 func (c *coldCase) String() string {
 	return fmt.Sprintf("seed %d: %d relays, %d endpoints, budget %.1f, %s for %v (errors %.2f), second outage "+
-		"after %v, kills %.2f (in slow start too: %v), another endpoint: %v, listed rate times %.2f",
+		"after %v, kills %.2f (in slow start too: %v), another endpoint: %v, listed rate times %.2f, out %d, quiet %.2f, "+
+		"crowd %.1f for %v, limited: %v, Retry-After %v, replaced: %v",
 		c.seed, c.relays, c.endpoints, c.budget, outageKindNames[c.kind], c.outage, c.errorShare,
-		c.secondOutage, c.killShare, c.rampKills, c.joins, c.weightError)
+		c.secondOutage, c.killShare, c.rampKills, c.joins, c.weightError, c.out, c.quiet, c.crowd, c.crowdLead, c.limited,
+		c.retryAfter, c.replaces)
 }
 
 // drawColdCase draws a case from a seed.
@@ -116,6 +125,41 @@
 	return c
 }
 
+// drawCrowdedColdCase draws a case from a seed with what drawColdCase leaves out: crowds, fewer calls for more relays,
+// outages of a part of the endpoints or of up to a minute, rejections with Retry-After, and endpoints that are replaced
+// in the outage.
+func drawCrowdedColdCase(seed int64) *coldCase {
+	c := drawColdCase(seed)
+	random := rand.New(rand.NewSource(-seed - 1))
+	between := func(low, high float64) float64 { return low + (high-low)*random.Float64() }
+	chance := func(probability float64) bool { return random.Float64() < probability }
+	c.endpoints = 1 + random.Intn(4)
+	if chance(0.5) {
+		c.budget = 0.5 * math.Pow(20, random.Float64()) // 0.5 to 10
+		c.relays = 25 + random.Intn(36)
+		c.settings.FleetSize = c.relays
+	}
+	c.quiet = 1
+	if chance(0.4) {
+		c.quiet = between(0.02, 0.5)
+	}
+	if chance(0.7) {
+		c.crowd = between(1, 3)
+		c.crowdLead = time.Duration(between(0, 8) * float64(time.Second))
+	}
+	if chance(0.3) {
+		c.outage = time.Duration(between(12, 60) * float64(time.Second))
+	}
+	if c.endpoints > 1 && chance(0.3) {
+		c.out = 1 + random.Intn(c.endpoints)
+	}
+	if chance(0.5) {
+		c.retryAfter = time.Duration(between(0.2, 3) * float64(time.Second))
+	}
+	c.replaces = chance(0.3)
+	return c
+}
+
 // capacity returns the calls a second that one endpoint takes when it is not cold.
 func (c *coldCase) capacity() float64 {
 	return c.budget / (c.settings.OverloadFactor * c.settings.SlowStartInitialShare *
@@ -125,13 +169,13 @@
 // coldEndpoint is one simulated endpoint. After an outage it is cold for SlowStartWindow.
 type coldEndpoint struct {
 	id         string
-	listedFrom time.Duration
+	draining   bool
+	inOutages  bool // whether the outages take it
 	out        bool
 	fallen     bool          // whether too many calls while cold have made it fail for good
 	returnedAt time.Duration // end of the last outage; 0 for none
 	notified   map[int]bool  // relays at which a call failed in the last outage
 	recent     []coldCall    // calls of the last OverloadWindow since the return
-	largest    float64       // largest number of calls in a window, as a share of what it withstands
 }
 
 // coldCall is a call that a cold endpoint got.
@@ -156,6 +200,8 @@
 	ep      *coldEndpoint
 	number  int
 	call    int
+	// retryAfter is the Retry-After of the response, or 0.
+	retryAfter time.Duration
 }
 
 // coldRelay is one relay with what lasts longer than its processes.
@@ -169,6 +215,7 @@
 	timerAt    time.Duration // 0 for none
 	messages   map[string]*coldMessage
 	health     map[string]policy.PersistHealth
+	list       []policy.Endpoint // endpoint list as it was received last
 }
 
 // coldFleet runs one case.
@@ -184,14 +231,21 @@
 	messages  int
 	processes int64
 	delivered int
-	broken    string // first violation
+	// notified has the relays at which a call failed at any endpoint in the last outage.
+	notified map[int]bool
+	recent   []coldCall // calls of the last OverloadWindow at endpoints that are back from the last outage
+	// wholeFalls is whether the destination falls as a whole, rather than an endpoint.
+	wholeFalls bool
+	broken     [coldReadings]string // first violation of the rule, by reading
 }
 
-func newColdFleet(t *testing.T, c *coldCase) *coldFleet {
+func newColdFleet(t *testing.T, c *coldCase, wholeFalls bool) *coldFleet {
 	t.Helper()
-	f := &coldFleet{coldCase: c, t: t, random: rand.New(rand.NewSource(c.seed + 1)), due: map[int][]func(){}}
+	f := &coldFleet{coldCase: c, t: t, random: rand.New(rand.NewSource(c.seed + 1)), due: map[int][]func(){},
+		notified: map[int]bool{}, wholeFalls: wholeFalls}
 	for i := range c.endpoints {
-		f.endpoints = append(f.endpoints, &coldEndpoint{id: fmt.Sprint("e", i), notified: map[int]bool{}})
+		f.endpoints = append(f.endpoints, &coldEndpoint{id: fmt.Sprint("e", i), notified: map[int]bool{},
+			inOutages: c.out == 0 || i < c.out})
 	}
 	total := 0.0
 	for i := range c.relays {
@@ -199,6 +253,7 @@
 			messages: map[string]*coldMessage{}, health: map[string]policy.PersistHealth{}}
 		total += r.rate
 		f.relayList = append(f.relayList, r)
+		r.list = f.listed()
 		f.start(r)
 	}
 	for _, r := range f.relayList {
@@ -217,12 +272,13 @@
 func (f *coldFleet) listed() (list []policy.Endpoint) {
 	weight := f.capacity() * float64(f.coldCase.endpoints) * f.weightError
 	for _, ep := range f.endpoints {
-		list = append(list, policy.Endpoint{ID: ep.id, Weight: weight})
+		list = append(list, policy.Endpoint{ID: ep.id, Weight: weight, Draining: ep.draining})
 	}
 	return list
 }
 
-// start starts a process of a relay, with the messages and the health that the last one recorded.
+// start starts a process of a relay, with the endpoint list, the messages and the health that the last one recorded. It
+// gets the present list later.
 func (f *coldFleet) start(r *coldRelay) {
 	f.processes++
 	dispatcher, err := policy.New(f.settings, f.seed*1000+f.processes)
@@ -230,7 +286,8 @@
 		f.t.Fatal(err)
 	}
 	r.dispatcher, r.running, r.timerAt = dispatcher, true, 0
-	r.inbox = []policy.Event{policy.EndpointsUpdated{Complete: true, Endpoints: f.listed()}}
+	r.inbox = []policy.Event{policy.EndpointsUpdated{Complete: true, Endpoints: r.list}}
+	f.sendList(r)
 	for _, ep := range f.endpoints {
 		if health, recorded := r.health[ep.id]; recorded {
 			r.inbox = append(r.inbox, policy.StateRestored(health))
@@ -259,7 +316,7 @@
 	}
 	for _, m := range r.messages {
 		if m.open != nil && m.open.ep.out {
-			m.open.ep.notified[r.number] = true
+			f.notify(r, m.open.ep)
 		}
 	}
 	r.running = false
@@ -267,8 +324,8 @@
 	f.at(f.now+coldRestartDelay, func() { f.start(r) })
 }
 
-// run plays the case and returns the first violation, or "".
-func (f *coldFleet) run() string {
+// run plays the case and returns the first violation in each reading of the rule, or "".
+func (f *coldFleet) run() [coldReadings]string {
 	firstReturn := coldWarmUp + f.outage
 	end := firstReturn + f.settings.SlowStartWindow + f.secondOutage
 	f.at(coldWarmUp, f.beginOutage)
@@ -281,6 +338,12 @@
 	if f.joins {
 		f.at(coldWarmUp+f.outage/2, f.addEndpoint)
 	}
+	if f.replaces {
+		for i, ep := range f.endpoints {
+			at := coldWarmUp + f.outage*time.Duration(i+1)/time.Duration(len(f.endpoints)+1)
+			f.at(at, func() { f.replace(ep) })
+		}
+	}
 	f.scheduleKills(coldWarmUp, f.outage)
 	if f.rampKills {
 		f.scheduleKills(firstReturn, f.settings.SlowStartWindow)
@@ -312,32 +375,64 @@
 
 func (f *coldFleet) beginOutage() {
 	for _, ep := range f.endpoints {
-		ep.out, ep.notified, ep.recent = true, map[int]bool{}, nil
+		if ep.inOutages {
+			ep.out, ep.notified, ep.recent = true, map[int]bool{}, nil
+		}
 	}
+	f.notified, f.recent = map[int]bool{}, nil
 }
 
 func (f *coldFleet) endOutage() {
 	for _, ep := range f.endpoints {
-		ep.out, ep.returnedAt, ep.recent = false, f.now, nil
+		if ep.inOutages {
+			ep.out, ep.returnedAt, ep.recent = false, f.now, nil
+		}
 	}
 }
 
 // addEndpoint lists another endpoint, which shares the outage of the destination.
 func (f *coldFleet) addEndpoint() {
 	f.endpoints = append(f.endpoints,
-		&coldEndpoint{id: fmt.Sprint("e", len(f.endpoints)), out: true, listedFrom: f.now, notified: map[int]bool{}})
+		&coldEndpoint{id: fmt.Sprint("e", len(f.endpoints)), out: true, inOutages: true, notified: map[int]bool{}})
 	for _, r := range f.relayList {
-		f.at(f.now+time.Duration(f.random.Float64()*float64(time.Second)), func() {
-			if r.running {
-				r.inbox = append(r.inbox, policy.EndpointsUpdated{Endpoints: f.listed()})
-			}
-		})
+		f.sendList(r)
 	}
 }
 
+// replace lets an endpoint drain, and lists another one in its place that shares the outage.
+func (f *coldFleet) replace(ep *coldEndpoint) {
+	ep.draining = true
+	f.addEndpoint()
+	f.endpoints[len(f.endpoints)-1].inOutages = ep.inOutages
+	f.endpoints[len(f.endpoints)-1].out = ep.out
+}
+
+// sendList sends the present endpoint list to a relay, which gets it within a second if it is running then.
+func (f *coldFleet) sendList(r *coldRelay) {
+	process := r.process
+	f.at(f.now+time.Duration(f.random.Float64()*float64(time.Second)), func() {
+		if r.running && r.process == process {
+			r.list = f.listed()
+			r.inbox = append(r.inbox, policy.EndpointsUpdated{Endpoints: r.list})
+		}
+	})
+}
+
+// arrivalShare returns the present arrivals as a share of the ordinary ones.
+func (f *coldFleet) arrivalShare() float64 {
+	firstReturn := coldWarmUp + f.outage
+	switch {
+	case f.crowd > 0 && f.now >= firstReturn-f.crowdLead:
+		return f.crowd / f.load
+	case f.quiet > 0 && f.now >= coldWarmUp && f.now < firstReturn:
+		return f.quiet
+	}
+	return 1
+}
+
 // arrive lets messages arrive at a relay. One that is not running loses them, as a front that has noticed does.
 func (f *coldFleet) arrive(r *coldRelay) {
-	if f.random.Float64() < r.rate*coldStep.Seconds() {
+	if f.random.Float64() < f.arrivalShare()*r.rate*coldStep.Seconds() {
 		f.messages++
 		f.handIn(r, &coldMessage{id: fmt.Sprint("m", f.messages), expires: f.now + coldDeadline})
 	}
@@ -415,6 +510,9 @@
 	m.open = attempt
 	m.attempts = append(m.attempts, policy.PriorAttempt{Endpoint: ep.id, SentAt: instant.Time(f.now)})
 	outcome, latency := f.serve(r, ep, send)
+	if outcome == policy.Rejected && ep.out {
+		attempt.retryAfter = f.retryAfter
+	}
 	if timeout := cmp.Or(send.Timeout, m.expires-f.now); latency > timeout {
 		outcome, latency = policy.TimedOut, timeout
 	}
@@ -448,59 +546,17 @@
 	return policy.OK, latency
 }
 
-// countCold counts a call at a cold endpoint, and lets the endpoint fall if it withstands no more.
-func (f *coldFleet) countCold(r *coldRelay, ep *coldEndpoint, send policy.Send) {
-	since := f.now - ep.returnedAt
-	if ep.out || ep.returnedAt == 0 || since >= f.settings.SlowStartWindow {
-		return
-	}
-	ep.recent = append(ep.recent, coldCall{f.now, r.number, send.Limit})
-	for ep.recent[0].at < f.now-f.settings.OverloadWindow {
-		ep.recent = ep.recent[1:]
-	}
-	share := f.settings.SlowStartInitialShare +
-		(1-f.settings.SlowStartInitialShare)*since.Seconds()/f.settings.SlowStartWindow.Seconds()
-	budget := f.settings.OverloadFactor * f.capacity() * share * f.settings.OverloadWindow.Seconds()
-	withstands := withstoodCalls(budget)
-	ep.largest = math.Max(ep.largest, float64(len(ep.recent))/withstands)
-	if float64(len(ep.recent)) <= withstands {
-		return
-	}
-	ep.fallen = true
-	byLimit, notified := map[policy.CallLimit]int{}, 0
-	for _, call := range ep.recent {
-		byLimit[call.limit]++
-		if ep.notified[call.relay] {
-			notified++
-		}
-	}
-	if f.broken == "" && float64(notified) > observedCallShare*float64(len(ep.recent)) {
-		f.broken = fmt.Sprintf("%s fell %v after its return under %d calls in %v, %d of them from notified "+
-			"relays; N is %.1f, and it withstands %.1f; calls by limit: %v", ep.id, since, len(ep.recent),
-			f.settings.OverloadWindow, notified, budget, withstands, byLimit)
-	}
-}
-
-// withstoodCalls returns how many calls a cold endpoint withstands whose budget is n calls, by the operators'
-// rule on cold destinations.
-func withstoodCalls(n float64) float64 {
-	if n < 30 {
-		return n + 3*math.Sqrt(n) + 3
-	}
-	return n + 2*math.Sqrt(n) + 2
-}
-
 // end ends an attempt.
 func (f *coldFleet) end(r *coldRelay, a *coldAttempt, outcome policy.Outcome, latency time.Duration) {
 	a.message.open = nil
 	a.message.attempts[a.number].NotExecuted = outcome.ProvesNotExecuted()
 	if outcome != policy.OK && a.ep.out {
-		a.ep.notified[r.number] = true
+		f.notify(r, a.ep)
 	}
 	if outcome == policy.OK {
 		f.delivered++
 		delete(r.messages, a.message.id)
 	}
 	r.inbox = append(r.inbox, policy.AttemptEnded{ID: a.message.id, Endpoint: a.ep.id, Attempt: a.number,
-		Outcome: outcome, Latency: latency, Completed: outcome == policy.OK})
+		Outcome: outcome, Latency: latency, RetryAfter: a.retryAfter, Completed: outcome == policy.OK})
 }
