Keep the ports of a replacement closed that is listed while it is down

An endpoint that a fault lists in the outage of kind down opened its ports although it was down, so it served, and the end of the outage opened them once more. Now ports are open while an endpoint is listed and not down. The relay is unchanged.

--- a/internal/lab/platform/discovery.go
+++ b/internal/lab/platform/discovery.go
@@ -183,8 +183,9 @@
 	if fresh {
 		h.listedAt = time.Now()
 	}
+	accepts := fresh && !h.impairment().Down // the end of the impairment opens the ports otherwise
 	h.mu.Unlock()
-	if fresh {
+	if accepts {
 		for _, o := range h.ports {
 			if err := o.open(); err != nil {
 				return err
--- a/internal/lab/platform/hosts.go
+++ b/internal/lab/platform/hosts.go
@@ -109,8 +109,11 @@
 		h.recoveredAt, h.recentCalls = time.Now(), nil
 		h.p.h.Add(history.Event{Kind: history.Back, Host: h.Name, Rate: Capacity(&h.Host)})
 	}
+	listed := h.listed
 	h.mu.Unlock()
-	h.updatePorts(before.Down, after.Down)
+	if listed { // the ports of other endpoints are closed
+		h.updatePorts(before.Down, after.Down)
+	}
 }
 
 // updatePorts opens or closes the ports of an endpoint that comes up or goes down; before and after tell whether it
