Suspect all endpoints of a destination after a failure at one of them

Cause: suspicion belonged to an endpoint. A relay that makes few calls meets an outage at one endpoint; it sent its queued messages to the others, and to those that were listed meanwhile, as to healthy ones ('none beside a failure' in the log). All relays did so at once.

Change: a failure marks the other endpoints of its queue. Such an endpoint has the budget of a suspected one unless a call has succeeded there within circuitOpenAfter; the success of a call that was sent after the failure clears the mark, and starts a slow start if the endpoint was limited. When the last failing endpoint recovers, the marked ones enter slow start with it. A listed endpoint joins the suspicion or the slow start of its queue; a mark outlives the removal of the endpoint that failed, a restart and a handover (read again from the recorded failures).

Tests: TestRecoveryClearsFailuresOfAllClasses ended calls under the id of the newest message, which holds only while each message is sent at once; it now ends each call under its own id.

--- a/policy/endpoint_list.go
+++ b/policy/endpoint_list.go
@@ -98,10 +98,28 @@
 	}
 	queue := ep.queue
 	queue.maxBatch, queue.separateRoute, queue.kind = max(1, kind.MaxBatch), kind.SeparateRoutes, listed.Kind
-	queue.endpoints = append(queue.endpoints, ep)
+	d.joinQueue(ep)
 	return ep
 }
 
+// joinQueue adds a new endpoint to its queue. If another one there may be in an outage or is in slow start, so
+// may be or is the new one.
+func (d *Dispatcher) joinQueue(ep *endpoint) {
+	queue := ep.queue
+	queue.endpoints = append(queue.endpoints, ep)
+	for _, other := range queue.endpoints {
+		o := &other.outlier
+		switch {
+		case other == ep || !d.maySuspect(ep):
+		case o.ejected || o.notified || o.siblingFailedAt > 0:
+			d.suspectSibling(ep)
+		case other.slowStart.active && d.timeSinceRecovery(other) < d.settings.SlowStartWindow:
+			ep.slowStart.active, ep.slowStart.recoveredAt = true, other.slowStart.recoveredAt
+			ep.slowStart.bucket.reset(d.firstTokens(ep), d.now)
+		}
+	}
+}
+
 // removeEndpoint removes an endpoint that is no longer listed. Its calls in flight still get their outcomes.
 func (d *Dispatcher) removeEndpoint(ep *endpoint) {
 	d.updateAvailability(ep, func() { ep.Removed = true })
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -175,6 +175,16 @@
 	}
 	if restored != nil {
 		d.restoreQueue(restored, state)
+		d.restoreSiblingSuspicions(restored)
+	}
+}
+
+// restoreSiblingSuspicions suspects the endpoints of a queue that have had no success since another one failed.
+func (d *Dispatcher) restoreSiblingSuspicions(q *queue) {
+	for _, ep := range q.endpoints {
+		if ep.outlier.ejected || ep.outlier.notified {
+			d.suspectSiblings(ep)
+		}
 	}
 }
 
@@ -233,6 +243,7 @@
 	case ep == nil:
 	case restored.Ejected:
 		d.eject(ep)
+		d.suspectSiblings(ep)
 	case slowStarting:
 		ep.slowStart.active, ep.slowStart.afterEjection, ep.slowStart.recoveredAt = true, true, restored.At
 		ep.slowStart.bucket.reset(d.firstTokens(ep), d.now)
--- a/policy/outcome.go
+++ b/policy/outcome.go
@@ -135,6 +135,7 @@
 			d.recordFailure(ep, outcome.call, 1)
 		} else if outcome.Outcome == TimedOut {
 			d.notify(ep, outcome.call.sentAt)
+			d.suspectSiblings(ep)
 		}
 	case NotSent, NotStarted:
 	}
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -33,6 +33,10 @@
 	failureShare      float64      // moving average of the share of failed calls, at resultAt
 	resultAt          instant.Time // time of the last result that counted in failureShare
 	suspicionRecorded bool         // whether a later process would restore a suspicion
+	// siblingFailingSince and siblingFailedAt are the times of the first and of the latest failure at another
+	// endpoint of the queue since the last success here; 0 for none.
+	siblingFailingSince instant.Time
+	siblingFailedAt     instant.Time
 }
 
 // healthSource says who observed a change in the health of an endpoint.
@@ -79,13 +83,16 @@
 func (d *Dispatcher) recordSuccess(ep *endpoint, capacityRemains bool) {
 	queue := ep.queue
 	d.recordAcceptance(queue)
-	failed, wasSuspected := ep.outlier.notified, d.suspected(ep)
+	failed, wasSuspected := ep.outlier.notified || ep.outlier.siblingFailedAt > 0, d.suspected(ep)
 	if !ep.outlier.succeededSince(d.now.Add(-circuitOpenAfter)) {
 		ep.outlier.successesSince = d.now
 	}
 	ep.outlier.recordResult(d.now, 0)
 	ep.outlier.consecutiveFailures, ep.outlier.lastSuccessAt, queue.lastSuccessAt = 0, d.now, d.now
 	ep.outlier.notified = false
+	if ep.succeededCallAt >= ep.outlier.siblingFailedAt {
+		ep.outlier.clearSiblingFailure()
+	}
 	ep.connections.raiseLimit()
 	if failed && !ep.outlier.ejected {
 		d.endSuspicion(ep, wasSuspected)
@@ -111,6 +118,7 @@
 // A relay with a low rate whose probe budget is spent after one failure ejects it at half that threshold.
 func (d *Dispatcher) recordFailure(ep *endpoint, failed *call, weight float64) {
 	d.notify(ep, failed.sentAt)
+	d.suspectSiblings(ep)
 	ep.outlier.recordResult(d.now, 1)
 	if !ep.outlier.countFailure(d.now, failed, weight) {
 		d.recordOverlappedFailure(ep, failed)
--- a/policy/outlier_test.go
+++ b/policy/outlier_test.go
@@ -71,6 +71,7 @@
 	d := start(t, s, Endpoint{ID: "a", Zone: 0}, Endpoint{ID: "b", Zone: 1})
 	a := d.endpoints["a"]
 	now := time.Duration(0)
+	attempts := map[string]int{}
 	call := func(class int, atA Outcome) (first string) {
 		now += 100 * ms
 		id := fmt.Sprint(now)
@@ -80,8 +81,9 @@
 			for _, x := range actions {
 				if send, ok := x.(Send); ok {
 					first = cmp.Or(first, send.Endpoint)
-					e := AttemptEnded{ID: id, Endpoint: send.Endpoint, Attempt: n, Outcome: OK,
+					e := AttemptEnded{ID: send.ID, Endpoint: send.Endpoint, Attempt: attempts[send.ID], Outcome: OK,
 						Latency: 10 * ms}
+					attempts[send.ID]++
 					if send.Endpoint == "a" {
 						e.Outcome = atA
 					}
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -55,6 +55,8 @@
 	clear(ep.outlier.classFailures)
 	d.restartSlowStarts(ep.queue)
 	ep.outlier.notified, ep.outlier.suspicionRecorded = false, false
+	ep.outlier.clearSiblingFailure()
+	d.endSiblingSuspicions(ep.queue)
 	d.emit(PersistHealth{Endpoint: ep.ID, At: d.now, SecondHand: source == secondHand})
 }
 
--- a/policy/suspicion.go
+++ b/policy/suspicion.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"milletsail/internal/instant"
@@ -35,7 +36,56 @@
 	recently := d.now.Add(-circuitOpenAfter)
 	mostlyFails := o.failureShare >= suspiciousFailureShare
 	failing := o.consecutiveFailures > 0 && (mostlyFails || !o.succeededSince(recently))
-	return failing || o.notified && !ep.queue.acceptedSince(recently)
+	siblingFailing := o.siblingFailedAt > 0 && !o.succeededSince(recently)
+	return failing || siblingFailing || o.notified && !ep.queue.acceptedSince(recently)
+}
+
+// suspectSiblings suspects the other endpoints of a queue after a failure at one of them: most outages take all
+// endpoints of a destination, and a relay that makes few calls may see no failure at the others. A success of a
+// later call shows that an endpoint is well.
+func (d *Dispatcher) suspectSiblings(failed *endpoint) {
+	for _, ep := range failed.queue.endpoints {
+		if ep != failed && !ep.outlier.ejected && d.maySuspect(ep) {
+			d.suspectSibling(ep)
+		}
+	}
+}
+
+// suspectSibling suspects an endpoint after a failure at another one of its queue.
+func (d *Dispatcher) suspectSibling(ep *endpoint) {
+	o := &ep.outlier
+	if ep.slowStart.active {
+		ep.slowStart.recoveredAt = d.now
+	}
+	if o.siblingFailedAt == 0 {
+		o.siblingFailingSince = d.now
+		if !o.notified && !ep.slowStart.active {
+			ep.slowStart.bucket.reset(d.firstTokens(ep), max(d.now, ep.queue.circuit.retryAfterUntil))
+		}
+	}
+	o.siblingFailedAt = d.now
+}
+
+// clearSiblingFailure forgets the failures at other endpoints.
+func (o *outlierDetector) clearSiblingFailure() { o.siblingFailingSince, o.siblingFailedAt = 0, 0 }
+
+// endSiblingSuspicions lets the endpoints that were suspected only for failures at others enter slow start, when
+// no endpoint of the queue fails any more: the outage may have taken them, too.
+func (d *Dispatcher) endSiblingSuspicions(q *queue) {
+	if slices.ContainsFunc(q.endpoints, func(ep *endpoint) bool {
+		return ep.outlier.ejected || ep.outlier.consecutiveFailures > 0
+	}) {
+		return
+	}
+	for _, ep := range q.endpoints {
+		if ep.outlier.siblingFailedAt > 0 {
+			wasSuspected := d.suspected(ep)
+			ep.outlier.clearSiblingFailure()
+			if wasSuspected && !ep.slowStart.active {
+				d.startSlowStart(ep, ep.slowStart.bucket.tokens, secondHand)
+			}
+		}
+	}
 }
 
 // maySuspect reports whether failures make an endpoint suspected. Zone surveys and canary analysis need the
@@ -46,11 +96,14 @@
 // suspected. The first retries after a failure are not limited, nor are the calls after rejections within
 // circuitOpenAfter, which are ordinary at a rate limit.
 func (d *Dispatcher) limitedBySuspicion(ep *endpoint) bool {
-	delay := suspicionDelay
-	if ep.outlier.consecutiveFailures == 0 {
+	delay, since := suspicionDelay, ep.outlier.failingSince
+	switch {
+	case ep.outlier.siblingFailedAt > 0 && ep.outlier.consecutiveFailures == 0:
+		since = ep.outlier.siblingFailingSince
+	case ep.outlier.consecutiveFailures == 0:
 		delay = circuitOpenAfter
 	}
-	return d.suspected(ep) && d.now.Sub(ep.outlier.failingSince) >= delay
+	return d.suspected(ep) && d.now.Sub(since) >= delay
 }
 
 // succeededSince reports whether a call to the endpoint has succeeded since the given time.
@@ -117,6 +170,7 @@
 		return
 	}
 	d.notify(ep, sentAt)
+	d.suspectSiblings(ep)
 	ep.outlier.consecutiveFailures = math.Max(ep.outlier.consecutiveFailures, errorResponseWeight)
 }
 
