Count a rejection against all endpoints of its queue, from the time of its call

A destination that rejects all calls is in an outage by the rule, and relays that had been told sent to it without a limit when it was back. Cause: two gaps. A rejection was held against the endpoint that sent it, although the endpoints of a destination share what they reject for. And the time in which calls after a rejection are not limited began only at the end of its Retry-After, which ends for many relays at once.

Change: rejections limit all endpoints of the queue, until an acceptance is known, from circuitOpenAfter after the call that was rejected first; then the slow start of the acceptance holds for all of them. With zones on, and at canaries, an acceptance starts none any more, since nothing is suspected there.

--- a/policy/suspicion.go
+++ b/policy/suspicion.go
@@ -23,7 +23,8 @@
 // suspected reports whether an endpoint that is not ejected may be in an outage, or may just have come back
 // from one. That is so after a failed or rejected call, unless it stands alone: another call succeeded within
 // circuitOpenAfter, and most calls succeed. A relay that makes few calls thus suspects an endpoint after a
-// single failure, since it may see no other one in the whole outage.
+// single failure, since it may see no other one in the whole outage. A rejection concerns all endpoints of its
+// queue.
 //
 // The slow start budget limits the calls to a suspected endpoint as it does those to an ejected one. If only
 // ejected endpoints were limited, all relays with fewer failures than an ejection takes would send their
@@ -37,7 +38,8 @@
 	mostlyFails := o.failureShare >= suspiciousFailureShare
 	failing := o.consecutiveFailures > 0 && (mostlyFails || !o.succeededSince(recently))
 	siblingFailing := o.siblingFailedAt > 0 && !o.succeededSince(recently)
-	return failing || siblingFailing || o.notified && !ep.queue.acceptedSince(recently)
+	rejecting := o.notified || ep.queue.circuit.consecutiveRejections > 0
+	return failing || siblingFailing || rejecting && !ep.queue.acceptedSince(recently)
 }
 
 // suspectSiblings suspects the other endpoints of a queue after a failure at one of them: most outages take all
@@ -93,17 +95,22 @@
 func (d *Dispatcher) maySuspect(ep *endpoint) bool { return !d.settings.Zones && ep.canary == nil }
 
 // limitedBySuspicion reports whether the slow start budget limits the calls to an endpoint because it is
-// suspected. The first retries after a failure are not limited, nor are the calls after rejections within
-// circuitOpenAfter, which are ordinary at a rate limit.
+// suspected. The first retries after a failure are not limited, nor are the calls within circuitOpenAfter of a
+// first rejection, since rejections are ordinary at a rate limit.
 func (d *Dispatcher) limitedBySuspicion(ep *endpoint) bool {
-	delay, since := suspicionDelay, ep.outlier.failingSince
+	if !d.suspected(ep) {
+		return false
+	}
+	o, circuit := &ep.outlier, &ep.queue.circuit
 	switch {
-	case ep.outlier.siblingFailedAt > 0 && ep.outlier.consecutiveFailures == 0:
-		since = ep.outlier.siblingFailingSince
-	case ep.outlier.consecutiveFailures == 0:
-		delay = circuitOpenAfter
+	case o.consecutiveFailures > 0 && d.now.Sub(o.failingSince) >= suspicionDelay:
+		return true
+	case o.siblingFailedAt > 0 && d.now.Sub(o.siblingFailingSince) >= suspicionDelay:
+		return true
+	case o.notified && d.now.Sub(o.failingSince) >= circuitOpenAfter:
+		return true
 	}
-	return d.suspected(ep) && d.now.Sub(since) >= delay
+	return circuit.consecutiveRejections > 0 && d.now.Sub(circuit.firstRejectionAt) >= circuitOpenAfter
 }
 
 // succeededSince reports whether a call to the endpoint has succeeded since the given time.
@@ -131,7 +138,7 @@
 // startSuspicion resets the slow start budget of an endpoint at its first failed or rejected call after a
 // success. The call was sent at sentAt.
 func (d *Dispatcher) startSuspicion(ep *endpoint, sentAt instant.Time) {
-	ep.outlier.failingSince = max(sentAt, ep.queue.circuit.retryAfterUntil)
+	ep.outlier.failingSince = sentAt
 	if ep.outlier.ejected || ep.slowStart.active {
 		return
 	}
@@ -175,14 +182,15 @@
 }
 
 // recordAcceptance handles the first call that a destination is known to have accepted after it accepted none
-// for circuitOpenAfter: it may have rejected all calls in an outage, so the endpoints at which calls of this
-// relay were rejected enter slow start.
+// for circuitOpenAfter: it may have rejected all calls in an outage, so its endpoints enter slow start if calls
+// of this relay were rejected.
 func (d *Dispatcher) recordAcceptance(q *queue) {
 	if q.acceptedSince(d.now.Add(-circuitOpenAfter)) {
 		return
 	}
 	for _, ep := range q.endpoints {
-		if ep.outlier.notified && !ep.outlier.ejected && ep.outlier.consecutiveFailures == 0 {
+		rejected := ep.outlier.notified || q.circuit.consecutiveRejections > 0
+		if rejected && !ep.outlier.ejected && ep.outlier.consecutiveFailures == 0 && d.maySuspect(ep) {
 			d.endSuspicion(ep, true)
 		}
 	}
--- a/policy/suspicion_test.go
+++ b/policy/suspicion_test.go
@@ -189,6 +189,17 @@
 	}
 }
 
+// TestRejectionLimitsCallsToSiblings guards against a relay whose call a destination has rejected in an outage, and
+// which sends to its other endpoints without a limit, or to all of them for a while after the Retry-After.
+func TestRejectionLimitsCallsToSiblings(t *testing.T) {
+	d := suspiciousSiblings(t, Rejected)
+	d.Handle(moment(10030*ms), []Event{arrive("with wait", 0)})
+	d.queues[0].circuit.extendRetryAfter(d.now, 3500*ms)
+	if sends := sendsBetween(d, 13600*ms, 15600*ms); sends > 2 {
+		t.Errorf("%d calls in the 2 s after a Retry-After and a return, want at most 2", sends)
+	}
+}
+
 // TestEndpointJoinsSuspicion guards against an endpoint that is listed in an outage, or in a slow start, of its
 // destination and counts as healthy.
 func TestEndpointJoinsSuspicion(t *testing.T) {
