Limit the calls to all endpoints of a destination together in slow start

Also, a budget after a failure without an ejection was planned up to what is withstood, less three deviations: 3.2 calls where N is 1.7.

Cause: budget, tolerance for chance and saved token were granted once an endpoint; the rule grants them once a destination. Change: the limited endpoints of a queue share a budget of 0.8 N beside their own, with one saved token a relay. More than 0.8 N is planned only without an ejection, and only as much as the rule keeps whatever chance does (few relays). A slow start lasts one OverloadWindow longer, at the full budget: where errors answered a part of the calls, the first success came before the return, and relays that were through sent their backlog while others were still cold. An endpoint that alone rejects its calls is limited too.

--- a/policy/endpoint_list.go
+++ b/policy/endpoint_list.go
@@ -106,6 +106,9 @@
 // may be or is the new one.
 func (d *Dispatcher) joinQueue(ep *endpoint) {
 	queue := ep.queue
+	if len(queue.endpoints) == 1 && d.mayBeLimited(queue.endpoints[0]) {
+		queue.slowStartBucket = queue.endpoints[0].slowStart.bucket
+	}
 	queue.endpoints = append(queue.endpoints, ep)
 	for _, other := range queue.endpoints {
 		o := &other.outlier
@@ -113,7 +116,7 @@
 		case other == ep || !d.maySuspect(ep):
 		case o.ejected || o.notified || o.siblingFailedAt > 0:
 			d.suspectSibling(ep)
-		case other.slowStart.active && d.timeSinceRecovery(other) < d.settings.SlowStartWindow:
+		case d.slowStarting(other):
 			ep.slowStart.active, ep.slowStart.recoveredAt = true, other.slowStart.recoveredAt
 			ep.slowStart.bucket.reset(d.firstTokens(ep), d.now)
 		}
--- a/policy/endpoint_selection.go
+++ b/policy/endpoint_selection.go
@@ -69,7 +69,7 @@
 	if ep.outlier.ejected {
 		return d.mayProbe(ep)
 	}
-	if d.limitedBySlowStart(ep) && d.slowStartTokens(ep) < 1 {
+	if d.limitedBySlowStart(ep) && !d.slowStartAllows(ep) {
 		return false
 	}
 	return !ep.unresponsive(d.now) || len(ep.calls) < maxUnhealthyCalls
@@ -83,5 +83,5 @@
 	if turn := d.probeTurn(ep); turn > 0 {
 		return probes == 0 && d.now >= turn
 	}
-	return probes < maxUnhealthyCalls && d.slowStartTokens(ep) >= 1
+	return probes < maxUnhealthyCalls && d.slowStartAllows(ep)
 }
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 
 	"milletsail/internal/instant"
@@ -180,11 +181,16 @@
 }
 
 // restoreSiblingSuspicions suspects the endpoints of a queue that have had no success since another one failed.
+// The budget of the queue continues with as many tokens as the endpoint that has the fewest.
 func (d *Dispatcher) restoreSiblingSuspicions(q *queue) {
+	q.slowStartBucket.reset(math.Inf(1), d.now)
 	for _, ep := range q.endpoints {
 		if ep.outlier.ejected || ep.outlier.notified {
 			d.suspectSiblings(ep)
 		}
+		if d.mayBeLimited(ep) && ep.slowStart.bucket.tokens < q.slowStartBucket.tokens {
+			q.slowStartBucket = ep.slowStart.bucket
+		}
 	}
 }
 
@@ -245,6 +251,7 @@
 		d.eject(ep)
 		d.suspectSiblings(ep)
 	case slowStarting:
+		d.startQueueBudget(ep.queue)
 		ep.slowStart.active, ep.slowStart.afterEjection, ep.slowStart.recoveredAt = true, true, restored.At
 		ep.slowStart.bucket.reset(d.firstTokens(ep), d.now)
 	}
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -30,6 +30,7 @@
 	successesSince    instant.Time
 	notified          bool         // whether a call has failed or was rejected since the last success
 	failingSince      instant.Time // time of the first such call
+	notifiedAt        instant.Time // time at which that call ended
 	failureShare      float64      // moving average of the share of failed calls, at resultAt
 	resultAt          instant.Time // time of the last result that counted in failureShare
 	suspicionRecorded bool         // whether a later process would restore a suspicion
@@ -139,6 +140,7 @@
 	if ep.outlier.ejected {
 		return
 	}
+	d.startQueueBudget(ep.queue)
 	d.setEjected(ep, true)
 	ep.outlier.ejectedAt, ep.queue.outageSuspected = d.now, true
 	ep.slowStart.active = false
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -52,7 +52,8 @@
 	// acceptedElsewhereAt is the send time of the last call of another relay that the destination is known to
 	// have accepted after it rejected one of this relay; 0 for none.
 	acceptedElsewhereAt instant.Time
-	outageSuspected     bool // whether an endpoint was ejected and none has succeeded or recovered since
+	slowStartBucket     tokenBucket // calls that the slow start budget of the queue allows
+	outageSuspected     bool        // whether an endpoint was ejected and none has succeeded or recovered since
 }
 
 // enqueue inserts a message into a queue at its place in the order of arrival.
--- a/policy/queueing_delay.go
+++ b/policy/queueing_delay.go
@@ -78,10 +78,17 @@
 func (d *Dispatcher) slowStartDelay(ep *endpoint, calls float64) float64 {
 	recovered := d.timeSinceRecovery(ep)
 	firstCall := math.Max(0, 1-d.slowStartTokens(ep)) / math.Max(minRate, d.slowStartBudget(ep, recovered))
+	if d.hasQueueBudget(ep.queue) {
+		queueWait := math.Max(0, 1-d.queueTokens(ep.queue)) / math.Max(minRate, d.queueBudget(ep.queue, 0))
+		firstCall = math.Max(firstCall, queueWait)
+	}
 	if d.isProber(ep.queue) {
 		firstCall = math.Min(firstCall, math.Max(0, (d.probeTurn(ep).Sub(d.now)).Seconds()))
 	}
 	halfway := max(recovered, d.settings.SlowStartWindow/2)
 	budget := d.slowStartBudget(ep, halfway) * float64(len(ep.queue.endpoints))
+	if d.hasQueueBudget(ep.queue) {
+		budget = math.Min(budget, d.queueBudget(ep.queue, halfway))
+	}
 	return firstCall + calls/math.Max(minRate, budget)
 }
--- a/policy/resource_backoff.go
+++ b/policy/resource_backoff.go
@@ -48,7 +48,7 @@
 		ep.queue.limiter.bucket.tokens++
 	}
 	if c.openAttempts == 0 && d.limitedBySlowStart(ep) {
-		ep.slowStart.bucket.tokens++
+		ep.returnSlowStartToken()
 	}
 	ep.resourceBackoff.extend(d.now)
 }
--- a/policy/scheduler.go
+++ b/policy/scheduler.go
@@ -108,8 +108,7 @@
 	}
 	started.limit = d.callLimit(ep)
 	if d.limitedBySlowStart(ep) {
-		started.budget = d.slowStartBudget(ep, d.timeSinceRecovery(ep))
-		ep.slowStart.bucket.tokens = math.Max(0, d.slowStartTokens(ep)-1)
+		started.budget = d.takeSlowStartToken(ep)
 	}
 	if ep.outlier.ejected || queue.singleProber(d.now) {
 		queue.probedAt = d.now
--- a/policy/state_store.go
+++ b/policy/state_store.go
@@ -169,11 +169,10 @@
 
 // endpointStateNeeded reports whether the state of an endpoint without calls limits it.
 func (d *Dispatcher) endpointStateNeeded(ep *endpoint) bool {
-	slowStarting := ep.slowStart.active && d.timeSinceRecovery(ep) < d.settings.SlowStartWindow
 	lastUsedAt := max(ep.lastUsedAt, ep.connections.fullAt)
 	connectionsLimited := ep.connections.full(d.now, d.settings.IdleConnTimeout) &&
 		d.now.Sub(lastUsedAt) < d.settings.IdleConnTimeout
 	paused := d.now < ep.resourceBackoff.until
 	suspected := ep.outlier.notified || ep.outlier.siblingFailedAt > 0 || ep.peerReport.valid(d.now)
-	return ep.outlier.ejected || slowStarting || connectionsLimited || paused || suspected || ep.canary != nil
+	return ep.outlier.ejected || d.slowStarting(ep) || connectionsLimited || paused || suspected || ep.canary != nil
 }
--- a/policy/suspicion.go
+++ b/policy/suspicion.go
@@ -24,7 +24,7 @@
 // from one. That is so after a failed or rejected call, unless it stands alone: another call succeeded within
 // circuitOpenAfter, and most calls succeed. A relay that makes few calls thus suspects an endpoint after a
 // single failure, since it may see no other one in the whole outage. A rejection concerns all endpoints of its
-// queue.
+// queue, and beside others the one that rejected the call until it accepts one.
 //
 // The slow start budget limits the calls to a suspected endpoint as it does those to an ejected one. If only
 // ejected endpoints were limited, all relays with fewer failures than an ejection takes would send their
@@ -39,15 +39,18 @@
 	failing := o.consecutiveFailures > 0 && (mostlyFails || !o.succeededSince(recently))
 	siblingFailing := o.siblingFailedAt > 0 && !o.succeededSince(recently)
 	rejecting := o.notified || ep.queue.circuit.consecutiveRejections > 0
-	return failing || siblingFailing || rejecting && !ep.queue.acceptedSince(recently)
+	rejectingAlone := o.notified && len(ep.queue.endpoints) > 1 && !o.succeededSince(recently)
+	return failing || siblingFailing || rejectingAlone || rejecting && !ep.queue.acceptedSince(recently)
 }
 
-// suspectSiblings suspects the other endpoints of a queue after a failure at one of them: most outages take all
-// endpoints of a destination, and a relay that makes few calls may see no failure at the others. A success of a
-// later call shows that an endpoint is well.
+// suspectSiblings suspects the other endpoints of a queue after a call at one of them has failed: most outages
+// take all endpoints of a destination, and a relay that makes few calls may see no failure at the others. That
+// is left out for endpoints that have answered a call since.
 func (d *Dispatcher) suspectSiblings(failed *endpoint) {
+	failingSince := failed.outlier.notifiedAt
 	for _, ep := range failed.queue.endpoints {
-		if ep != failed && !ep.outlier.ejected && d.maySuspect(ep) {
+		answers := ep.succeededCallAt > 0 && ep.succeededCallAt >= failingSince
+		if ep != failed && !ep.outlier.ejected && !answers && d.maySuspect(ep) {
 			d.suspectSibling(ep)
 		}
 	}
@@ -138,7 +141,8 @@
 // startSuspicion resets the slow start budget of an endpoint at its first failed or rejected call after a
 // success. The call was sent at sentAt.
 func (d *Dispatcher) startSuspicion(ep *endpoint, sentAt instant.Time) {
-	ep.outlier.failingSince = sentAt
+	d.startQueueBudget(ep.queue)
+	ep.outlier.failingSince, ep.outlier.notifiedAt = sentAt, d.now
 	if ep.outlier.ejected || ep.slowStart.active {
 		return
 	}
--- a/policy/timer.go
+++ b/policy/timer.go
@@ -69,9 +69,8 @@
 		if ep.resourceBackoff.until > d.now {
 			next.add(max(sendAt, ep.resourceBackoff.until))
 		}
-		if d.limitedBySlowStart(ep) && d.slowStartTokens(ep) < 1 {
-			budget := d.slowStartBudget(ep, d.timeSinceRecovery(ep))
-			next.add(max(sendAt, d.now.Add(tokenDelay(1-ep.slowStart.bucket.tokens, budget))))
+		if d.limitedBySlowStart(ep) && !d.slowStartAllows(ep) {
+			next.add(max(sendAt, d.now.Add(d.slowStartWait(ep))))
 		}
 		if turn := d.probeTurn(ep); ep.outlier.ejected && turn > d.now {
 			next.add(max(sendAt, turn))
