--- a/internal/lab/campaign/campaign.go
+++ b/internal/lab/campaign/campaign.go
@@ -21,6 +21,7 @@
 	"gonum.org/v1/gonum/stat"
 
 	"milletsail/internal/config"
+	"milletsail/internal/lab/checker"
 	"milletsail/internal/lab/compare"
 	"milletsail/internal/lab/report"
 	"milletsail/internal/lab/scenario"
@@ -65,16 +66,21 @@
 // Figures are the figures that a campaign can report and bound, by name. A figure without data in a run is 0; the time of an
 // event that never happened is +Inf.
 var Figures = map[string]func(*report.Figures) float64{
-	"served":      func(f *report.Figures) float64 { return f.Served },
-	"late":        func(f *report.Figures) float64 { return f.Outcomes[report.Late] },
-	"refused":     func(f *report.Figures) float64 { return f.Outcomes[report.Refused] + f.Outcomes[report.HandedBack] },
-	"local":       func(f *report.Figures) float64 { return f.LocalShare },
-	"local_part":  func(f *report.Figures) float64 { return f.LocalShare / math.Max(1e-9, f.LocalPossible) },
-	"p99":         func(f *report.Figures) float64 { return f.Latency["p99"] },
-	"fell":        func(f *report.Figures) float64 { return float64(f.Overloaded) },
-	"evacuations": maxOver(zones, func(z *report.ZoneFigures) float64 { return float64(z.Evacuations) }),
-	"returns":     maxOver(zones, func(z *report.ZoneFigures) float64 { return float64(z.Returns) }),
-	"left":        maxOver(zones, func(z *report.ZoneFigures) float64 { return float64(z.LeftBy) }),
+	"served":     func(f *report.Figures) float64 { return f.Served },
+	"late":       func(f *report.Figures) float64 { return f.Outcomes[report.Late] },
+	"refused":    func(f *report.Figures) float64 { return f.Outcomes[report.Refused] + f.Outcomes[report.HandedBack] },
+	"local":      func(f *report.Figures) float64 { return f.LocalShare },
+	"local_part": func(f *report.Figures) float64 { return f.LocalShare / math.Max(1e-9, f.LocalPossible) },
+	"p99":        func(f *report.Figures) float64 { return f.Latency["p99"] },
+	"fell":       func(f *report.Figures) float64 { return float64(f.Overloaded) },
+	// The following are the largest numbers of calls in a window to what came back cold, as shares of the threshold of the
+	// operators' rule, in each reading of it.
+	"cold_endpoint":    coldLoad(0),
+	"cold_informed":    coldLoad(1),
+	"cold_destination": coldLoad(2),
+	"evacuations":      maxOver(zones, func(z *report.ZoneFigures) float64 { return float64(z.Evacuations) }),
+	"returns":          maxOver(zones, func(z *report.ZoneFigures) float64 { return float64(z.Returns) }),
+	"left":             maxOver(zones, func(z *report.ZoneFigures) float64 { return float64(z.LeftBy) }),
 	// accused is the largest number of relays that evacuated one zone without a fault.
 	"accused": maxOver(zones, func(z *report.ZoneFigures) float64 {
 		if z.Faulted {
@@ -119,6 +125,18 @@
 	return *v
 }
 
+// coldLoad returns a figure for one of checker.ColdReadings.
+func coldLoad(reading int) func(*report.Figures) float64 {
+	return func(f *report.Figures) (load float64) {
+		for _, w := range f.Verdict.ColdWindows {
+			if w.Reading == checker.ColdReadings()[reading] {
+				load = w.Load()
+			}
+		}
+		return load
+	}
+}
+
 func zones(f *report.Figures) []report.ZoneFigures        { return f.Zones }
 func faults(f *report.Figures) []report.FaultFigures      { return f.Faults }
 func newEndpoints(f *report.Figures) []report.NewEndpoint { return f.NewEndpoints }
--- a/internal/lab/checker/cold.go
+++ b/internal/lab/checker/cold.go
@@ -28,6 +28,14 @@
 	{"destination by destination", scopeDestination, scopeDestination},
 }
 
+// ColdReadings returns the names of the readings of the rule on cold destinations.
+func ColdReadings() (names []string) {
+	for _, reading := range coldReadings {
+		names = append(names, reading.name)
+	}
+	return names
+}
+
 // ColdWindow is a window of OverloadFor in which a cold endpoint or destination got calls.
 type ColdWindow struct {
 	Reading       string  `json:"reading"`
