Clear the siblings of an isolated failure, and take a recovery that others report

Need: suspicion of a whole destination must not become starvation.

Change: an endpoint without failures of its own that answers one of the first calls after a failure at another one shows that the outage is isolated: the marks of the endpoints that have answered before are cleared without a slow start, until another endpoint fails. An endpoint that was never called keeps its mark: it may share the outage. A reported recovery starts the slow start of a suspected endpoint as it does that of an ejected one, with a random part of a call.

--- a/policy/destination_budget.go
+++ b/policy/destination_budget.go
@@ -6,15 +6,16 @@
 	"time"
 )
 
-// The slow start budget of a queue limits the calls to all of its endpoints together that are ejected, suspected
-// or in slow start: an outage mostly takes all endpoints of a destination, and a destination withstands less than
-// its endpoints do one by one. The calls of a queue with a single endpoint are limited by the budget of that
-// endpoint alone. With zones on, a queue has no budget: zone surveys need the calls.
+// The slow start budget of a queue limits the calls to all of its endpoints together that are ejected,
+// suspected or in slow start: an outage mostly takes all endpoints of a destination, and a destination
+// withstands less than its endpoints do one by one. The calls of a queue with a single endpoint are limited
+// by the budget of that endpoint alone. With zones on, a queue has no budget: zone surveys need the calls.
 
 // hasQueueBudget reports whether a queue has a slow start budget beside those of its endpoints.
 func (d *Dispatcher) hasQueueBudget(q *queue) bool { return len(q.endpoints) > 1 && !d.settings.Zones }
 
-// mayBeLimited reports whether an endpoint is ejected, in slow start, or limited as soon as no success clears it.
+// mayBeLimited reports whether an endpoint is ejected, in slow start, or limited as soon as no success clears
+// it.
 func (d *Dispatcher) mayBeLimited(ep *endpoint) bool {
 	o := &ep.outlier
 	return o.ejected || o.notified || o.siblingFailedAt > 0 || d.slowStarting(ep)
@@ -28,8 +29,8 @@
 	q.slowStartBucket.reset(d.firstQueueTokens(q), max(d.now, q.circuit.retryAfterUntil))
 }
 
-// firstQueueTokens returns the number of tokens with which the budget of a queue starts: one if each relay may
-// make a call at once, or else a random fraction (see initialTokens).
+// firstQueueTokens returns the number of tokens with which the budget of a queue starts: one if each relay
+// may make a call at once, or else a random fraction (see initialTokens).
 func (d *Dispatcher) firstQueueTokens(q *queue) float64 {
 	allowed := 0.0
 	for _, ep := range q.endpoints {
@@ -43,12 +44,13 @@
 	return math.Max(0, d.random.Float64()-planned*d.trafficShare(q)/relays)
 }
 
-// queueBudget returns the calls a second that this relay may make to the limited endpoints of a queue: its part
-// of the calls of all relays together, which the settings allow these endpoints. Endpoints count as recovered for
-// at least the given time.
+// queueBudget returns the calls a second that this relay may make to the limited endpoints of a queue: its
+// part of the calls of all relays together, which the settings allow these endpoints. Endpoints count as
+// recovered for at least the given time.
 //
-// The budget holds for the sum over all relays and over all endpoints of the queue, wherever a relay has met the
-// outage, as long as every relay that has met it, or cannot know whether it has, takes no more than its part.
+// The budget holds for the sum over all relays and over all endpoints of the queue, wherever a relay has met
+// the outage, as long as every relay that has met it, or cannot know whether it has, takes no more than its
+// part.
 func (d *Dispatcher) queueBudget(q *queue, recovered time.Duration) float64 {
 	allowed, afterEjection := 0.0, false
 	for _, ep := range q.endpoints {
@@ -80,8 +82,8 @@
 	return d.slowStartTokens(ep) >= 1 && d.queueTokens(ep.queue) >= 1
 }
 
-// takeSlowStartToken takes the tokens for a call to a limited endpoint, and returns the calls a second that its
-// budgets allow.
+// takeSlowStartToken takes the tokens for a call to a limited endpoint, and returns the calls a second that
+// its budgets allow.
 func (d *Dispatcher) takeSlowStartToken(ep *endpoint) (budget float64) {
 	budget = d.slowStartBudget(ep, d.timeSinceRecovery(ep))
 	ep.slowStart.bucket.tokens = math.Max(0, d.slowStartTokens(ep)-1)
--- a/policy/endpoint_list.go
+++ b/policy/endpoint_list.go
@@ -102,8 +102,8 @@
 	return ep
 }
 
-// joinQueue adds a new endpoint to its queue. If another one there may be in an outage or is in slow start, so
-// may be or is the new one.
+// joinQueue adds a new endpoint to its queue. If another one there may be in an outage or is in slow start,
+// so may be or is the new one.
 func (d *Dispatcher) joinQueue(ep *endpoint) {
 	queue := ep.queue
 	if len(queue.endpoints) == 1 && d.mayBeLimited(queue.endpoints[0]) {
--- a/policy/handover.go
+++ b/policy/handover.go
@@ -180,8 +180,8 @@
 	}
 }
 
-// restoreSiblingSuspicions suspects the endpoints of a queue that have had no success since another one failed.
-// The budget of the queue continues with as many tokens as the endpoint that has the fewest.
+// restoreSiblingSuspicions suspects the endpoints of a queue that have had no success since another one
+// failed. The budget of the queue continues with as many tokens as the endpoint that has the fewest.
 func (d *Dispatcher) restoreSiblingSuspicions(q *queue) {
 	q.slowStartBucket.reset(math.Inf(1), d.now)
 	for _, ep := range q.endpoints {
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -84,6 +84,7 @@
 func (d *Dispatcher) recordSuccess(ep *endpoint, capacityRemains bool) {
 	queue := ep.queue
 	d.recordAcceptance(queue)
+	d.recordIsolation(ep)
 	failed, wasSuspected := ep.outlier.notified || ep.outlier.siblingFailedAt > 0, d.suspected(ep)
 	if !ep.outlier.succeededSince(d.now.Add(-circuitOpenAfter)) {
 		ep.outlier.successesSince = d.now
--- a/policy/peer_report.go
+++ b/policy/peer_report.go
@@ -67,7 +67,7 @@
 func (d *Dispatcher) handleGossip(message []byte) {
 	d.fleet.lastGossipAt = d.now
 	recovered := d.endpoints[decodeEndpointMessage(endpointRecoveredType, message)]
-	if recovered != nil && recovered.outlier.ejected && d.mayRecover(recovered) {
+	if recovered != nil && (recovered.outlier.ejected || d.suspected(recovered)) && d.mayRecover(recovered) {
 		// All relays receive this at about the same time: with a whole token each, they would all send at
 		// once.
 		d.startSlowStart(recovered, d.random.Float64(), secondHand)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -11,7 +11,8 @@
 //     (retry.go), expiry (expiry.go), handover to the next process (handover.go).
 //   - Calls: choice of a route and an endpoint (routing.go, endpoint_selection.go), slots (scheduler.go),
 //     stalled calls (stalled_calls.go), outcomes (outcome.go).
-//   - Limits of a destination: send rate (sendrate.go), circuit state and backoff (circuit.go).
+//   - Limits of a destination: send rate (sendrate.go), circuit state and backoff (circuit.go), slow start of
+//     all its endpoints together (destination_budget.go).
 //   - Health of an endpoint: outlier detection (outlier.go), suspicion after a failure that ejects nothing
 //     (suspicion.go), slow start (slowstart.go), connection limit (connection_limit.go), shortage of local
 //     resources (resource_backoff.go). What limited a call is in call_limit.go.
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -52,8 +52,11 @@
 	// acceptedElsewhereAt is the send time of the last call of another relay that the destination is known to
 	// have accepted after it rejected one of this relay; 0 for none.
 	acceptedElsewhereAt instant.Time
-	slowStartBucket     tokenBucket // calls that the slow start budget of the queue allows
-	outageSuspected     bool        // whether an endpoint was ejected and none has succeeded or recovered since
+	// isolatedAt is the time at which an endpoint answered right after a failure at another one, so that the
+	// outage did not take the whole destination; 0 for never.
+	isolatedAt      instant.Time
+	slowStartBucket tokenBucket // calls that the slow start budget of the queue allows
+	outageSuspected bool        // whether an endpoint was ejected and none has succeeded or recovered since
 }
 
 // enqueue inserts a message into a queue at its place in the order of arrival.
--- a/policy/sibling_test.go
+++ b/policy/sibling_test.go
@@ -93,6 +93,41 @@
 	}
 }
 
+// TestIsolatedFailureLimitsNoSibling guards against slow start for endpoints of a destination that answer right after a
+// failure at another one, and against taking a later answer for a sign that there was no outage.
+func TestIsolatedFailureLimitsNoSibling(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		sentAt  time.Duration // of the successful call, after the failure
+		limited bool
+	}{{"first retry", 100 * ms, false}, {"later call", 700 * ms, true}} {
+		s := basicSettings()
+		s.FleetSize, s.Weights = 33, WeightsNominal
+		d := start(t, s, Endpoint{ID: "a", Weight: 33}, Endpoint{ID: "b", Weight: 33}, Endpoint{ID: "c", Weight: 33})
+		a, b, c := d.endpoints["a"], d.endpoints["b"], d.endpoints["c"]
+		c.outlier.lastSuccessAt = moment(time.Second)
+		d.now = moment(10 * time.Second)
+		d.recordFailure(a, &call{endpoint: a, sentAt: moment(9900 * ms)}, errorResponseWeight)
+		b.succeededCallAt = d.now.Add(tt.sentAt)
+		d.now = b.succeededCallAt.Add(50 * ms)
+		d.recordSuccess(b, true)
+		d.now = moment(14 * time.Second)
+		if d.limitedBySlowStart(b) != tt.limited || d.limitedBySlowStart(c) != tt.limited {
+			t.Errorf("%s: limited b %v and c %v, want %v", tt.name, d.limitedBySlowStart(b), d.limitedBySlowStart(c), tt.limited)
+		}
+	}
+}
+
+// TestRecoveryReportEndsSuspicion guards against relays that take an endpoint for failing until a success of their own
+// although another relay has reported its recovery.
+func TestRecoveryReportEndsSuspicion(t *testing.T) {
+	d := suspiciousSiblings(t, Failed)
+	d.Handle(moment(12*time.Second), []Event{GossipReceived{Message: encodeEndpointMessage(endpointRecoveredType, "c")}})
+	if c := d.endpoints["c"]; !c.slowStart.active || c.slowStart.recoveredAt != moment(12*time.Second) {
+		t.Errorf("after a report of its recovery: %+v, want a slow start from then on", c.slowStart)
+	}
+}
+
 // TestQueueBudgetWithinRule guards against a fleet whose calls to several endpoints exceed what their destination
 // withstands although they keep the budget of each endpoint.
 func TestQueueBudgetWithinRule(t *testing.T) {
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -72,8 +72,8 @@
 }
 
 // slowStarting reports whether an endpoint is in a slow start that has not ended. It lasts for OverloadWindow
-// longer than the endpoint needs after its recovery, at the full budget: where an outage failed only a part of the
-// calls, the first success may have come before its end.
+// longer than the endpoint needs after its recovery, at the full budget: where an outage failed only a part
+// of the calls, the first success may have come before its end.
 func (d *Dispatcher) slowStarting(ep *endpoint) bool {
 	if !ep.slowStart.active {
 		return false
@@ -113,8 +113,8 @@
 }
 
 // fleetBudget returns the calls that all relays together may make to an endpoint within OverloadWindow, at
-// the given time after its recovery. Where the queue has a budget as well, these may be as many as the endpoint
-// withstands.
+// the given time after its recovery. Where the queue has a budget as well, these may be as many as the
+// endpoint withstands.
 func (d *Dispatcher) fleetBudget(ep *endpoint, sinceRecovery time.Duration) float64 {
 	allowed, relays := d.allowedCalls(ep, sinceRecovery), d.relayCount()
 	switch {
@@ -129,9 +129,9 @@
 // wasEjected reports whether an endpoint is ejected, or in a slow start that followed an ejection.
 func (ep *endpoint) wasEjected() bool { return ep.outlier.ejected || ep.slowStart.afterEjection }
 
-// allowedCalls returns the calls that the settings allow an endpoint within OverloadWindow, at the given time after
-// its recovery. If the destination has no listed rate, one call a second per relay is assumed. A rough rate is
-// taken as exact.
+// allowedCalls returns the calls that the settings allow an endpoint within OverloadWindow, at the given time
+// after its recovery. If the destination has no listed rate, one call a second per relay is assumed. A rough
+// rate is taken as exact.
 func (d *Dispatcher) allowedCalls(ep *endpoint, sinceRecovery time.Duration) float64 {
 	rate := ep.queue.limiter.listedRate
 	if rate == 0 {
@@ -154,23 +154,23 @@
 	return largeBudgetExcess * (1 + math.Sqrt(n))
 }
 
-// plannedCalls returns how many calls within OverloadWindow the relays together plan for where the settings allow
-// n calls.
+// plannedCalls returns how many calls within OverloadWindow the relays together plan for where the settings
+// allow n calls.
 func plannedCalls(n, relays float64) float64 {
 	return math.Min(slowStartSafety*n, largestBudget(n, relays))
 }
 
 // largestBudget returns the largest budget of which the relays make no more calls in any OverloadWindow than
-// an endpoint withstands that the settings allow n calls. Of many relays, the tokens are spread at random, so that
-// the sum exceeds the budget by at most burstDeviations of its square root.
+// an endpoint withstands that the settings allow n calls. Of many relays, the tokens are spread at random, so
+// that the sum exceeds the budget by at most burstDeviations of its square root.
 func largestBudget(n, relays float64) float64 {
 	root := (math.Sqrt(burstDeviations*burstDeviations+4*withstoodCalls(n)) - burstDeviations) / 2
 	return math.Max(certainBudget(n, relays), root*root)
 }
 
-// certainBudget returns the largest budget of which the relays make no more calls in any OverloadWindow than an
-// endpoint withstands that the settings allow n calls, whatever chance does. Beyond their budget, they make calls
-// for which they have saved tokens: at most slowStartBurst of the budget, or one for each relay.
+// certainBudget returns the largest budget of which the relays make no more calls in any OverloadWindow than
+// an endpoint withstands that the settings allow n calls, whatever chance does. Beyond their budget, they
+// make calls for which they have saved tokens: at most slowStartBurst of the budget, or one for each relay.
 func certainBudget(n, relays float64) float64 {
 	withstood := withstoodCalls(n)
 	return math.Min(withstood-relays, withstood/(1+slowStartBurst))
--- a/policy/state_store.go
+++ b/policy/state_store.go
@@ -173,6 +173,6 @@
 	connectionsLimited := ep.connections.full(d.now, d.settings.IdleConnTimeout) &&
 		d.now.Sub(lastUsedAt) < d.settings.IdleConnTimeout
 	paused := d.now < ep.resourceBackoff.until
-	suspected := ep.outlier.notified || ep.outlier.siblingFailedAt > 0 || ep.peerReport.valid(d.now)
-	return ep.outlier.ejected || d.slowStarting(ep) || connectionsLimited || paused || suspected || ep.canary != nil
+	limited := d.mayBeLimited(ep) || ep.peerReport.valid(d.now)
+	return limited || connectionsLimited || paused || ep.canary != nil
 }
--- a/policy/suspicion.go
+++ b/policy/suspicion.go
@@ -14,6 +14,9 @@
 	// suspiciousFailureShare is the failureShare from which an endpoint counts as suspected even between
 	// successes: an outage may fail only a part of the calls.
 	suspiciousFailureShare = 0.5
+	// isolatedFailureShare is the largest failureShare of an endpoint whose success shows that the failures
+	// of another one are isolated.
+	isolatedFailureShare = 0.05
 	// failureShareExpiry is the time without a result after which failureShare starts from 0 again.
 	failureShareExpiry = 20 * time.Second
 	// suspicionDelay is the time after a first failure within which the retries are not limited yet.
@@ -23,8 +26,8 @@
 // suspected reports whether an endpoint that is not ejected may be in an outage, or may just have come back
 // from one. That is so after a failed or rejected call, unless it stands alone: another call succeeded within
 // circuitOpenAfter, and most calls succeed. A relay that makes few calls thus suspects an endpoint after a
-// single failure, since it may see no other one in the whole outage. A rejection concerns all endpoints of its
-// queue, and beside others the one that rejected the call until it accepts one.
+// single failure, since it may see no other one in the whole outage. A rejection concerns all endpoints of
+// its queue, and beside others the one that rejected the call until it accepts one.
 //
 // The slow start budget limits the calls to a suspected endpoint as it does those to an ejected one. If only
 // ejected endpoints were limited, all relays with fewer failures than an ejection takes would send their
@@ -43,11 +46,15 @@
 	return failing || siblingFailing || rejectingAlone || rejecting && !ep.queue.acceptedSince(recently)
 }
 
-// suspectSiblings suspects the other endpoints of a queue after a call at one of them has failed: most outages
-// take all endpoints of a destination, and a relay that makes few calls may see no failure at the others. That
-// is left out for endpoints that have answered a call since.
+// suspectSiblings suspects the other endpoints of a queue after a call at one of them has failed: most
+// outages take all endpoints of a destination, and a relay that makes few calls may see no failure at the
+// others. That is left out for endpoints that have answered a call since, and for all of them if the outage
+// is known to be isolated.
 func (d *Dispatcher) suspectSiblings(failed *endpoint) {
 	failingSince := failed.outlier.notifiedAt
+	if failed.queue.isolatedAt >= failingSince && failingSince > 0 {
+		return
+	}
 	for _, ep := range failed.queue.endpoints {
 		answers := ep.succeededCallAt > 0 && ep.succeededCallAt >= failingSince
 		if ep != failed && !ep.outlier.ejected && !answers && d.maySuspect(ep) {
@@ -56,6 +63,24 @@
 	}
 }
 
+// recordIsolation handles a success at an endpoint that was suspected for a failure at another one. If its
+// call was one of the first after that failure, the outage does not take the whole destination: the endpoints
+// at which no call has failed are well. Later, the endpoint may have been out and have come back.
+func (d *Dispatcher) recordIsolation(ep *endpoint) {
+	o := &ep.outlier
+	sentAfter := ep.succeededCallAt.Sub(o.siblingFailingSince)
+	isFirst := o.siblingFailedAt > 0 && sentAfter >= 0 && sentAfter <= suspicionDelay
+	if !isFirst || o.notified || o.failureShare > isolatedFailureShare {
+		return
+	}
+	ep.queue.isolatedAt = d.now
+	for _, sibling := range ep.queue.endpoints {
+		if sibling == ep || sibling.outlier.lastSuccessAt > 0 {
+			sibling.outlier.clearSiblingFailure()
+		}
+	}
+}
+
 // suspectSibling suspects an endpoint after a failure at another one of its queue.
 func (d *Dispatcher) suspectSibling(ep *endpoint) {
 	o := &ep.outlier
@@ -74,8 +99,8 @@
 // clearSiblingFailure forgets the failures at other endpoints.
 func (o *outlierDetector) clearSiblingFailure() { o.siblingFailingSince, o.siblingFailedAt = 0, 0 }
 
-// endSiblingSuspicions lets the endpoints that were suspected only for failures at others enter slow start, when
-// no endpoint of the queue fails any more: the outage may have taken them, too.
+// endSiblingSuspicions lets the endpoints that were suspected only for failures at others enter slow start,
+// when no endpoint of the queue fails any more: the outage may have taken them, too.
 func (d *Dispatcher) endSiblingSuspicions(q *queue) {
 	if slices.ContainsFunc(q.endpoints, func(ep *endpoint) bool {
 		return ep.outlier.ejected || ep.outlier.consecutiveFailures > 0
@@ -98,8 +123,8 @@
 func (d *Dispatcher) maySuspect(ep *endpoint) bool { return !d.settings.Zones && ep.canary == nil }
 
 // limitedBySuspicion reports whether the slow start budget limits the calls to an endpoint because it is
-// suspected. The first retries after a failure are not limited, nor are the calls within circuitOpenAfter of a
-// first rejection, since rejections are ordinary at a rate limit.
+// suspected. The first retries after a failure are not limited, nor are the calls within circuitOpenAfter of
+// a first rejection, since rejections are ordinary at a rate limit.
 func (d *Dispatcher) limitedBySuspicion(ep *endpoint) bool {
 	if !d.suspected(ep) {
 		return false
@@ -186,8 +211,8 @@
 }
 
 // recordAcceptance handles the first call that a destination is known to have accepted after it accepted none
-// for circuitOpenAfter: it may have rejected all calls in an outage, so its endpoints enter slow start if calls
-// of this relay were rejected.
+// for circuitOpenAfter: it may have rejected all calls in an outage, so its endpoints enter slow start if
+// calls of this relay were rejected.
 func (d *Dispatcher) recordAcceptance(q *queue) {
 	if q.acceptedSince(d.now.Add(-circuitOpenAfter)) {
 		return
