Let saved tokens of a small slow start budget expire

A crowd at the return made all of them use it at once: of 200 idle relays 200 sent within one OverloadWindow to a destination that withstands 22 calls.

Change: where a relay's budget is below one call per OverloadWindow, a whole token that is not used for 1 s is replaced by a random fraction of one, so that the sum over relays stays near the budget whatever they have saved.

Evidence: TestIdleFleetMeetsCrowd failed with 200 calls, for one endpoint and for three.

--- a/policy/destination_budget.go
+++ b/policy/destination_budget.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// savedTokenExpiry is the time for which a whole token of a small slow start budget may stay unused.
+const savedTokenExpiry = time.Second
+
 // The slow start budget of a queue limits the calls to all of its endpoints together that are ejected,
 // suspected or in slow start: an outage mostly takes all endpoints of a destination, and a destination
 // withstands less than its endpoints do one by one. The calls of a queue with a single endpoint are limited
@@ -72,9 +75,24 @@
 	if !d.hasQueueBudget(q) {
 		return math.Inf(1)
 	}
-	rate := d.queueBudget(q, 0)
-	burst := math.Max(1, slowStartBurst*rate*d.settings.OverloadWindow.Seconds())
-	return q.slowStartBucket.refill(d.now, rate, burst)
+	return d.refillSlowStart(&q.slowStartBucket, d.queueBudget(q, 0))
+}
+
+// refillSlowStart refills the bucket of a slow start budget of a number of calls a second, and returns its
+// tokens.
+//
+// A budget of less than one call per OverloadWindow keeps a whole token for savedTokenExpiry only, and then
+// starts again with a random fraction of one: if all relays saved tokens while they had nothing to send, a crowd
+// of messages would use them all at once.
+func (d *Dispatcher) refillSlowStart(bucket *tokenBucket, rate float64) float64 {
+	perWindow := rate * d.settings.OverloadWindow.Seconds()
+	if perWindow < 1 && rate > 0 {
+		refilled := bucket.tokens + rate*math.Max(0, d.now.Sub(bucket.updatedAt).Seconds())
+		if unused := (refilled - 1) / rate; unused > savedTokenExpiry.Seconds() {
+			bucket.reset(d.random.Float64(), d.now)
+		}
+	}
+	return bucket.refill(d.now, rate, math.Max(1, slowStartBurst*perWindow))
 }
 
 // slowStartAllows reports whether the budgets of a limited endpoint and of its queue allow a call now.
--- a/policy/sibling_test.go
+++ b/policy/sibling_test.go
@@ -170,3 +170,37 @@
 		t.Errorf("%d calls at once, want 1", sends)
 	}
 }
+
+// TestIdleFleetMeetsCrowd guards against relays that save a token each while they have nothing to send, and that all send
+// when a crowd of messages meets a destination that is back.
+func TestIdleFleetMeetsCrowd(t *testing.T) {
+	for _, endpoints := range []int{1, 3} {
+		s := basicSettings()
+		s.FleetSize, s.Weights = 200, WeightsNominal
+		var list []Endpoint
+		for i := range endpoints {
+			list = append(list, Endpoint{ID: string(rune('a' + i)), Weight: 12.5}) // 10 calls are allowed in OverloadWindow
+		}
+		sends := 0
+		for seed := range s.FleetSize {
+			d, err := New(s, int64(seed))
+			if err != nil {
+				t.Fatal(err)
+			}
+			d.Handle(0, []Event{EndpointsUpdated{Complete: true, Endpoints: list}})
+			for _, ep := range d.endpoints {
+				d.suspectUnanswered(ep, 0)
+			}
+			for at := 300 * time.Second; at < 300*time.Second+s.OverloadWindow; at += 500 * ms {
+				for _, action := range d.Handle(moment(at), []Event{arrive(at.String(), 0)}) {
+					if _, ok := action.(Send); ok {
+						sends++
+					}
+				}
+			}
+		}
+		if highest := int(withstoodCalls(10)); sends == 0 || sends > highest {
+			t.Errorf("%d endpoints: %d calls to a cold destination, want 1 to %d", endpoints, sends, highest)
+		}
+	}
+}
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -89,8 +89,11 @@
 		ep.slowStart.active = false
 	}
 	rate := d.slowStartBudget(ep, d.timeSinceRecovery(ep))
-	burst := math.Max(1, slowStartBurst*rate*d.settings.OverloadWindow.Seconds())
-	return ep.slowStart.bucket.refill(d.now, rate, burst)
+	if d.hasQueueBudget(ep.queue) {
+		burst := math.Max(1, slowStartBurst*rate*d.settings.OverloadWindow.Seconds())
+		return ep.slowStart.bucket.refill(d.now, rate, burst)
+	}
+	return d.refillSlowStart(&ep.slowStart.bucket, rate)
 }
 
 // timeSinceRecovery returns the time since an endpoint recovered, at most SlowStartWindow; it is 0 while the
--- a/policy/suspicion_test.go
+++ b/policy/suspicion_test.go
@@ -50,7 +50,7 @@
 	for _, outcome := range []Outcome{Failed, Reset, ConnectError, TimedOut, Rejected} {
 		d, ep := suspiciousRelay(t, outcome)
 		ep.outlier.ejected = false // a relay with a low rate may eject at once; see probeBudgetSpent
-		ep.slowStart.bucket.reset(1, d.now)
+		ep.slowStart.bucket.reset(1, moment(14*time.Second))
 		// Its part of the budget is 0.08 to 0.4 calls a second; without a limit it would send 0.24 a second.
 		if sends := sendsBetween(d, 14*time.Second, 18*time.Second); sends > 2 {
 			t.Errorf("outcome %v: %d calls in the 4 s after a return, want at most 2", outcome, sends)
