--- a/policy/destination_budget.go
+++ b/policy/destination_budget.go
@@ -82,8 +82,8 @@
 // tokens.
 //
 // A budget of less than one call per OverloadWindow keeps a whole token for savedTokenExpiry only, and then
-// starts again with a random fraction of one: if all relays saved tokens while they had nothing to send, a crowd
-// of messages would use them all at once.
+// starts again with a random fraction of one: if all relays saved tokens while they had nothing to send, a
+// crowd of messages would use them all at once.
 func (d *Dispatcher) refillSlowStart(bucket *tokenBucket, rate float64) float64 {
 	perWindow := rate * d.settings.OverloadWindow.Seconds()
 	if perWindow < 1 && rate > 0 {
