--- /dev/null
+++ b/internal/lab/overload/leave_test.go
@@ -0,0 +1,159 @@
+package overload
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"milletsail/review/stand"
+)
+
+const (
+	// leavingIDs is the number of ids that clients hand in again after they have left.
+	leavingIDs = 300
+	// mostLeavingTries is the most times that an id is handed in on connections that the client closes.
+	mostLeavingTries = 3
+	// mostStay is the longest time for which a client that leaves keeps its connection.
+	mostStay = 2500 * time.Microsecond
+	// leavingAtOnce is the number of clients that do so concurrently.
+	leavingAtOnce = 10
+	// settleTime is the time after which all calls of a test have ended.
+	settleTime = time.Second
+	// pipelined is the number of requests that a client writes at once.
+	pipelined = 100
+)
+
+// fragileMessage returns a message that may not be repeated.
+func fragileMessage(id string) stand.Message {
+	return stand.Message{ID: id, Class: fragileClass, Dest: 1, Timeout: messageTimeout, Body: "order"}
+}
+
+// encodeRequest returns the request of a message.
+func encodeRequest(m stand.Message) string {
+	return requestHead(m.Class, m.ID, len(m.Body)) + "\r\n" + m.Body
+}
+
+// leave writes requests on a connection of its own and closes it after a time, without reading the response.
+func leave(t testing.TB, address, requests string, stay time.Duration) {
+	conn, err := net.DialTimeout("tcp", address, answerTimeout)
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer conn.Close()
+	if _, err := conn.Write([]byte(requests)); err != nil {
+		t.Error(err)
+	}
+	time.Sleep(stay)
+}
+
+// TestClientsThatLeave guards against requests that are forwarded after their client has left, and messages that may not be
+// repeated and run twice because of that.
+func TestClientsThatLeave(t *testing.T) {
+	t.Run("same id again", testSameIDAgain)
+	t.Run("same id after a kill", testSameIDAfterKill)
+	t.Run("left before the reading", testLeftBeforeReading)
+}
+
+// testSameIDAgain plays clients that leave before the response and hand the same id in again.
+func testSameIDAgain(t *testing.T) {
+	b := startBed(t, stand.DefaultLimits)
+	slots := make(chan bool, leavingAtOnce)
+	var all sync.WaitGroup
+	for i := range leavingIDs {
+		random := rand.New(rand.NewPCG(1, uint64(i)))
+		slots <- true
+		all.Go(func() {
+			defer func() { <-slots }()
+			m := fragileMessage(fmt.Sprintf("left%d", i))
+			for range 1 + random.IntN(mostLeavingTries) {
+				leave(t, b.Relay.Listen, encodeRequest(m), time.Duration(random.Int64N(int64(mostStay))))
+			}
+			b.Clients.Send(context.Background(), m)
+		})
+	}
+	all.Wait()
+	time.Sleep(settleTime)
+	repeated := 0
+	for i := range leavingIDs {
+		if b.calls(fmt.Sprintf("left%d", i)) > 1 {
+			repeated++
+		}
+	}
+	if repeated > 0 {
+		t.Errorf("%d of %d messages that may not be repeated ran more than once", repeated, leavingIDs)
+	}
+}
+
+// testSameIDAfterKill does the same, and kills the relay in between, during the calls.
+func testSameIDAfterKill(t *testing.T) {
+	b := startBed(t, stand.DefaultLimits)
+	const ids = 20
+	for i := range ids {
+		m := fragileMessage(fmt.Sprintf("%s%d", heldPrefix, i))
+		leave(t, b.Relay.Listen, encodeRequest(m), mostStay)
+	}
+	b.Process.Kill()
+	var err error
+	if b.Process, err = b.Relay.Start(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Relay.WaitReady(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	for i := range ids {
+		b.Clients.Send(context.Background(), fragileMessage(fmt.Sprintf("%s%d", heldPrefix, i)))
+	}
+	time.Sleep(settleTime)
+	for i := range ids {
+		if id := fmt.Sprintf("%s%d", heldPrefix, i); b.calls(id) > 1 {
+			t.Errorf("message %s, which may not be repeated, reached endpoints %d times", id, b.calls(id))
+		}
+	}
+}
+
+// testLeftBeforeReading plays a client that closes its connection before the relay reads its requests. The relay is stopped
+// meanwhile, which forces that order.
+func testLeftBeforeReading(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reset=%v", reset), func(t *testing.T) {
+			b := startBed(t, stand.DefaultLimits)
+			conn, err := net.Dial("tcp", b.Relay.Listen)
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(memoryInterval) // the relay has accepted the connection, or will after the stop
+			b.Process.Signal(syscall.SIGSTOP)
+			var requests strings.Builder
+			for i := range pipelined {
+				requests.WriteString(encodeRequest(fragileMessage(fmt.Sprintf("pipelined%d", i))))
+			}
+			if _, err := conn.Write([]byte(requests.String())); err != nil {
+				t.Error(err)
+			}
+			if tcp, ok := conn.(*net.TCPConn); ok && reset {
+				_ = tcp.SetLinger(0)
+			}
+			_ = conn.Close()
+			b.Process.Signal(syscall.SIGCONT)
+			if status := b.Clients.Send(context.Background(), fragileMessage("other")); status != http.StatusAccepted {
+				t.Errorf("message of another client: status %d", status)
+			}
+			time.Sleep(settleTime)
+			forwarded := 0
+			for i := range pipelined {
+				forwarded += b.calls(fmt.Sprintf("pipelined%d", i))
+			}
+			if forwarded > 0 {
+				t.Errorf("%d of %d requests were forwarded after their client had left", forwarded, pipelined)
+			}
+		})
+	}
+}
