Log limits at the start, each end's reason, memory peaks and closed connections

The relay logs its limits at the start, why it ends and that it has ended, each new peak of its memory with clients and messages (a line for each growth by a quarter), and once a second how many client connections it closed for lack of room, by reason, which is a counter at the admin endpoint too.

--- a/cmd/relay/main.go
+++ b/cmd/relay/main.go
@@ -15,6 +15,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"milletsail/internal/clock"
 	"milletsail/internal/compat"
 	"milletsail/internal/relay"
 	"milletsail/internal/relay/config"
@@ -40,10 +41,12 @@
 		}
 		return
 	}
+	started := clock.Now()
 	if err := run(*configPath, *state); err != nil {
 		fmt.Fprintln(os.Stderr, "relay:", err)
 		os.Exit(1)
 	}
+	slog.Info("relay ended", "after", clock.Since(started))
 }
 
 func run(configPath, state string) error {
@@ -56,6 +59,8 @@
 	if err != nil {
 		return err
 	}
+	slog.Info("relay started", "pid", os.Getpid(), "memory_mb", cfg.Limits.MemoryMB, "descriptors", cfg.Limits.Sockets,
+		"disk_mb", cfg.Limits.DiskMB, "cores", cfg.Limits.Cores)
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
 	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
--- a/internal/relay/frontend/limiter.go
+++ b/internal/relay/frontend/limiter.go
@@ -53,6 +53,8 @@
 	connections map[*Connection]bool // open connections of this process
 	reserved    int                  // part of the capacity that the predecessor's connections take
 	closed      bool                 // whether Close was called
+	closedFor   map[CloseReason]int  // connections that the relay closed since the last LogClosed, by reason
+	reasons     *metrics.ReasonCounters
 }
 
 // Listen opens the listening socket for clients: the one inherited from the platform if the configuration names one, else a new
@@ -65,6 +67,7 @@
 	}
 	accepting := listener.New(opened, "clients", reasons)
 	l := newLimiter(accepting, capacityFor(c.Limits.Sockets, c.Policy.Slots))
+	l.reasons = reasons
 	l.queueDelay = accepting.QueueDelay
 	return l, nil
 }
@@ -144,6 +147,7 @@
 		candidate.state, candidate.lastActive = stateReading, clock.Now()
 		return false
 	}
+	l.countClosed(evictionReasons[candidate.state])
 	candidate.closed = true
 	delete(l.connections, candidate)
 	_ = candidate.Conn.Close()
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -13,6 +13,7 @@
 	"milletsail/internal/relay/discovery"
 	"milletsail/internal/relay/frontend"
 	"milletsail/internal/relay/gossip"
+	"milletsail/internal/relay/memory"
 	"milletsail/internal/relay/metrics"
 	"milletsail/internal/relay/notifier"
 	"milletsail/internal/relay/upstream"
@@ -69,6 +70,7 @@
 	timerAt    instant.Time // when the policy's timer fires
 	lastStep   instant.Time // when the last step began
 	lastClocks clock.Pair   // last reading of checkClocks
+	memoryPeak memory.PeakLogger
 	zones      *zoneOrders  // operators' zone orders; nil if zones are disabled
 	// unrecordedNotifications are held back until the ends of their messages are on disk, or the messages have expired.
 	unrecordedNotifications []unrecordedNotification
@@ -126,6 +128,8 @@
 func (l *loop) maintain() {
 	l.pool.Maintain()
 	l.checkClocks()
+	l.memoryPeak.Check("clients", l.clients.Count(), "messages", len(l.messages))
+	l.clients.LogClosed()
 	if l.handover.ownsState() {
 		l.setWritable(l.journal.Retry())
 		l.endpoints.maintainStore()
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -178,9 +178,11 @@
 			return fmt.Errorf("serve: %w", err)
 		}
 	case <-l.handover.completed:
+		slog.Info("relay ending", "reason", "a successor has taken over")
 		l.metrics.Serving.Store(false)
 		l.drainAfterHandover(ctx, server)
 	case <-ctx.Done():
+		slog.Info("relay ending", "reason", "signal", "messages", l.metrics.Pending.Load(), "clients", l.clients.Count())
 		l.metrics.Serving.Store(false)
 		l.shutdownGracefully(ctx, server)
 	}
