Keep the relay running when the reader of its log has gone

SIGPIPE is ignored now, and such a write fails without effect. TestRelayOutlivesLogReader: ended on, runs on now.

--- a/cmd/relay/main.go
+++ b/cmd/relay/main.go
@@ -50,6 +50,7 @@
 }
 
 func run(configPath, state string) error {
+	signal.Ignore(syscall.SIGPIPE) // the reader of the log may go away, which must not end the process
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP) // before all else: an unhandled SIGHUP ends the process
 	if state == "" {
