Take memory from a budget before input is read, and answer or close at once without it

Callers saw a relay killed for its memory beside a crowd of unfinished requests, peers without an error or close, and late answers.

Cause: the number of client connections followed the descriptors alone, and nothing counted what a peer makes the relay hold: heads (a field of five bytes becomes a map entry of over a hundred), bodies (read by copies), messages, calls and endpoints' answers. The runtime's soft limit cannot hold live memory down.

The connection reads a request's head itself, within 16 KiB and 100 lines, and takes memory for a large head or body before it reads them; net/http sees complete heads only. Without memory or capacity, a stalled connection is evicted, then the request that began last of those read for 100 ms; else the newcomer is answered 503 or closed at once. Fewer than 32 bytes in half a second count as stalled. A client that reads no response for 2 s is closed. Messages, calls, long answers and idle connections to endpoints have shares too. A request with a transfer encoding gets 411 and a close whatever its method.

--- a/cmd/relay/main.go
+++ b/cmd/relay/main.go
@@ -21,10 +21,6 @@
 	"milletsail/internal/relay/config"
 )
 
-// heapShare is the share of the memory limit that becomes the Go runtime's soft memory limit. The rest is needed since two
-// processes share the limit during a handover, and since the limit includes the memory that the journal's files use.
-const heapShare = 0.4
-
 func main() {
 	configPath := flag.String("config", os.Getenv("NODE_CONFIG"), "configuration `file` (default $NODE_CONFIG)")
 	state := flag.String("state", os.Getenv("NODE_STATE"), "`folder` for the journal and other state, which has to survive the process (default $NODE_STATE)")
@@ -63,9 +59,17 @@
 	slog.Info("relay started", "pid", os.Getpid(), "memory_mb", cfg.Limits.MemoryMB, "descriptors", cfg.Limits.Sockets,
 		"disk_mb", cfg.Limits.DiskMB, "cores", cfg.Limits.Cores)
 	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Limits.Cores))))
-	debug.SetMemoryLimit(int64(heapShare * cfg.Limits.MemoryMB * (1 << 20)))
+	cfg.SetSoftMemoryLimit = setSoftMemoryLimit
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	// Reloads does not get ctx: the configuration is reloaded on SIGHUP even during the shutdown, until the process ends.
 	return relay.Run(ctx, cfg, state, config.Reloads(context.Background(), configPath, hup))
 }
+
+// setSoftMemoryLimit sets the runtime's soft memory limit. When that shrinks, as in a handover, memory that is no longer used is
+// returned at once, since another process needs it.
+func setSoftMemoryLimit(bytes int64) {
+	if previous := debug.SetMemoryLimit(bytes); bytes < previous {
+		debug.FreeOSMemory()
+	}
+}
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -99,7 +99,7 @@
 	}
 	m.PendingNotification = nil
 	if m.cancel == nil {
-		delete(l.messages, m.ID)
+		l.removeMessage(m)
 	}
 }
 
--- a/internal/relay/config/config.go
+++ b/internal/relay/config/config.go
@@ -53,6 +53,9 @@
 
 	// Files is the file system that the journal is written to; nil for the machine's own. Tests replace it.
 	Files journal.FS `json:"-"`
+	// SetSoftMemoryLimit sets the soft memory limit of the runtime in bytes; nil leaves it as it is. Tests that run relays in their
+	// own process leave it nil.
+	SetSoftMemoryLimit func(bytes int64) `json:"-"`
 	// Boot identifies the current boot of the machine; empty to use the kernel's boot id. Tests replace it.
 	Boot string `json:"-"`
 
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -45,6 +45,8 @@
 	notificationsReceived struct{ ids []string }
 	// shutdownStarted reports that the process is shutting down and starts no more calls.
 	shutdownStarted struct{}
+	// predecessorExited reports that the predecessor of a handover has exited.
+	predecessorExited struct{}
 	// successorRequested reports that a successor requests the state directory.
 	successorRequested struct{ link *handover.Link }
 	// successorMessage brings a message from the successor, after a handover.
@@ -97,6 +99,8 @@
 	l.handover.requester = e.link
 }
 
+func (predecessorExited) apply(l *loop) { l.applyPlan(false) }
+
 func (shutdownStarted) apply(l *loop) {
 	l.batch.events = append(l.batch.events, policy.ShutdownStarted{})
 }
--- a/internal/relay/frontend/closereason.go
+++ b/internal/relay/frontend/closereason.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"maps"
 	"slices"
+	"strconv"
 )
 
 // closedConnections is the name of the counter of client connections that the relay closed before their client did, by reason.
@@ -20,6 +21,10 @@
 	ReasonLingering CloseReason = "lingering"
 	// ReasonStalled says that a connection was evicted whose client stalled in the middle of a request.
 	ReasonStalled CloseReason = "stalled"
+	// ReasonReading says that a connection was evicted in the middle of a request that had not stalled.
+	ReasonReading CloseReason = "reading"
+	// ReasonNoRoom says that a new connection was closed, since none could be evicted for it.
+	ReasonNoRoom CloseReason = "no room"
 )
 
 // evictionReasons are the reasons for an eviction by the state of the connection.
@@ -36,6 +41,13 @@
 	}
 }
 
+// countRefused counts a request that was answered before net/http got it, by the status.
+func (l *ConnectionLimiter) countRefused(status int) {
+	if l.reasons != nil {
+		l.reasons.Add(malformedRequests, strconv.Itoa(status), 1)
+	}
+}
+
 // LogClosed logs how many connections the relay has closed for lack of room since the last call, by reason. It bounds the log by
 // the number of calls, however many peers connect.
 func (l *ConnectionLimiter) LogClosed() {
--- a/internal/relay/frontend/connection.go
+++ b/internal/relay/frontend/connection.go
@@ -18,6 +18,8 @@
 	minLinger = 100 * time.Millisecond
 	// maxLingerBytes bounds the input that is discarded. A client that sends more is not waiting for a response.
 	maxLingerBytes = 1 << 20
+	// writeTimeout bounds the wait for a client to read its response.
+	writeTimeout = 2 * time.Second
 )
 
 // state is the state of a connection. A lower state is evicted before a higher one, since it is less likely to lead to a
@@ -39,20 +41,31 @@
 // the limiter's lock.
 type Connection struct {
 	net.Conn
-	limiter    *ConnectionLimiter
-	state      state        // the limiter's lock guards this field and all below
+	limiter     *ConnectionLimiter
+	request     requestReader // of the goroutine that reads
+	pausedUntil instant.Time  // when the next request is read; of the goroutine that serves the connection
+
+	// The limiter's lock guards the fields below.
+	state      state
 	lastActive instant.Time // when the client last sent bytes, or its last request ended
 	lastWrite  instant.Time // when the relay last wrote to the connection
 	closed     bool         // whether the relay has closed or evicted the connection
 	acceptedAt instant.Time
+	progress   progress
+	// requestDeadline is when the current request has to be complete. It is zero for the first one, whose deadline net/http sets,
+	// and between requests.
+	requestDeadline instant.Time
+	input           int64 // memory of the current request that the limiter has given out
+	evictedSize     int64 // memory that the connection holds since it was evicted
 	// queueDelay is how long the connection may have waited in the kernel's queue while accepts failed; 0 after its first
 	// request. It shortens the read deadline, since the protocol counts the time to close the connection of a peer without
 	// a valid request from when that peer connected.
 	queueDelay time.Duration
 }
 
-// Read records that the client is active. Bytes that arrive once the relay has closed the connection are discarded.
-func (c *Connection) Read(b []byte) (int, error) {
+// receive reads from the socket and records that the client is active. Bytes that arrive once the relay has closed the connection
+// are discarded.
+func (c *Connection) receive(b []byte) (int, error) {
 	count, err := c.Conn.Read(b)
 	if count > 0 {
 		c.limiter.mu.Lock()
@@ -61,9 +74,8 @@
 			return 0, net.ErrClosed
 		}
 		c.lastActive = clock.Now()
-		if c.state == stateIdle {
-			c.state = stateReading
-		}
+		c.beginReading()
+		c.progress.add(c.lastActive, count)
 		if c.queueDelay > 0 { // a client that keeps sending gets the whole ReadTimeout
 			_ = c.Conn.SetReadDeadline(clock.Deadline(min(c.acceptedAt.Add(ReadTimeout), c.lastActive.Add(stallTimeout))))
 		}
@@ -71,22 +83,53 @@
 	return count, err
 }
 
-// SetReadDeadline sets the deadline by which net/http bounds the time to read a request, earlier by the queue delay.
+// markReading records that input of the next request is there, which may have been read before the last one ended.
+func (c *Connection) markReading() {
+	c.limiter.mu.Lock()
+	defer c.limiter.mu.Unlock()
+	c.beginReading()
+}
+
+// beginReading starts the time for a request if the connection was idle. The caller holds the lock.
+func (c *Connection) beginReading() {
+	if c.state != stateIdle || c.closed {
+		return
+	}
+	now := clock.Now()
+	c.state, c.progress = stateReading, progress{began: now, windowStart: now}
+	if c.answered() {
+		c.requestDeadline = now.Add(ReadTimeout)
+		_ = c.Conn.SetReadDeadline(clock.Deadline(c.requestDeadline))
+	}
+}
+
+// answered reports whether the relay has written to the connection, so that the current request is not its first one. The caller
+// holds the lock.
+func (c *Connection) answered() bool { return !c.lastWrite.IsZero() }
+
+// SetReadDeadline sets the deadline by which net/http bounds the time to read a request, earlier by the queue delay. A request on a
+// connection that was idle has ReadTimeout from its first byte on: net/http counts from the end of its head.
 func (c *Connection) SetReadDeadline(t time.Time) error {
 	c.limiter.mu.Lock()
-	queueDelay := c.queueDelay
-	c.limiter.mu.Unlock()
-	if queueDelay > 0 && !t.IsZero() {
-		t = t.Add(-queueDelay)
+	defer c.limiter.mu.Unlock()
+	if c.queueDelay > 0 && !t.IsZero() {
+		t = t.Add(-c.queueDelay)
+	}
+	if c.state == stateReading && !c.requestDeadline.IsZero() {
+		if latest := clock.Deadline(c.requestDeadline); t.IsZero() || t.After(latest) {
+			t = latest
+		}
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Write records when a response was written: the client may not have read it yet.
+// Write records when a response was written: the client may not have read it yet. A client that reads nothing for writeTimeout loses
+// its connection.
 func (c *Connection) Write(b []byte) (int, error) {
 	c.limiter.mu.Lock()
 	c.lastWrite = clock.Now()
 	c.limiter.mu.Unlock()
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	return c.Conn.Write(b)
 }
 
@@ -98,7 +141,7 @@
 	if !c.closed {
 		c.state = stateResponsePending
 	}
-	c.queueDelay = 0
+	c.queueDelay, c.requestDeadline = 0, 0
 	return !c.closed
 }
 
@@ -106,10 +149,10 @@
 func (c *Connection) finishRequest() {
 	c.limiter.mu.Lock()
 	defer c.limiter.mu.Unlock()
-	c.queueDelay = 0
+	c.queueDelay, c.requestDeadline = 0, 0
 	if !c.closed {
+		c.releaseInput()
 		c.state, c.lastActive = stateIdle, clock.Now()
-		c.limiter.changed.Broadcast()
 	}
 }
 
@@ -120,6 +163,7 @@
 	c.limiter.mu.Lock()
 	alreadyClosed, recentlyWritten := c.closed, clock.Since(c.lastWrite) < lingerTimeout
 	c.closed = true
+	c.releaseInput()
 	if recentlyWritten && !alreadyClosed {
 		c.state, c.lastActive = stateLingering, clock.Now()
 	}
@@ -150,8 +194,8 @@
 // remove removes the connection from the limiter and closes the socket.
 func (c *Connection) remove() error {
 	c.limiter.mu.Lock()
+	c.releaseInput()
 	delete(c.limiter.connections, c)
-	c.limiter.changed.Broadcast()
 	c.limiter.mu.Unlock()
 	return c.Conn.Close()
 }
--- a/internal/relay/frontend/connection_test.go
+++ b/internal/relay/frontend/connection_test.go
@@ -110,7 +110,6 @@
 		}},
 	} {
 		limiter := &ConnectionLimiter{connections: map[*Connection]bool{}}
-		limiter.changed.L = &limiter.mu
 		raw := gatedConn{readable: make(chan bool)}
 		c := &Connection{Conn: raw, limiter: limiter}
 		limiter.connections[c] = true
@@ -209,9 +208,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			limiter := &ConnectionLimiter{Listener: l, capacity: 9, connections: map[*Connection]bool{},
+			limiter := &ConnectionLimiter{Listener: l, capacity: 9, memoryCapacity: 9, connections: map[*Connection]bool{},
 				queueDelay: func() time.Duration { return time.Hour }}
-			limiter.changed.L = &limiter.mu
 			s := NewServer(&config.Config{}, new(metrics.ReasonCounters), func(*Submission) {}, func(*Submission) {})
 			go func() { _ = s.http.Serve(limiter) }()
 			t.Cleanup(func() { _ = s.http.Close() })
--- a/internal/relay/frontend/limiter.go
+++ b/internal/relay/frontend/limiter.go
@@ -4,19 +4,20 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"net"
 	"os"
+	"runtime"
 	"strconv"
 	"sync"
 	"time"
 
 	"milletsail/internal/clock"
-	"milletsail/internal/instant"
 	"milletsail/internal/relay/config"
 	"milletsail/internal/relay/listener"
+	"milletsail/internal/relay/memory"
 	"milletsail/internal/relay/metrics"
 	"milletsail/internal/relay/notifier"
-	"milletsail/internal/relay/socket"
 )
 
 const (
@@ -33,9 +34,6 @@
 	// minShareInHandover is the share of the capacity that a new process may use even while its predecessor holds more than the
 	// rest.
 	minShareInHandover = 0.25
-	// stallTimeout is how long a client may send nothing in the middle of a request before it counts as stalled. Some clients
-	// take 2 s to send a request, but never pause for as long as stallTimeout.
-	stallTimeout = 500 * time.Millisecond
 )
 
 // ConnectionLimiter is a listener that bounds the number of client connections of this process and its predecessor together. At
@@ -43,18 +41,21 @@
 // request cannot keep clients out. Its methods are safe for concurrent use, except that only one goroutine may call Accept.
 type ConnectionLimiter struct {
 	net.Listener
-	capacity int // maximum number of client connections, the predecessor's included
+	capacity int // maximum number of client connections by the descriptors, the predecessor's included
 	// queueDelay returns how long the last accepted connection may have waited in the kernel's queue while accepts failed. Nil
 	// stands for no delay.
 	queueDelay func() time.Duration
 
 	mu          sync.Mutex
-	changed     sync.Cond
 	connections map[*Connection]bool // open connections of this process
 	reserved    int                  // part of the capacity that the predecessor's connections take
 	closed      bool                 // whether Close was called
 	closedFor   map[CloseReason]int  // connections that the relay closed since the last LogClosed, by reason
 	reasons     *metrics.ReasonCounters
+
+	memoryCapacity int         // maximum number of client connections of this process by its memory
+	input          memory.Pool // memory of requests beyond that of their connections
+	evicted        memory.Pool // memory of evicted connections whose goroutines have not ended
 }
 
 // Listen opens the listening socket for clients: the one inherited from the platform if the configuration names one, else a new
@@ -72,13 +73,26 @@
 	return l, nil
 }
 
-// newLimiter returns a limiter of the given capacity for the connections of a listener.
+// newLimiter returns a limiter of the given capacity for the connections of a listener. Its memory is unbounded until ApplyPlan.
 func newLimiter(accepting net.Listener, capacity int) *ConnectionLimiter {
 	l := &ConnectionLimiter{Listener: accepting, capacity: capacity, connections: map[*Connection]bool{}}
-	l.changed.L = &l.mu
+	l.memoryCapacity = capacity
+	l.input.Resize(math.MaxInt64)
+	l.evicted.Resize(math.MaxInt64)
 	return l
 }
 
+// ApplyPlan sets the memory that clients may take up. It evicts connections beyond their new number where it can.
+func (l *ConnectionLimiter) ApplyPlan(plan memory.Plan) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.memoryCapacity = max(1, int(plan.Share(memory.Connections)/memory.ConnectionSize))
+	l.input.Resize(plan.Share(memory.Input))
+	l.evicted.Resize(plan.Share(memory.Evicted))
+	for len(l.connections) > l.memoryCapacity && l.evictOne(func(*Connection) bool { return true }) {
+	}
+}
+
 // capacityFor returns the maximum number of client connections for a process that may open the given number of sockets. It
 // leaves descriptors for idle endpoint connections, one call in each slot, and the fixed needs of this process and of a second
 // one during a handover, but returns no less than the number that the platform guarantees to clients.
@@ -105,71 +119,45 @@
 	return net.FileListener(f)
 }
 
-// Accept returns the next client connection, once there is capacity for it.
+// Accept returns the next client connection that there is capacity for. The others are closed at once.
 func (l *ConnectionLimiter) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil { // closed
-		return nil, err
+	for {
+		runtime.Gosched() // lets the connections that were accepted be served before the next one
+		conn, err := l.Listener.Accept()
+		if err != nil { // closed
+			return nil, err
+		}
+		if c := l.admit(conn); c != nil {
+			return c, nil
+		}
+		_ = conn.Close()
 	}
-	c := &Connection{Conn: conn, limiter: l, lastActive: clock.Now(), acceptedAt: clock.Now()}
+}
+
+// admit returns a Connection for an accepted connection, and evicts another one if there is no capacity. It returns nil if it
+// cannot.
+func (l *ConnectionLimiter) admit(conn net.Conn) *Connection {
+	now := clock.Now()
+	c := &Connection{Conn: conn, limiter: l, lastActive: now, acceptedAt: now}
 	if l.queueDelay != nil {
 		c.queueDelay = min(l.queueDelay(), ReadTimeout-stallTimeout)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.full() && !l.closed {
-		if l.evictOrWait() {
-			break
+		if !l.evictOne(func(*Connection) bool { return true }) {
+			l.countClosed(ReasonNoRoom)
+			return nil
 		}
 	}
 	l.connections[c] = true
-	return c, nil
+	return c
 }
 
 // full reports whether another connection would exceed the capacity. The caller holds the lock.
 func (l *ConnectionLimiter) full() bool {
-	return len(l.connections) >= max(l.capacity-l.reserved, int(minShareInHandover*float64(l.capacity)), 1)
-}
-
-// evictOrWait evicts a connection and reports true. If it cannot, it reports false once the limiter may have changed, and the
-// caller checks again. The caller holds the lock.
-func (l *ConnectionLimiter) evictOrWait() bool {
-	candidate := l.evictionCandidate(clock.Now())
-	if candidate == nil {
-		// No connection can be evicted yet. One that is reading a request can be once it has sent nothing for stallTimeout.
-		retry := time.AfterFunc(stallTimeout, l.changed.Broadcast)
-		l.changed.Wait()
-		retry.Stop()
-		return false
-	}
-	if candidate.state == stateIdle && socket.HasUnread(candidate.Conn) {
-		// A request has arrived, but its goroutine has not read it yet.
-		candidate.state, candidate.lastActive = stateReading, clock.Now()
-		return false
-	}
-	l.countClosed(evictionReasons[candidate.state])
-	candidate.closed = true
-	delete(l.connections, candidate)
-	_ = candidate.Conn.Close()
-	return true
-}
-
-// evictionCandidate returns the connection to evict for a new one, or nil if none can be evicted. Idle connections are evicted
-// before lingering ones, and lingering ones before those that stalled in the middle of a request; within a state, the one
-// inactive for longest is evicted first. A connection is never evicted while its response is pending, while it is reading a
-// request and was active within stallTimeout, or during the first minLinger of lingering. The caller holds the lock.
-func (l *ConnectionLimiter) evictionCandidate(now instant.Time) (candidate *Connection) {
-	for c := range l.connections {
-		silent := now.Sub(c.lastActive)
-		if c.state == stateResponsePending || c.state == stateReading && silent < stallTimeout ||
-			c.state == stateLingering && silent < minLinger {
-			continue
-		}
-		if candidate == nil || c.state < candidate.state || c.state == candidate.state && c.lastActive < candidate.lastActive {
-			candidate = c
-		}
-	}
-	return candidate
+	descriptors := max(l.capacity-l.reserved, int(minShareInHandover*float64(l.capacity)), 1)
+	return len(l.connections) >= min(descriptors, l.memoryCapacity)
 }
 
 // Close stops accepting clients. It closes this process's descriptor; the socket stays open if the platform or another process
@@ -177,7 +165,6 @@
 func (l *ConnectionLimiter) Close() error {
 	l.mu.Lock()
 	l.closed = true
-	l.changed.Broadcast()
 	l.mu.Unlock()
 	return l.Listener.Close()
 }
@@ -187,7 +174,6 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.reserved = connections
-	l.changed.Broadcast()
 }
 
 // Count returns the number of open connections of this process, lingering ones included.
--- a/internal/relay/frontend/limiter_test.go
+++ b/internal/relay/frontend/limiter_test.go
@@ -41,7 +41,7 @@
 		if tt.none {
 			want = nil
 		}
-		if got := limiter.evictionCandidate(now); got != want {
+		if got := limiter.evictionCandidate(now, func(*Connection) bool { return true }); got != want {
 			t.Errorf("%s: wrong candidate %+v", tt.name, got)
 		}
 	}
--- a/internal/relay/frontend/server.go
+++ b/internal/relay/frontend/server.go
@@ -26,6 +26,8 @@
 	// idleTimeout is how long a client may keep a connection open without a request. It is the shortest time that the platform
 	// allows, so that peers with idle connections do not use up the capacity for clients.
 	idleTimeout = 2 * time.Second
+	// overloadRetryAfter is the wait that a client is asked for whose request finds no memory.
+	overloadRetryAfter = 300 * time.Millisecond
 )
 
 // malformedRequests is the name of the counter of malformed requests by response status.
@@ -85,16 +87,30 @@
 // handle dispatches a request to the health check or to handleMessage. The health check always answers 200, since the relay
 // accepts connections only once its journal is replayed.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
+	c := connectionOf(r)
+	if c != nil {
+		c.pause() // unless the request hands in a message
+	}
 	switch {
+	case len(r.TransferEncoding) > 0:
+		// net/http discards a Content-Length that contradicts the chunked encoding. The bytes after the chunks could then be a
+		// part of the body that is crafted to look like another request (request smuggling).
+		s.rejectMalformed(w, malformed(http.StatusLengthRequired, "Transfer-Encoding is set, but a Content-Length is required"))
 	case r.URL.Path == "/_health" && r.Method == http.MethodGet:
 		s.respond(w, Response{Status: http.StatusOK})
 	case r.Method != http.MethodPost:
 		s.respond(w, Response{Status: http.StatusMethodNotAllowed})
 	default:
-		s.handleMessage(w, r)
+		s.handleMessage(w, r, c)
 	}
 }
 
+// connectionOf returns the connection that a request arrived on, or nil if it is none of a ConnectionLimiter.
+func connectionOf(r *http.Request) *Connection {
+	c, _ := r.Context().Value(connectionKey{}).(*Connection)
+	return c
+}
+
 // respond writes a response without a body.
 func (s *Server) respond(w http.ResponseWriter, response Response) {
 	if s.draining.Load() {
@@ -107,14 +123,17 @@
 }
 
 // handleMessage parses a request, submits its message and writes the response.
-func (s *Server) handleMessage(w http.ResponseWriter, r *http.Request) {
-	submission, err := s.parseMessage(w, r)
+func (s *Server) handleMessage(w http.ResponseWriter, r *http.Request, c *Connection) {
+	submission, err := s.parseMessage(r, c)
 	if err != nil {
 		s.rejectMalformed(w, err)
 		return
 	}
-	if c, ok := r.Context().Value(connectionKey{}).(*Connection); ok && !c.startRequest() {
-		panic(http.ErrAbortHandler) // the relay closed the connection before the request was complete
+	if c != nil {
+		if !c.startRequest() {
+			panic(http.ErrAbortHandler) // the relay closed the connection before the request was complete
+		}
+		c.pausedUntil = 0
 	}
 	s.submit(submission)
 	select {
@@ -138,5 +157,9 @@
 	s.reasons.Add(malformedRequests, strconv.Itoa(status), 1)
 	// The boundary between this request and the next may be unknown, so the connection is not reused.
 	w.Header().Set("Connection", "close")
-	s.respond(w, Response{Status: status})
+	response := Response{Status: status}
+	if status == http.StatusServiceUnavailable {
+		response.RetryAfter = overloadRetryAfter
+	}
+	s.respond(w, response)
 }
--- a/internal/relay/frontend/submission.go
+++ b/internal/relay/frontend/submission.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -58,8 +57,9 @@
 	return &requestError{status, fmt.Errorf(format, args...)}
 }
 
-// parseMessage validates a request and returns its message. Every error is a requestError with a 4xx status.
-func (s *Server) parseMessage(w http.ResponseWriter, request *http.Request) (*Submission, error) {
+// parseMessage validates a request that arrived on a connection and returns its message. Every error is a requestError with a 4xx
+// status, or with 503 if there is no memory for the request.
+func (s *Server) parseMessage(request *http.Request, c *Connection) (*Submission, error) {
 	now := clock.Now()
 	name := strings.Split(strings.TrimPrefix(request.URL.Path, "/"), "/")[0]
 	class := s.classes[name]
@@ -69,11 +69,6 @@
 	if tenant := request.Header.Get("Tenant"); len(s.tenants) > 0 && !s.tenants[tenant] {
 		return nil, malformed(http.StatusBadRequest, "unknown tenant %q in the Tenant header", tenant)
 	}
-	if len(request.TransferEncoding) > 0 {
-		// net/http discards a Content-Length that contradicts the chunked encoding. The bytes after the chunks could then be a
-		// part of the body that is crafted to look like another request (request smuggling).
-		return nil, malformed(http.StatusLengthRequired, "Transfer-Encoding is set, but a Content-Length is required")
-	}
 	id, key := request.Header.Get("Request-Id"), request.Header.Get("Idempotency-Key")
 	if id == "" || len(id) > MaxIDSize || len(key) > MaxIDSize {
 		return nil, malformed(http.StatusBadRequest,
@@ -90,7 +85,7 @@
 	if err != nil {
 		return nil, err
 	}
-	body, err := readBody(w, request)
+	body, err := readBody(request, c)
 	if err != nil {
 		return nil, err
 	}
@@ -122,13 +117,17 @@
 	return seconds, nil
 }
 
-// readBody reads the body of a request, of at most protocol.MaxBodySize bytes.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, protocol.MaxBodySize))
-	if errors.As(err, new(*http.MaxBytesError)) {
-		return nil, malformed(http.StatusRequestEntityTooLarge, "body longer than %d bytes: %w", protocol.MaxBodySize, err)
+// readBody reads the body of a request, of at most protocol.MaxBodySize bytes. It takes the memory for a large one first.
+func readBody(r *http.Request, c *Connection) ([]byte, error) {
+	size := r.ContentLength
+	if size > protocol.MaxBodySize {
+		return nil, malformed(http.StatusRequestEntityTooLarge, "body of %d bytes is longer than %d", size, protocol.MaxBodySize)
 	}
-	if err != nil {
+	if size > initialHeadSize && c != nil && !c.reserve(size) {
+		return nil, malformed(http.StatusServiceUnavailable, "no memory for a body of %d bytes", size)
+	}
+	body := make([]byte, max(size, 0))
+	if _, err := io.ReadFull(r.Body, body); err != nil {
 		return nil, malformed(http.StatusBadRequest, "body not read completely: %w", err)
 	}
 	return body, nil
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -27,6 +27,7 @@
 const (
 	reasonNoDestination = "no such destination"
 	reasonNoStorage     = "no room in the folder, or it can't be written"
+	reasonNoMemory      = "no memory for another message"
 	reasonClientLeft    = "the client left"
 )
 
@@ -43,6 +44,10 @@
 		l.rejectBeforePolicy(submission, reasonNoDestination)
 		return
 	}
+	if !l.messageMemory.Has(messageSize(submission.Entry)) {
+		l.rejectBeforePolicy(submission, reasonNoMemory)
+		return
+	}
 	if !l.journal.Reserve(submission.Entry) {
 		l.rejectBeforePolicy(submission, reasonNoStorage)
 		return
@@ -50,7 +55,7 @@
 	slog.Debug("message arrived", "request_id", submission.Entry.ID, "destination", submission.Entry.Dest,
 		"class", submission.Entry.Class, "time_left", clock.Until(submission.Entry.ExpiresAt))
 	msg := &message{Entry: submission.Entry, responses: []chan frontend.Response{submission.Response}}
-	l.messages[msg.ID] = msg
+	l.addMessage(msg)
 	l.batch.newMessages = append(l.batch.newMessages, msg)
 	l.batch.events = append(l.batch.events, policy.Arrived{ID: msg.ID, Class: l.classIndex(msg.Class), Destination: msg.Dest,
 		TimeLeft: clock.Until(msg.ExpiresAt), Size: sizeInBatch(msg.Entry)})
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -62,16 +62,18 @@
 	cfg   *config.Config
 
 	// The state that the loop owns.
-	dispatcher *policy.Dispatcher
-	journal    *journal.Journal
-	endpoints  *endpointList
-	messages   map[string]*message // by id; the message table
-	batch      batch
-	timerAt    instant.Time // when the policy's timer fires
-	lastStep   instant.Time // when the last step began
-	lastClocks clock.Pair   // last reading of checkClocks
-	memoryPeak memory.PeakLogger
-	zones      *zoneOrders  // operators' zone orders; nil if zones are disabled
+	dispatcher    *policy.Dispatcher
+	journal       *journal.Journal
+	endpoints     *endpointList
+	messages      map[string]*message // by id; the message table, which addMessage and removeMessage change
+	batch         batch
+	timerAt       instant.Time // when the policy's timer fires
+	lastStep      instant.Time // when the last step began
+	lastClocks    clock.Pair   // last reading of checkClocks
+	memoryPeak    memory.PeakLogger
+	messageMemory *memory.Pool // memory of the messages in the table; nil for no limit
+	plannedFor    planInput    // of the last applyPlan
+	zones         *zoneOrders  // operators' zone orders; nil if zones are disabled
 	// unrecordedNotifications are held back until the ends of their messages are on disk, or the messages have expired.
 	unrecordedNotifications []unrecordedNotification
 
@@ -130,6 +132,7 @@
 	l.checkClocks()
 	l.memoryPeak.Check("clients", l.clients.Count(), "messages", len(l.messages))
 	l.clients.LogClosed()
+	l.updatePlan()
 	if l.handover.ownsState() {
 		l.setWritable(l.journal.Retry())
 		l.endpoints.maintainStore()
@@ -157,11 +160,15 @@
 		return
 	}
 	l.handover.requester = nil
-	if l.handOver(ctx, requester) {
-		l.pool.DisableKeepAlives()
-		l.handover.stopOwnerTasks()
-		close(l.handover.completed)
+	l.applyPlan(true)
+	if !l.handOver(ctx, requester) {
+		l.applyPlan(false)
+		return
 	}
+	l.releaseTransferred()
+	l.pool.DisableKeepAlives()
+	l.handover.stopOwnerTasks()
+	close(l.handover.completed)
 }
 
 // untilNextStep returns the time until the next step is due. It is 0 if events are waiting, as when a step itself has caused
--- a/internal/relay/predecessor.go
+++ b/internal/relay/predecessor.go
@@ -130,5 +130,6 @@
 		close(s.withdrawn)
 	}
 	p.loop.clients.Reserve(0)
+	p.loop.enqueue(predecessorExited{})
 	slog.Info("predecessor is gone", "calls_in_flight", len(p.inFlight))
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	"milletsail/internal/relay/frontend"
 	"milletsail/internal/relay/gossip"
 	"milletsail/internal/relay/handover"
+	"milletsail/internal/relay/memory"
 	"milletsail/internal/relay/metrics"
 	"milletsail/internal/relay/notifier"
 	"milletsail/internal/relay/upstream"
@@ -29,10 +30,6 @@
 // ReadConfig reads and validates a configuration file. It is config.Read, for programs that import only this package.
 func ReadConfig(path string) (*config.Config, error) { return config.Read(path) }
 
-// listMemoryShare is the maximum size of an endpoint list's JSON, as a share of the relay's memory limit. An entry takes no more
-// memory in the table than as JSON.
-const listMemoryShare = 0.5
-
 // Run runs a relay until ctx ends, and then shuts it down gracefully: it continues to serve for as long as clients may still
 // connect, and leaves undelivered messages in the journal in the state directory dir. Each address received from addresses
 // replaces the address of discovery in cfg. Run also returns once a successor has taken over and the client connections and calls
@@ -73,7 +70,8 @@
 	ownerCtx, stopOwnerTasks := context.WithCancel(processCtx)
 	defer stopOwnerTasks()
 	eventLoop := &loop{cfg: cfg, dispatcher: dispatcher, journal: openedJournal, endpoints: list, clients: clients,
-		metrics: counters, inbox: make(chan event, inboxCapacity), messages: map[string]*message{}, pool: newPool(cfg, counters),
+		metrics: counters, inbox: make(chan event, inboxCapacity), messages: map[string]*message{}, messageMemory: new(memory.Pool),
+		pool:  newPool(cfg, counters),
 		owner: acquired.Ownership, handover: handoverState{completed: make(chan struct{}), stopOwnerTasks: stopOwnerTasks}}
 	tasks := eventLoop.newTasks(dir, acquired, adminServer)
 	server := frontend.NewServer(cfg, &counters.Reasons,
@@ -83,6 +81,7 @@
 		func(link *handover.Link) { eventLoop.enqueue(successorRequested{link}) })
 	eventLoop.openEndpoints(ctx, dir)
 	defer func() { eventLoop.endpoints.close() }()
+	eventLoop.applyPlan(acquired.Predecessor != nil)
 	eventLoop.openZones(dir)
 	eventLoop.handleCommands(adminServer)
 	eventLoop.restore(processCtx, acquired.Predecessor, acquired.Offer) // clients are served only after this
@@ -129,11 +128,18 @@
 	return server, nil
 }
 
-// newPool returns the pool of connections to endpoints, limited to the upstream share of the relay's sockets.
+// newPool returns the pool of connections to endpoints, without memory for calls: applyPlan gives it its share.
 func newPool(cfg *config.Config, counters *metrics.Metrics) *upstream.Pool {
-	capacity := max(1, int(frontend.UpstreamShare*float64(cfg.Limits.Sockets)))
-	return upstream.NewPool(settings.Seconds(cfg.Settings.Limits.ConnTimeoutS), cfg.Policy.IdleConnTimeout, capacity,
-		&counters.UpstreamRequests)
+	pool := upstream.NewPool(settings.Seconds(cfg.Settings.Limits.ConnTimeoutS), cfg.Policy.IdleConnTimeout, 1, &counters.UpstreamRequests)
+	pool.Memory = new(memory.Pool)
+	return pool
+}
+
+// idleCapacity returns the maximum number of idle connections to endpoints, by the upstream share of the relay's sockets and by the
+// memory for them.
+func idleCapacity(cfg *config.Config, plan memory.Plan) int {
+	sockets := int(frontend.UpstreamShare * float64(cfg.Limits.Sockets))
+	return max(1, min(sockets, int(plan.Share(memory.IdleEndpointConnections)/memory.EndpointConnectionSize)))
 }
 
 // tasks are the components for which Run starts goroutines beside the loop.
@@ -146,7 +152,7 @@
 func (l *loop) newTasks(dir string, acquired *handover.Acquired, adminServer *admin.Server) tasks {
 	l.watcher = discovery.New(l.cfg.Discovery, discovery.RequestJitter(&l.cfg.Settings),
 		func(b discovery.Batch) { l.enqueue(batchReceived{b}) }, func() { l.enqueue(watchEnded{}) })
-	l.watcher.MaxListSize = int64(listMemoryShare * l.cfg.Limits.MemoryMB * 1e6)
+	l.watcher.MaxListSize = memory.Limits{MemoryMB: l.cfg.Limits.MemoryMB}.MaxListBytes()
 	l.watcher.Immediate = acquired.Predecessor != nil // after a handover no other relay starts at the same time
 	notifications := notifier.New(l.cfg.Discovery, func(ids []string) { l.enqueue(notificationsReceived{ids}) })
 	l.notifier = notifications
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -52,7 +52,7 @@
 // restoreMessage restores a message from its journal entry. If its last attempt is in inFlight, the attempt is removed there.
 func (l *loop) restoreMessage(link *handover.Link, entry *journal.Entry, inFlight map[string]handover.Attempt) {
 	msg := &message{Entry: entry}
-	l.messages[entry.ID] = msg
+	l.addMessage(msg)
 	l.countPending(msg)
 	attempt, hasAttempt := inFlight[entry.ID]
 	if hasAttempt {
@@ -92,7 +92,7 @@
 	if m == nil {
 		m = &message{ended: true, Entry: &journal.Entry{ID: a.ID, Class: a.Class, Dest: a.Destination,
 			Attempts: make([]journal.Attempt, a.Attempt+1)}}
-		l.messages[a.ID] = m
+		l.addMessage(m)
 	}
 	prior := policy.PriorAttempt{Endpoint: a.Endpoint, SentAt: link.Instant(a.StartedAt)}
 	arrived := policy.Arrived{ID: a.ID, Class: l.classIndex(a.Class), Destination: a.Destination, Resumed: true, Completed: true,
--- a/internal/relay/upstream/call.go
+++ b/internal/relay/upstream/call.go
@@ -22,6 +22,16 @@
 	batchPath = "/inbox/bulk"
 )
 
+const (
+	// callOverhead is the memory in bytes that a call takes up beside its messages: its goroutines' stacks, the connection's buffer
+	// and a short response.
+	callOverhead = 16 << 10
+	// batchCost is the memory of a batch as a multiple of its messages: they are encoded as JSON, and that again as a request.
+	batchCost = 3
+	// requestHeadSize is more than the size in bytes of a request's head, unless the id or the key is very long.
+	requestHeadSize = 1 << 10
+)
+
 // userAgent is the User-Agent header of all calls.
 const userAgent = "milletsail"
 
@@ -74,6 +84,18 @@
 	return slices.IndexFunc(c.Messages, func(m Message) bool { return m.ID == id })
 }
 
+// memorySize returns the most memory in bytes that the call takes up, apart from its messages and from the body of a long response.
+func (c Call) memorySize() int64 {
+	size := callOverhead
+	for _, m := range c.Messages {
+		size += len(m.ID) + len(m.Key) + len(m.Body)
+	}
+	if len(c.Messages) > 1 {
+		size *= batchCost
+	}
+	return int64(size)
+}
+
 // encode returns the HTTP request in wire format. timeLeft is sent in the Request-Timeout header, as at least 1 ms.
 func (c Call) encode(ctx context.Context, timeLeft time.Duration) ([]byte, error) {
 	path, body := singlePath, c.Messages[0].Body
@@ -97,6 +119,7 @@
 	}
 	req.Header.Set("Request-Timeout", strconv.FormatFloat(max(timeLeft, time.Millisecond).Seconds(), 'f', 3, 64))
 	var out bytes.Buffer
+	out.Grow(requestHeadSize + len(body)) // so that it does not grow by copies
 	err = req.Write(&out)
 	return out.Bytes(), err
 }
--- a/internal/relay/upstream/conn.go
+++ b/internal/relay/upstream/conn.go
@@ -15,6 +15,7 @@
 
 	"milletsail/internal/clock"
 	"milletsail/internal/instant"
+	"milletsail/internal/relay/memory"
 	"milletsail/internal/relay/protocol"
 	"milletsail/internal/relay/socket"
 )
@@ -35,6 +36,10 @@
 	// maxInterimResponses bounds the 1xx responses of a call: the final response has to be among the first maxInterimResponses
 	// responses.
 	maxInterimResponses = 8
+	// shortBodySize is the size in bytes up to which the body of a response is part of callOverhead.
+	shortBodySize = 4 << 10
+	// longBodyMemory is the memory in bytes for the body of a longer response, with the copies that reading and parsing make.
+	longBodyMemory = 4 * protocol.MaxBodySize
 	// maxLateReads bounds the retries of a read that failed by the deadline although data had arrived. Several can be needed,
 	// since the end of the call may concurrently set the deadline to the past again.
 	maxLateReads = 3
@@ -67,6 +72,9 @@
 	callErr      func() error      // returns why the current call has ended, or nil while it lasts; nil before the first call
 	stallTimeout time.Duration     // bounds the wait of each read for data; 0 for no bound
 	readUntil    instant.Time      // when reading a body ends at the latest; zero for no bound
+	head         headLimit         // bounds the head of the response that is being read
+	memory       *memory.Pool      // memory for calls
+	bodyMemory   int64             // memory that was taken for the body of the current response
 }
 
 // newConn returns a conn on a new network connection.
@@ -83,6 +91,9 @@
 	if !c.readUntil.IsZero() && clock.Now() >= c.readUntil {
 		return 0, errBodyTooSlow
 	}
+	if c.head.exceeded() {
+		return 0, errResponseTooLarge
+	}
 	if c.stallTimeout > 0 {
 		_ = c.SetReadDeadline(time.Now().Add(c.stallTimeout))
 		if err := c.callErr(); err != nil { // the call may have set pastDeadline as it ended, which the line above has overwritten
@@ -94,6 +105,7 @@
 		_ = c.SetReadDeadline(time.Now().Add(bodyDrainTimeout))
 		n, err = c.Conn.Read(b)
 	}
+	c.head.add(b[:n])
 	return n, err
 }
 
@@ -118,6 +130,9 @@
 		case err != nil:
 			return nil, err
 		}
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		c.head = headLimit{active: true}
+		c.head.add(buffered)
 		if _, err := c.reader.Peek(1); err != nil {
 			return nil, err
 		}
@@ -137,8 +152,9 @@
 	return nil, errTooManyInterim
 }
 
-// readBody reads the body of a response to its end. It fails if the response is not valid HTTP/1.1 to its end, if the body
-// exceeds protocol.MaxBodySize, or if that of a response other than 200 takes longer than rejectionReadTimeout.
+// readBody reads the body of a response to its end, and returns it if the status is 200: of another response, the status and the
+// header say all. It fails if the response is not valid HTTP/1.1 to its end, if the body exceeds protocol.MaxBodySize, if there is no
+// memory for a long one, or if that of a response other than 200 takes longer than rejectionReadTimeout.
 func (c *conn) readBody(resp *http.Response) ([]byte, error) {
 	if resp.ProtoMajor != 1 {
 		return nil, fmt.Errorf("%w: %s", errUnsupportedVersion, resp.Proto)
@@ -146,12 +162,34 @@
 	if resp.StatusCode != http.StatusOK {
 		c.readUntil = clock.Now().Add(rejectionReadTimeout)
 		defer func() { c.readUntil = 0 }()
+		size, err := io.Copy(io.Discard, io.LimitReader(resp.Body, protocol.MaxBodySize+1))
+		return nil, c.checkSize(size, err)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, shortBodySize))
+	if err != nil || len(body) < shortBodySize {
+		return body, c.checkSize(int64(len(body)), err)
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, protocol.MaxBodySize+1))
-	if err == nil && (len(body) > protocol.MaxBodySize || c.limited.N <= 0) {
-		err = errResponseTooLarge
+	if !c.memory.TryAcquire(longBodyMemory) {
+		return nil, errNoMemory
 	}
-	return body, err
+	c.bodyMemory = longBodyMemory
+	rest, err := io.ReadAll(io.LimitReader(resp.Body, protocol.MaxBodySize+1-shortBodySize))
+	body = append(body, rest...)
+	return body, c.checkSize(int64(len(body)), err)
+}
+
+// checkSize returns the error of reading a body of the given size, or errResponseTooLarge if that is too long.
+func (c *conn) checkSize(size int64, err error) error {
+	if err == nil && (size > protocol.MaxBodySize || c.limited.N <= 0) {
+		return errResponseTooLarge
+	}
+	return err
+}
+
+// releaseBody gives back the memory of the body that readBody returned.
+func (c *conn) releaseBody() {
+	c.memory.Release(c.bodyMemory)
+	c.bodyMemory = 0
 }
 
 // drain reads and discards the rest of a response, for at most bodyDrainTimeout, and reports whether the connection may carry
--- a/internal/relay/upstream/pool.go
+++ b/internal/relay/upstream/pool.go
@@ -16,6 +16,7 @@
 
 	"milletsail/internal/clock"
 	"milletsail/internal/instant"
+	"milletsail/internal/relay/memory"
 	"milletsail/internal/relay/protocol"
 	"milletsail/internal/relay/resource"
 	"milletsail/policy"
@@ -29,12 +30,18 @@
 // errNotSettled reports that a call ended while it waited for protocol.ResponseSettleTime.
 var errNotSettled = errors.New("call ended before its connection had settled")
 
+// errNoMemory reports that the calls in flight take up all memory that calls may have.
+var errNoMemory = errors.New("no memory for another call")
+
 // Pool makes calls to endpoints over connections that carry one call at a time. It does not use http.Transport for two reasons:
 // http.Transport resends a request with an Idempotency-Key when a cached connection breaks, which may execute it twice; and it
 // does not report whether the last byte of a request was written, which separates "not executed" from "may have been executed".
 //
 // A Pool is safe for concurrent use. It has no background goroutine: idle connections are closed only in calls of its methods.
 type Pool struct {
+	// Memory is the memory that calls may take up. Nil sets no limit.
+	Memory *memory.Pool
+
 	dialer      net.Dialer
 	idleTimeout time.Duration
 	// written counts the messages of requests that were written completely.
@@ -61,6 +68,12 @@
 // Do makes one call and returns the result of each message, in the order of call.Messages. When it returns, the call is no longer
 // in flight: it was never written, it has its response, or its connection is closed.
 func (p *Pool) Do(ctx context.Context, call Call) []Result {
+	size := call.memorySize()
+	if !p.Memory.TryAcquire(size) {
+		slog.Warn("call not started", "endpoint", call.Addr, "messages", len(call.Messages), "error", errNoMemory)
+		return call.resultForAll(Result{Outcome: policy.NotStarted})
+	}
+	defer p.Memory.Release(size)
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	writing := ctx
@@ -149,6 +162,7 @@
 		return call.resultForAll(classifyResponse(resp)), conn.drain(resp) // the status line alone is reliable
 	}
 	body, err := conn.readBody(resp)
+	defer conn.releaseBody()
 	if err != nil {
 		slog.Warn("unreadable response", "endpoint", call.Addr, "messages", len(call.Messages), "status", resp.StatusCode, "error", err)
 		return call.resultForAll(uncertainResult(resp, interruptedOutcome(ctx))), false
@@ -183,7 +197,9 @@
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
 	}
-	return newConn(raw), nil
+	opened := newConn(raw)
+	opened.memory = p.Memory
+	return opened, nil
 }
 
 // popIdle removes an idle connection to an address from the pool and returns it, or returns nil if there is none. It prefers the
@@ -204,6 +220,14 @@
 	return c
 }
 
+// SetCapacity sets the maximum number of idle connections. Those beyond it are closed.
+func (p *Pool) SetCapacity(capacity int) {
+	p.mu.Lock()
+	p.capacity = capacity
+	p.mu.Unlock()
+	p.closeIdleIf(func(string, *conn) bool { return p.idleCount > capacity })
+}
+
 // release keeps a connection as idle for a later call, or closes it if the pool is full.
 func (p *Pool) release(addr string, c *conn) {
 	p.mu.Lock()
@@ -246,10 +270,7 @@
 
 // DisableKeepAlives closes all idle connections, and makes every later call close its connection.
 func (p *Pool) DisableKeepAlives() {
-	p.mu.Lock()
-	p.capacity = 0
-	p.mu.Unlock()
-	p.closeIdleIf(func(string, *conn) bool { return true })
+	p.SetCapacity(0)
 }
 
 // CloseIdle closes all idle connections to an address.
