Remember fragile ids whose client left, and forward no request of a client that has left

Callers saw a message that may not be repeated run twice when its id came again after its client had left, also over a kill or an upgrade, and requests forwarded after their client had closed its connection.

And net/http does not see a client's end behind requests that it has pipelined.

A delivered id that comes again gets 202, another one 502. Before the policy decides, the loop asks the kernel whether the client's connection is closed (TCP_INFO). After a kill, ids that had ended and whose client got its 202 are not remembered.

--- a/internal/lab/overload/helpers_test.go
+++ b/internal/lab/overload/helpers_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -29,6 +30,8 @@
 	// heldPrefix begins the ids of messages whose calls endpoints answer only after heldTime.
 	heldPrefix = "held"
 	heldTime   = 300 * time.Millisecond
+	// logTimeout bounds the wait for a line in the relay's log.
+	logTimeout = 10 * time.Second
 )
 
 // The classes of the settings.
@@ -86,41 +89,98 @@
 // bed is a relay process with its stand-ins.
 type bed struct {
 	*stand.Bed
-	t      testing.TB
-	dir    string
-	record *stand.Record
+	t         testing.TB
+	dir       string
+	endpoints []*stand.Endpoint
 
 	mu        sync.Mutex
 	delivered map[string]int // calls at endpoints, by message id
 }
 
+// bedOption changes how startBed starts a relay.
+type bedOption int
+
+// withInheritedSocket makes the platform hold the relay's listening socket, which all its processes inherit.
+const withInheritedSocket bedOption = 1
+
 // startBed starts a relay with the given limits and its stand-ins, and ends them with the test. A failed test prints the end of
 // the relay's log.
-func startBed(t testing.TB, limits stand.Limits) *bed {
+func startBed(t testing.TB, limits stand.Limits, options ...bedOption) *bed {
 	t.Helper()
-	b := &bed{t: t, dir: t.TempDir(), delivered: map[string]int{}}
+	b := &bed{Bed: &stand.Bed{}, t: t, dir: t.TempDir(), delivered: map[string]int{}}
 	record, err := stand.NewRecord(filepath.Join(b.dir, "record"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.record = record
-	settings := stand.Settings([]stand.Class{
-		{Name: keyedClass, Effect: "dedup", DeadlineS: messageTimeout.Seconds(), MemorySpanS: 15},
-		{Name: fragileClass, Effect: "fragile", DeadlineS: messageTimeout.Seconds()}}, 27, 1)
-	b.Bed, err = stand.StartLimitedBed(context.Background(), record, root, b.dir, settings, limits, destinations, b.answer)
-	if err != nil {
-		t.Fatal(err)
-	}
 	t.Cleanup(func() {
-		b.Close()
+		b.close()
 		record.Close()
 		if t.Failed() {
 			b.printLog()
 		}
 	})
+	if err := b.start(record, limits, slices.Contains(options, withInheritedSocket)); err != nil {
+		t.Fatal(err)
+	}
 	return b
 }
 
+// start starts the stand-ins and the relay, and waits until it is ready.
+func (b *bed) start(record *stand.Record, limits stand.Limits, inherit bool) (err error) {
+	ctx := context.Background()
+	var hosts []stand.Member
+	for i := range destinations {
+		e, err := stand.StartEndpoint(ctx, fmt.Sprintf("s-%d", i+1), b.answer)
+		if err != nil {
+			return err
+		}
+		b.endpoints = append(b.endpoints, e)
+		hosts = append(hosts, stand.Member{Host: e.Name, Dial: e.Address, Site: "a", Class: "m2", Block: i + 1, Health: "SERVING", Share: 1})
+	}
+	if b.Platform, err = stand.StartPlatform(ctx, record, hosts); err != nil {
+		return err
+	}
+	if b.Relay, err = stand.NewRelay(ctx, record, root, b.dir, inherit); err != nil {
+		return err
+	}
+	b.Relay.Limits = limits
+	b.Clients = &stand.Clients{Address: b.Relay.Listen}
+	settings := stand.Settings([]stand.Class{
+		{Name: keyedClass, Effect: "dedup", DeadlineS: messageTimeout.Seconds(), MemorySpanS: 15},
+		{Name: fragileClass, Effect: "fragile", DeadlineS: messageTimeout.Seconds()}}, 27, 1)
+	if err := b.Relay.WriteConfig(b.Platform.Address, b.Platform.Known(), settings); err != nil {
+		return err
+	}
+	return b.startProcess()
+}
+
+// startProcess starts a process of the relay and waits until it is ready.
+func (b *bed) startProcess() (err error) {
+	if b.Process, err = b.Relay.Start(context.Background()); err != nil {
+		return err
+	}
+	return b.Relay.WaitReady(context.Background())
+}
+
+// close ends all that start has started.
+func (b *bed) close() {
+	b.Bed.Close()
+	for _, e := range b.endpoints {
+		e.Close()
+	}
+}
+
+// waitForLog waits until the relay's log has a text.
+func (b *bed) waitForLog(text string) {
+	b.t.Helper()
+	for end := time.Now().Add(logTimeout); time.Now().Before(end); time.Sleep(memoryInterval) {
+		if log, err := os.ReadFile(b.Relay.Log); err == nil && strings.Contains(string(log), text) {
+			return
+		}
+	}
+	b.t.Fatalf("the relay's log lacks %q", text)
+}
+
 // answer delivers the messages of a call, after heldTime if the first one's id begins with heldPrefix.
 func (b *bed) answer(call *stand.Call) []byte {
 	b.mu.Lock()
--- a/internal/lab/overload/leave_test.go
+++ b/internal/lab/overload/leave_test.go
@@ -59,6 +59,7 @@
 func TestClientsThatLeave(t *testing.T) {
 	t.Run("same id again", testSameIDAgain)
 	t.Run("same id after a kill", testSameIDAfterKill)
+	t.Run("same id after an upgrade", testSameIDAfterUpgrade)
 	t.Run("left before the reading", testLeftBeforeReading)
 }
 
@@ -101,11 +102,7 @@
 		leave(t, b.Relay.Listen, encodeRequest(m), mostStay)
 	}
 	b.Process.Kill()
-	var err error
-	if b.Process, err = b.Relay.Start(context.Background()); err != nil {
-		t.Fatal(err)
-	}
-	if err := b.Relay.WaitReady(context.Background()); err != nil {
+	if err := b.startProcess(); err != nil {
 		t.Fatal(err)
 	}
 	for i := range ids {
@@ -119,6 +116,35 @@
 	}
 }
 
+// testSameIDAfterUpgrade does the same, and hands the ids in again at the next process of an upgrade. Half of the calls are in flight at
+// the handover.
+func testSameIDAfterUpgrade(t *testing.T) {
+	b := startBed(t, stand.DefaultLimits, withInheritedSocket)
+	const ids = 20
+	id := func(i int) string { return fmt.Sprintf("%s%d", []string{heldPrefix, "quick"}[i%2], i) }
+	for i := range ids {
+		leave(t, b.Relay.Listen, encodeRequest(fragileMessage(id(i))), mostStay)
+	}
+	successor, err := b.Relay.Start(context.Background())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer successor.Kill()
+	b.waitForLog("handover completed")
+	for i := range ids {
+		b.Clients.Send(context.Background(), fragileMessage(id(i)))
+	}
+	if status := b.Clients.Send(context.Background(), fragileMessage("other")); status != http.StatusAccepted {
+		t.Errorf("another message at the next process: status %d", status)
+	}
+	time.Sleep(settleTime)
+	for i := range ids {
+		if calls := b.calls(id(i)); calls > 1 {
+			t.Errorf("message %s, which may not be repeated, reached endpoints %d times", id(i), calls)
+		}
+	}
+}
+
 // testLeftBeforeReading plays a client that closes its connection before the relay reads its requests. The relay is stopped
 // meanwhile, which forces that order.
 func testLeftBeforeReading(t *testing.T) {
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -44,12 +44,16 @@
 	l.batch.events = append(l.batch.events, policy.AttemptEnded{ID: attempt.id, Endpoint: attempt.endpoint,
 		Attempt: attempt.attempt, Outcome: attempt.Outcome, RetryAfter: attempt.RetryAfter, Latency: attempt.latency,
 		Completed: attempt.Completed, AttemptsExhausted: attempt.AttemptsExhausted, LoadReport: attempt.LoadReport})
+	msg.delivered = msg.delivered || attempt.Outcome == policy.OK
 	if !msg.ended && attempt.Outcome == policy.OK {
 		l.metrics.CountResult(l.classIndex(msg.Class), metrics.Completed)
 	} else if !msg.ended && attempt.Completed { // the endpoint reported that the message needs no further attempt
 		l.metrics.CountResult(l.classIndex(msg.Class), metrics.Failed)
 	}
-	if attempt.Completed || msg.ended && msg.PendingNotification == nil {
+	switch {
+	case !msg.keptUntil.IsZero() && !l.mayHaveExecuted(msg):
+		l.stopKeeping(msg)
+	case attempt.Completed || msg.ended && msg.PendingNotification == nil:
 		l.complete(msg)
 	}
 }
@@ -94,6 +98,10 @@
 func (l *loop) complete(m *message) {
 	m.ended = true
 	l.countEnded(m)
+	if !m.keptUntil.IsZero() {
+		return // releaseKept completes it
+	}
+	l.remember(m)
 	if l.journal.Get(m.ID) == m.Entry {
 		l.journal.Complete(m.Entry)
 	}
--- a/internal/relay/frontend/submission.go
+++ b/internal/relay/frontend/submission.go
@@ -12,6 +12,7 @@
 	"milletsail/internal/clock"
 	"milletsail/internal/journal"
 	"milletsail/internal/relay/protocol"
+	"milletsail/internal/relay/socket"
 	"milletsail/internal/settings"
 	"milletsail/policy"
 )
@@ -32,8 +33,13 @@
 	// Response receives at most one response, and may receive none if the client leaves first. It is buffered, so that sending the
 	// response never blocks.
 	Response chan Response
+	// Conn is the client's connection; nil if another process has it.
+	Conn *Connection
 }
 
+// ClientLeft reports whether the client has closed its connection.
+func (s *Submission) ClientLeft() bool { return s.Conn != nil && socket.ClosedByPeer(s.Conn.Conn) }
+
 // Response is the relay's HTTP response to a submission. It has no body.
 type Response struct {
 	// Status is the HTTP status.
@@ -91,7 +97,7 @@
 	}
 	// The client's time-out began when it sent the request. The deadline of the class bounds the time that a message gets.
 	expiresAt := now.Add(settings.Seconds(min(timeout, class.Deadline.Seconds())))
-	return &Submission{Response: make(chan Response, 1),
+	return &Submission{Response: make(chan Response, 1), Conn: c,
 		Entry: &journal.Entry{ID: id, Class: name, Dest: destination, Key: key, ExpiresAt: expiresAt, Body: body}}, nil
 }
 
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -68,6 +68,7 @@
 // makeOffer returns the state that the successor needs in addition to the journal.
 func (l *loop) makeOffer(link *handover.Link) *handover.Offer {
 	offer := &handover.Offer{Clients: l.clients.Count(), Clocks: link.ReadClocks()}
+	offer.Ended = l.offerEnded(link)
 	for _, state := range l.dispatcher.ExportState() {
 		offer.PolicyState = append(offer.PolicyState, state.Translate(link.EncodeInstant))
 	}
@@ -131,6 +132,10 @@
 // forward sends a message that a client submitted to this process to the successor, or rejects it if the successor has died.
 func (l *loop) forward(s *frontend.Submission) {
 	l.handover.lastSubmissionNumber++
+	if s.ClientLeft() {
+		s.Response <- l.unavailableResponse()
+		return
+	}
 	if l.handover.ownership == ownershipOrphaned {
 		s.Response <- l.unavailableResponse()
 		return
--- a/internal/relay/handover/messages.go
+++ b/internal/relay/handover/messages.go
@@ -46,12 +46,24 @@
 	JournalIncomplete bool `json:"unwritten,omitempty"`
 	// Live holds the messages that have not ended, by id. It is set only if JournalIncomplete is.
 	Live map[string]LiveMessage `json:"live,omitempty"`
+	// Ended are messages that have ended and must not be executed again if their clients submit them again.
+	Ended []EndedMessage `json:"ended,omitempty"`
 	// Clocks convert between local times and the wall times on the link, which is the form that earlier versions use. Both
 	// processes convert with this pair of readings, so that steps of the wall clock have no effect. Nil if the predecessor is of
 	// a version that does not send it.
 	Clocks *clock.Pair `json:"clocks,omitempty"`
 }
 
+// EndedMessage is a message that has ended and may have been executed.
+type EndedMessage struct {
+	// ID is the id of the message.
+	ID string `json:"id"`
+	// Until is the wall time until which the id is remembered, converted by Offer.Clocks.
+	Until time.Time `json:"until"`
+	// Delivered reports that the message was delivered.
+	Delivered bool `json:"delivered,omitempty"`
+}
+
 // LiveMessage is the part of a message's state that may be missing from an incomplete journal.
 type LiveMessage struct {
 	// Attempts is the number of attempts that were started.
--- a/internal/relay/intake.go
+++ b/internal/relay/intake.go
@@ -38,6 +38,10 @@
 		l.admitDuplicate(msg, submission)
 		return
 	}
+	if ended, ok := l.ended.get(submission.Entry.ID); ok {
+		answerEnded(submission, ended)
+		return
+	}
 	// The policy keeps state for each destination, so one that no list has ever named is rejected here. Reserve keeps the
 	// journal within its disk limit.
 	if !l.endpoints.table.SeenDestination(submission.Entry.Dest) {
@@ -54,7 +58,7 @@
 	}
 	slog.Debug("message arrived", "request_id", submission.Entry.ID, "destination", submission.Entry.Dest,
 		"class", submission.Entry.Class, "time_left", clock.Until(submission.Entry.ExpiresAt))
-	msg := &message{Entry: submission.Entry, responses: []chan frontend.Response{submission.Response}}
+	msg := &message{Entry: submission.Entry, responses: []chan frontend.Response{submission.Response}, clientLeft: submission.ClientLeft}
 	l.addMessage(msg)
 	l.batch.newMessages = append(l.batch.newMessages, msg)
 	l.batch.events = append(l.batch.events, policy.Arrived{ID: msg.ID, Class: l.classIndex(msg.Class), Destination: msg.Dest,
@@ -67,7 +71,7 @@
 func (l *loop) admitDuplicate(m *message, s *frontend.Submission) {
 	switch {
 	case m.ended && l.mayHaveExecuted(m): // 503 would tell the client that it can safely submit the message again
-		s.Response <- frontend.Response{Status: http.StatusBadGateway}
+		s.Response <- frontend.Response{Status: endedStatus(m.delivered)}
 	case m.ended:
 		s.Response <- frontend.Response{Status: http.StatusServiceUnavailable}
 	case m.responses != nil:
@@ -108,10 +112,41 @@
 	if m == nil || m.ended || m.Entry != s.Entry || m.resubmitted || len(m.responses) > 1 {
 		return
 	}
+	l.withdrawMessage(m)
+}
+
+// withdrawLeft withdraws the new messages whose clients have left before the policy decides on them. The handlers of such requests
+// may not have noticed that yet, as when more input lies before the end of the connection.
+func (l *loop) withdrawLeft() {
+	for _, m := range l.batch.newMessages {
+		if !m.ended && len(m.responses) == 1 && m.clientLeft != nil && m.clientLeft() {
+			l.withdrawMessage(m)
+		}
+	}
+}
+
+// withdrawMessage ends a message whose client has left without a response. No further attempt follows. Its id is remembered if it may
+// have been executed and must not be executed again.
+func (l *loop) withdrawMessage(m *message) {
 	l.metrics.Reasons.Add(withdrawnMessages, reasonClientLeft, 1)
 	slog.Info("message withdrawn", "request_id", m.ID, "destination", m.Dest, "attempts", len(m.Attempts))
 	l.batch.events = append(l.batch.events, policy.Withdrawn{ID: m.ID})
-	l.complete(m)
+	if responses := m.responses; responses != nil { // nobody reads them, but the handler waits for one
+		m.responses = nil
+		respondAll(responses, l.unavailableResponse())
+	}
+	if !l.mayHaveExecuted(m) || !l.keepWithdrawn(m) {
+		l.complete(m)
+	}
+}
+
+// endedStatus returns the status of the response to a message that has ended and may have been executed: it was taken on if it was
+// delivered, and otherwise 503 would tell the client that it can safely submit the message again.
+func endedStatus(delivered bool) int {
+	if delivered {
+		return http.StatusAccepted
+	}
+	return http.StatusBadGateway
 }
 
 // sizeInBatch returns the most bytes that a message takes up in the body of a call with several messages.
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -38,6 +38,9 @@
 	ended           bool                     // no further attempt follows; a call or notification may be outstanding
 	countedPending  bool                     // counted in the metric of pending messages
 	reportedOverdue bool                     // checkOverdue has reported it
+	clientLeft      func() bool              // reports whether the client that submitted the message first has left; nil if unknown
+	delivered       bool                     // an attempt has delivered it
+	keptUntil       instant.Time             // until when the entry of a withdrawn message is kept; zero for no such message
 }
 
 // notificationQueue accepts notifications for the platform. Enqueue never blocks.
@@ -73,6 +76,8 @@
 	memoryPeak    memory.PeakLogger
 	messageMemory *memory.Pool // memory of the messages in the table; nil for no limit
 	plannedFor    planInput    // of the last applyPlan
+	keptMemory    *memory.Pool // memory of the withdrawn messages that are kept; nil for no limit
+	ended         endedIDs     // messages that must not be executed again
 	zones         *zoneOrders  // operators' zone orders; nil if zones are disabled
 	// unrecordedNotifications are held back until the ends of their messages are on disk, or the messages have expired.
 	unrecordedNotifications []unrecordedNotification
@@ -137,6 +142,7 @@
 		l.setWritable(l.journal.Retry())
 		l.endpoints.maintainStore()
 		l.checkOverdue()
+		l.releaseKept()
 	}
 }
 
@@ -213,6 +219,7 @@
 		l.batch.events = append(l.batch.events, policy.TimerFired{})
 	}
 	l.removeUnlisted()
+	l.withdrawLeft()
 	events := l.batch.events
 	l.batch.events = nil
 	actions := l.dispatcher.Handle(now, events)
--- a/internal/relay/memoryplan.go
+++ b/internal/relay/memoryplan.go
@@ -33,6 +33,8 @@
 	l.pool.Memory.Resize(plan.Share(memory.Calls))
 	l.pool.SetCapacity(idleCapacity(l.cfg, plan))
 	l.messageMemory.Resize(plan.Share(memory.Messages))
+	l.keptMemory.Resize(int64(keptShare * float64(plan.Share(memory.Messages))))
+	l.ended.capacity = plan.Share(memory.EndedIDs)
 	if l.cfg.SetSoftMemoryLimit != nil {
 		l.cfg.SetSoftMemoryLimit(plan.SoftLimit)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -70,7 +70,7 @@
 	ownerCtx, stopOwnerTasks := context.WithCancel(processCtx)
 	defer stopOwnerTasks()
 	eventLoop := &loop{cfg: cfg, dispatcher: dispatcher, journal: openedJournal, endpoints: list, clients: clients,
-		metrics: counters, inbox: make(chan event, inboxCapacity), messages: map[string]*message{}, messageMemory: new(memory.Pool),
+		metrics: counters, inbox: make(chan event, inboxCapacity), messages: map[string]*message{}, messageMemory: new(memory.Pool), keptMemory: new(memory.Pool),
 		pool:  newPool(cfg, counters),
 		owner: acquired.Ownership, handover: handoverState{completed: make(chan struct{}), stopOwnerTasks: stopOwnerTasks}}
 	tasks := eventLoop.newTasks(dir, acquired, adminServer)
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -31,6 +31,7 @@
 			l.batch.events = append(l.batch.events, state.Translate(link.DecodeInstant))
 		}
 		l.clients.Reserve(offer.Clients)
+		l.restoreEnded(link, offer.Ended)
 	}
 	for _, entry := range l.journal.Entries() {
 		if offer != nil && offer.JournalIncomplete {
