Evict lingering connections before those that have not sent their request yet

At full speed, a client that reconnects for each unsound request filled the capacity with connections whose last response had just been written.

The order is now: connections that have ended or stalled, lingering ones, those that have sent nothing yet, and last the request that began last. A new connection that has sent nothing counts as stalled after half a second, as one in the middle of a request does.

--- a/internal/relay/frontend/eviction.go
+++ b/internal/relay/frontend/eviction.go
@@ -38,11 +38,18 @@
 	p.windowBytes += count
 }
 
-// evictOne evicts one connection of those that eligible reports, and reports whether it could. The caller holds the lock.
+// evictOne evicts one connection of those that eligible reports, and reports whether it could. The order is: those that have ended or
+// stalled, those that linger, those that have sent nothing yet, and the one whose request began last. The caller holds the lock.
 func (l *ConnectionLimiter) evictOne(eligible func(*Connection) bool) bool {
 	for {
 		now := clock.Now()
 		candidate := l.evictionCandidate(now, eligible)
+		if candidate == nil {
+			candidate = l.longestInactive(func(c *Connection) bool { return c.state == stateLingering && eligible(c) })
+		}
+		if candidate == nil {
+			candidate = l.longestInactive(func(c *Connection) bool { return c.state == stateIdle && eligible(c) })
+		}
 		if candidate == nil {
 			break
 		}
@@ -76,20 +83,36 @@
 
 // evictionCandidate returns the connection to evict for another one, or nil if none has ended or stalled. Idle connections are
 // evicted before lingering ones, and lingering ones before those that stalled in the middle of a request; within a state, the one
-// inactive for longest is evicted first. It never returns a connection whose response is pending, that is reading a request and was
-// active within stallTimeout, or that is in the first minLinger of lingering. The caller holds the lock.
-func (l *ConnectionLimiter) evictionCandidate(now instant.Time, eligible func(*Connection) bool) (candidate *Connection) {
-	for c := range l.connections {
+// inactive for longest is evicted first. It never returns a connection whose response is pending, that was active within
+// stallTimeout while it is reading a request or has not sent one yet, or that is in the first minLinger of lingering. The caller
+// holds the lock.
+func (l *ConnectionLimiter) evictionCandidate(now instant.Time, eligible func(*Connection) bool) *Connection {
+	return l.longestInactive(func(c *Connection) bool {
 		silent := now.Sub(c.lastActive)
-		if c.state == stateResponsePending || c.state == stateReading && silent < stallTimeout && !c.progress.slow ||
-			c.state == stateLingering && silent < minLinger || !eligible(c) {
+		switch c.state {
+		case stateIdle:
+			return (c.answered() || silent >= stallTimeout) && eligible(c)
+		case stateLingering:
+			return silent >= minLinger && eligible(c)
+		case stateReading:
+			return (silent >= stallTimeout || c.progress.slow) && eligible(c)
+		}
+		return false
+	})
+}
+
+// longestInactive returns the connection in the lowest state of those that match, and of these the one inactive for longest; nil if
+// none matches. The caller holds the lock.
+func (l *ConnectionLimiter) longestInactive(matches func(*Connection) bool) (longest *Connection) {
+	for c := range l.connections {
+		if !matches(c) {
 			continue
 		}
-		if candidate == nil || c.state < candidate.state || c.state == candidate.state && c.lastActive < candidate.lastActive {
-			candidate = c
+		if longest == nil || c.state < longest.state || c.state == longest.state && c.lastActive < longest.lastActive {
+			longest = c
 		}
 	}
-	return candidate
+	return longest
 }
 
 // newestReading returns the connection whose request began last of those that have been read for minReadTime, or nil if there is
--- a/internal/relay/frontend/server.go
+++ b/internal/relay/frontend/server.go
@@ -135,9 +135,6 @@
 		}
 		c.pausedUntil = 0
 	}
-	if submission.ClientLeft() {
-		panic(http.ErrAbortHandler) // nobody reads a response any more; further requests of this client are not read
-	}
 	s.submit(submission)
 	select {
 	case response := <-submission.Response:
