--- a/internal/lab/overload/helpers_test.go
+++ b/internal/lab/overload/helpers_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io/fs"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -201,6 +202,13 @@
 	return b.delivered[id]
 }
 
+// allCalls returns how often each message reached an endpoint.
+func (b *bed) allCalls() map[string]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return maps.Clone(b.delivered)
+}
+
 // printLog logs the last lines of the relay's log.
 func (b *bed) printLog() {
 	const lines = 20
--- a/internal/relay/discovery/watcher.go
+++ b/internal/relay/discovery/watcher.go
@@ -15,6 +15,7 @@
 	"milletsail/internal/clock"
 	"milletsail/internal/endpoints"
 	"milletsail/internal/instant"
+	"milletsail/internal/relay/protocol"
 )
 
 // membersPath is the path of the endpoint list at discovery.
@@ -60,7 +61,8 @@
 func New(address string, jitter time.Duration, onBatch func(Batch), onEnd func()) *Watcher {
 	w := &Watcher{onBatch: onBatch, MaxListSize: math.MaxInt64, onEnd: onEnd, silenceTimeout: SilenceTimeout, jitter: jitter,
 		randomDelay: func(span time.Duration) time.Duration { return rand.N(span + 1) },
-		client:      &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, requests: make(chan struct{}, 1)}
+		client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true,
+			MaxResponseHeaderBytes: protocol.MaxHeadSize}}, requests: make(chan struct{}, 1)}
 	w.Redirect(address)
 	return w
 }
--- a/internal/relay/frontend/connection.go
+++ b/internal/relay/frontend/connection.go
@@ -129,7 +129,7 @@
 	c.limiter.mu.Lock()
 	c.lastWrite = clock.Now()
 	c.limiter.mu.Unlock()
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = c.SetWriteDeadline(time.Now().Add(writeTimeout))
 	return c.Conn.Write(b)
 }
 
--- a/internal/relay/frontend/request.go
+++ b/internal/relay/frontend/request.go
@@ -12,13 +12,11 @@
 	"time"
 
 	"milletsail/internal/clock"
+	"milletsail/internal/relay/protocol"
 )
 
 const (
-	// maxHeaderFields is the maximum number of lines in the head of a request. net/http would keep any number of fields in a map,
-	// where a short one takes up many times its size.
-	maxHeaderFields = 100
-	// initialHeadSize is the size of the buffer for a request's head, which grows up to maxHeaderSize. memory.ConnectionSize
+	// initialHeadSize is the size of the buffer for a request's head, which grows up to protocol.MaxHeadSize. memory.ConnectionSize
 	// includes it.
 	initialHeadSize = 2 << 10
 	// headCost is how many bytes of memory one byte of a large head's buffer stands for: the head itself, and its fields as net/http
@@ -29,7 +27,7 @@
 	requestPause = 5 * time.Millisecond
 )
 
-// errHeadTooLarge reports that the head of a request passes maxHeaderSize or maxHeaderFields.
+// errHeadTooLarge reports that the head of a request passes protocol.MaxHeadSize or protocol.MaxHeadLines.
 var errHeadTooLarge = errors.New("request head too large")
 
 // requestReader splits the input of a connection into requests. net/http gets the bytes of a request only once its head is complete
@@ -56,7 +54,7 @@
 		if len(line) == 0 {
 			return r.lineStart, nil
 		}
-		if r.lines++; r.lines > maxHeaderFields {
+		if r.lines++; r.lines > protocol.MaxHeadLines {
 			return 0, errHeadTooLarge
 		}
 	}
@@ -171,7 +169,7 @@
 	}
 	for {
 		size, err := c.request.scan()
-		if err == nil && size == 0 && c.request.grownSize() > maxHeaderSize {
+		if err == nil && size == 0 && c.request.grownSize() > protocol.MaxHeadSize {
 			err = errHeadTooLarge
 		}
 		if err != nil {
--- a/internal/relay/frontend/server.go
+++ b/internal/relay/frontend/server.go
@@ -14,12 +14,11 @@
 
 	"milletsail/internal/relay/config"
 	"milletsail/internal/relay/metrics"
+	"milletsail/internal/relay/protocol"
 	"milletsail/policy"
 )
 
 const (
-	// maxHeaderSize is the maximum size of the request line and header of a request in bytes.
-	maxHeaderSize = 16 << 10
 	// ReadTimeout bounds the time to read a request. Clients send a request without delay, and the protocol requires that a
 	// peer without a valid request gets an error or a closed connection within 3 s.
 	ReadTimeout = 2500 * time.Millisecond
@@ -59,7 +58,7 @@
 		server.tenants[t.Name] = true
 	}
 	server.http = &http.Server{Handler: http.HandlerFunc(server.handle), ReadTimeout: ReadTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: maxHeaderSize, ConnState: connectionStateChanged,
+		MaxHeaderBytes: protocol.MaxHeadSize, ConnState: connectionStateChanged,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connectionKey{}, c)
 		},
--- a/internal/relay/notifier/notifier.go
+++ b/internal/relay/notifier/notifier.go
@@ -68,7 +68,7 @@
 func New(discovery string, onReceived func(ids []string)) *Notifier {
 	n := &Notifier{onReceived: onReceived, notEmpty: make(chan struct{}, 1), singlePosts: make(chan struct{}, MaxSinglePosts),
 		sleep:  clock.Sleep,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: postTimeout}}
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: protocol.MaxHeadSize}, Timeout: postTimeout}}
 	n.Redirect(discovery)
 	return n
 }
--- a/internal/relay/upstream/headlimit.go
+++ b/internal/relay/upstream/headlimit.go
@@ -1,12 +1,6 @@
 package upstream
 
-const (
-	// maxResponseHead is the maximum size in bytes of the head of a response.
-	maxResponseHead = 16 << 10
-	// maxResponseLines is the maximum number of lines of the head of a response. net/http keeps its fields in a map, where a short
-	// one takes up many times its size.
-	maxResponseLines = 100
-)
+import "milletsail/internal/relay/protocol"
 
 // headLimit counts the head of a response as it is read, before net/http parses it. The zero value counts nothing.
 type headLimit struct {
@@ -18,7 +12,7 @@
 
 // exceeded reports whether the head is too large and goes on.
 func (h *headLimit) exceeded() bool {
-	return h.active && (h.size > maxResponseHead || h.lines > maxResponseLines)
+	return h.active && (h.size > protocol.MaxHeadSize || h.lines > protocol.MaxHeadLines)
 }
 
 // add counts bytes that were read, up to the end of the head.
