--- a/cmd/milletsail/scenariorun.go
+++ b/cmd/milletsail/scenariorun.go
@@ -49,7 +49,7 @@
 		return err
 	}
 	defer relay.remove()
-	options := lab.Options{Binary: relay.path, Env: r.environment, History: r.history, Logs: r.logs}
+	options := lab.Options{Binary: relay.path, Env: r.environment, History: r.history, Logs: r.logs, KeepLogs: true}
 	if !r.quiet {
 		options.Progress = progressPrinter(command, s)
 	}
@@ -66,6 +66,9 @@
 			return err
 		}
 	}
+	if result.Logs != "" {
+		command.Printf("logs of the relays in %s\n", result.Logs)
+	}
 	return r.showResult(command, result.Events, result.Verdict)
 }
 
--- a/internal/lab/lab.go
+++ b/internal/lab/lab.go
@@ -37,6 +37,7 @@
 	Env      []string               // variables added to the relays' environment, as NAME=value
 	History  string                 // path of the history file; if empty, the history is deleted with the run's directory
 	Logs     string                 // directory that receives a copy of the relays' logs; empty for no copy
+	KeepLogs bool                   // without Logs, a run that breaks a rule leaves its logs in a temporary directory
 	Progress func(at time.Duration) // called each second with the time since the start; may be nil
 	// DuringRun runs concurrently with the load, from its start. Its context ends when the load has ended and the
 	// calls in flight have had time to finish. An error fails the run. It may be nil.
@@ -56,6 +57,7 @@
 	Scenario *scenario.Scenario
 	Events   []history.Event
 	Verdict  checker.Verdict
+	Logs     string // directory with the relays' logs that Options.KeepLogs has left; empty for none
 }
 
 // settleTime is the wait after the last message's outcome in which calls in flight may finish.
@@ -64,6 +66,9 @@
 // convergenceTime is the wait after the load has ended in which relays that gossip should converge on one view.
 const convergenceTime = 3 * time.Second
 
+// keptLogsPrefix is the prefix of the names of the directories that Options.KeepLogs leaves.
+const keptLogsPrefix = "milletsail-logs-"
+
 // runDirPrefix is the prefix of the names of run directories; the id of the lab's process follows it.
 const runDirPrefix = "milletsail-lab-"
 
@@ -149,7 +154,11 @@
 	events, late := c.TimingCounts()
 	h.Add(history.Event{Kind: history.End, TimedEvents: events, LateEvents: late, GossipSent: datagrams, GossipBytes: datagramBytes, GossipReceived: received})
 	all := h.Events()
-	return &Result{s, all, checker.Check(all, false)}, nil
+	result = &Result{Scenario: s, Events: all, Verdict: checker.Check(all, false)}
+	if o.KeepLogs && o.Logs == "" && len(result.Verdict.Violations) > 0 {
+		result.Logs, err = keepLogs(dir)
+	}
+	return result, err
 }
 
 // createRunDir creates the directory of a run and removes those of lab processes that no longer exist.
@@ -164,6 +173,15 @@
 	return os.MkdirTemp("", runDirPrefix+strconv.Itoa(os.Getpid())+"-")
 }
 
+// keepLogs copies the logs of the relays to a new temporary directory, and returns its path.
+func keepLogs(dir string) (string, error) {
+	kept, err := os.MkdirTemp("", keptLogsPrefix)
+	if err != nil {
+		return "", err
+	}
+	return kept, copyLogs(dir, kept)
+}
+
 // copyLogs copies the log of each relay from the run's directory to to, as NAME.log.
 func copyLogs(dir, to string) error {
 	if err := os.MkdirAll(to, 0o755); err != nil {
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -142,15 +142,20 @@
 		{"no-sync", "recovery", checker.Lost},
 	}
 	for _, c := range injected {
-		runs[c.fault] = startRun(t, c.scenario, Options{Binary: faultyBinary, Env: []string{"LAB_FAULT=" + c.fault}})
+		runs[c.fault] = startRun(t, c.scenario, Options{Binary: faultyBinary, KeepLogs: true, Env: []string{"LAB_FAULT=" + c.fault}})
 	}
 	for name, p := range runs {
 		if i := slices.IndexFunc(injected, func(c struct{ fault, scenario, rule string }) bool { return c.fault == name }); i >= 0 {
 			t.Run(name, func(t *testing.T) {
 				found := map[string]int{}
-				for _, x := range p.wait(t).Verdict.Violations {
+				r := p.wait(t)
+				for _, x := range r.Verdict.Violations {
 					found[x.Rule]++
 				}
+				defer os.RemoveAll(r.Logs)
+				if logs, _ := filepath.Glob(filepath.Join(r.Logs, "n*.log")); len(r.Verdict.Violations) > 0 && len(logs) == 0 {
+					t.Error("a run that breaks a rule left no logs")
+				}
 				if found[injected[i].rule] == 0 {
 					t.Errorf("fault %s in scenario %s violates the rules %v, want a violation of %s", name, injected[i].scenario, found, injected[i].rule)
 				}
--- a/internal/relay/memoryplan.go
+++ b/internal/relay/memoryplan.go
@@ -4,6 +4,7 @@
 	"log/slog"
 
 	"milletsail/internal/journal"
+	"milletsail/internal/relay/config"
 	"milletsail/internal/relay/memory"
 )
 
@@ -19,11 +20,15 @@
 	return int64(messageOverhead + copiesOfMessage*(len(e.ID)+len(e.Key)+len(e.Body)))
 }
 
+// memoryLimits returns the limits that a plan divides, for an endpoint list of the given length.
+func memoryLimits(cfg *config.Config, endpoints int) memory.Limits {
+	return memory.Limits{MemoryMB: cfg.Limits.MemoryMB, DiskMB: cfg.Limits.DiskMB, ListBytes: int64(endpoints) * memory.EndpointSize}
+}
+
 // applyPlan divides the memory limit among the holders again: for this process alone, or for each of the two processes of a
 // handover.
 func (l *loop) applyPlan(inHandover bool) {
-	limits := memory.Limits{MemoryMB: l.cfg.Limits.MemoryMB, DiskMB: l.cfg.Limits.DiskMB,
-		ListBytes: int64(l.endpoints.table.Len()) * memory.EndpointSize}
+	limits := memoryLimits(l.cfg, l.endpoints.table.Len())
 	l.plannedFor = planInput{inHandover, limits.ListBytes}
 	plan := memory.Alone(limits)
 	if inHandover {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -37,6 +37,9 @@
 //
 // Run is long because it shows the order of the start in one place; resources are closed in the reverse order.
 func Run(ctx context.Context, cfg *config.Config, dir string, addresses <-chan string) error {
+	if cfg.SetSoftMemoryLimit != nil { // until applyPlan knows whether there is a predecessor
+		cfg.SetSoftMemoryLimit(memory.InHandover(memoryLimits(cfg, 0)).SoftLimit)
+	}
 	list := &endpointList{settings: &cfg.Settings, clocks: clock.ReadPair()}
 	cfg.Policy.Directory = list
 	dispatcher, err := policy.New(cfg.Policy, cfg.RandomSeed)
@@ -152,7 +155,7 @@
 func (l *loop) newTasks(dir string, acquired *handover.Acquired, adminServer *admin.Server) tasks {
 	l.watcher = discovery.New(l.cfg.Discovery, discovery.RequestJitter(&l.cfg.Settings),
 		func(b discovery.Batch) { l.enqueue(batchReceived{b}) }, func() { l.enqueue(watchEnded{}) })
-	l.watcher.MaxListSize = memory.Limits{MemoryMB: l.cfg.Limits.MemoryMB}.MaxListBytes()
+	l.watcher.MaxListSize = memoryLimits(l.cfg, 0).MaxListBytes()
 	l.watcher.Immediate = acquired.Predecessor != nil // after a handover no other relay starts at the same time
 	notifications := notifier.New(l.cfg.Discovery, func(ids []string) { l.enqueue(notificationsReceived{ids}) })
 	l.notifier = notifications
