--- a/internal/lab/overload/memory_test.go
+++ b/internal/lab/overload/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +96,51 @@
 		t.Errorf("%s messages: %v; at least %.0f%% have to be accepted", kind, r, 100*share)
 	}
 }
+
+const (
+	// largeClients is the number of clients that hand in large messages one after another.
+	largeClients = 600
+	// largeClientTime is how long they do so.
+	largeClientTime = 10 * time.Second
+	// properBody is the size of their messages.
+	properBody = 60 << 10
+)
+
+// TestLargeMessagesWithinMemoryLimit guards against a relay that passes its memory limit by proper messages alone: many clients hand
+// in large ones without a pause, also to a relay that has just been killed and started again.
+func TestLargeMessagesWithinMemoryLimit(t *testing.T) {
+	for _, limits := range []stand.Limits{{MemoryMB: 32, Sockets: 1024}, {MemoryMB: 16, Sockets: 512}, {MemoryMB: 192, Sockets: 1024}} {
+		t.Run(fmt.Sprintf("%d MB, %d descriptors", limits.MemoryMB, limits.Sockets), func(t *testing.T) {
+			t.Parallel()
+			b := startBed(t, limits)
+			watch := watchMemory(b)
+			proper := &clients{bed: b}
+			end := time.Now().Add(largeClientTime)
+			for i := range largeClients {
+				proper.pending.Go(func() {
+					for n := 0; time.Now().Before(end); n++ {
+						proper.sendWithRetries(&proper.large, fmt.Sprintf("large%d-%d", i, n), strings.Repeat("b", properBody))
+						time.Sleep(retryWait)
+					}
+				})
+			}
+			time.Sleep(largeClientTime / 2)
+			b.Process.Kill()
+			time.Sleep(startAfterKill)
+			if err := b.startProcess(); err != nil {
+				t.Fatal(err)
+			}
+			watch.follow(b.Process.Process.Pid)
+			proper.pending.Wait()
+			most := watch.end()
+			t.Logf("memory %v of %d MB; large: %v", most, limits.MemoryMB, proper.large)
+			checkMemory(t, most, limits)
+			if b.Crashed() {
+				t.Errorf("the relay ended by itself: %v", b.Process.Err)
+			}
+			if proper.large.accepted == 0 {
+				t.Error("no large message was accepted")
+			}
+		})
+	}
+}
