Clear the read deadline of a later request once it is complete

Since the budget landed, a connection's second request had its read deadline during the wait for the response too, and counted as withdrawn after 2.5 s. TestResponseAfterReadTimeout plays a later request as well now: it failed (withdrawn, unexpected EOF) and passes.

--- a/internal/relay/frontend/connection.go
+++ b/internal/relay/frontend/connection.go
@@ -141,6 +141,9 @@
 	if !c.closed {
 		c.state = stateResponsePending
 	}
+	if !c.requestDeadline.IsZero() {
+		_ = c.Conn.SetReadDeadline(time.Time{}) // as net/http has done for the wait for the response
+	}
 	c.queueDelay, c.requestDeadline = 0, 0
 	return !c.closed
 }
--- a/internal/relay/frontend/endings_test.go
+++ b/internal/relay/frontend/endings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
@@ -131,13 +132,28 @@
 }
 
 // Guards against a read time-out that also applies to the time until the response: a request that was read in time gets its
-// response, however late that is decided.
+// response, however late that is decided, whether it is the first one of its connection or a later one.
 func TestResponseAfterReadTimeout(t *testing.T) {
-	t.Parallel()
+	for _, earlier := range []int{0, 1} {
+		t.Run(fmt.Sprint(earlier, " requests before"), func(t *testing.T) {
+			t.Parallel()
+			testResponseAfterReadTimeout(t, earlier)
+		})
+	}
+}
+
+// testResponseAfterReadTimeout does so for a request with a number of earlier ones on its connection.
+func testResponseAfterReadTimeout(t *testing.T, earlier int) {
+	t.Helper()
 	accepted := make(chan *Submission, 1)
 	var withdrawn atomic.Bool
 	limiter := hookedServer(t, 9, readHooks{}, func(a *Submission) { accepted <- a }, func(*Submission) { withdrawn.Store(true) })
 	c := dial(t, limiter)
+	for range earlier {
+		write(t, c, messageRequest("earlier"))
+		receive(t, accepted).Response <- Response{Status: http.StatusAccepted}
+		wantAccepted(t, "earlier request", c)
+	}
 	begun := time.Now()
 	write(t, c, messageRequest("m"))
 	a := receive(t, accepted)
