Serve callers of the admin endpoint in their order, so that a flood keeps no operator out

A new connection now waits its turn until a session ends, or replaces one that has sent nothing for 5 ms and has nothing unread.

--- a/internal/lab/overload/flood_test.go
+++ b/internal/lab/overload/flood_test.go
@@ -1,7 +1,9 @@
 package overload
 
 import (
+	"flag"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -15,8 +17,6 @@
 const (
 	// floodConnections is the number of connections of a client that floods.
 	floodConnections = 20
-	// floodTime is how long it does so.
-	floodTime = 4 * time.Second
 	// floodBatch is the number of requests that it writes at once.
 	floodBatch = 50
 	// slowReadSize and slowReadInterval are how slowly it reads the responses.
@@ -26,6 +26,13 @@
 	floodServedShare = 0.95
 )
 
+// floodTime is how long a client floods.
+var floodTime = 4 * time.Second
+
+func init() {
+	flag.DurationVar(&floodTime, "flood-time", floodTime, "time for which TestFloodKeepsClients floods")
+}
+
 // flood is what a client sends without end.
 type flood struct {
 	name    string
@@ -73,6 +80,65 @@
 	}
 }
 
+// adminReplyTime is the time within which the admin endpoint replies under any load.
+const adminReplyTime = time.Second
+
+// TestAdminFloodKeepsClients guards against the same at the admin endpoint: beside callers at full speed, clients' messages and the
+// calls of operators are answered in time.
+func TestAdminFloodKeepsClients(t *testing.T) {
+	admin := freeAddress(t)
+	t.Setenv("NODE_ADMIN", admin)
+	b := startBed(t, stand.Limits{MemoryMB: 32, Sockets: 1024})
+	watch := watchMemory(b)
+	proper := &clients{bed: b}
+	command := flood{name: "commands", closes: true, request: func(int64) string { return "counters\n" }}
+	late := 0
+	sent := playFlood(admin, command, func() {
+		proper.pending.Go(func() { proper.run(floodTime, clientInterval) })
+		for end := time.Now().Add(floodTime); time.Now().Before(end); time.Sleep(clientInterval) {
+			if !adminReplies(admin) {
+				late++
+			}
+		}
+		proper.pending.Wait()
+	})
+	most := watch.end()
+	t.Logf("%d commands, %d calls of operators late; memory %v; small: %v; slow: %v", sent, late, most, proper.small, proper.slow)
+	checkMemory(t, most, b.Relay.Limits)
+	checkServed(t, "small", proper.small, floodServedShare)
+	checkServed(t, "slow", proper.slow, otherServedShare)
+	if late > 0 {
+		t.Errorf("%d calls of operators had no reply within %v", late, adminReplyTime)
+	}
+}
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// adminReplies calls the admin endpoint and reports whether it replies in time. The caller has an address of its own, since the flood
+// uses up the ports of the other one.
+func adminReplies(address string) bool {
+	dialer := net.Dialer{Timeout: adminReplyTime, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 2)}}
+	end := time.Now().Add(adminReplyTime)
+	conn, err := dialer.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(end)
+	_, _ = conn.Write([]byte("health\n"))
+	reply, _ := io.ReadAll(conn)
+	return string(reply) == "OK\n"
+}
+
 // playFlood floods a relay while during runs, and returns the number of requests that were sent.
 func playFlood(address string, f flood, during func()) int64 {
 	var sent atomic.Int64
--- a/internal/relay/admin/server.go
+++ b/internal/relay/admin/server.go
@@ -15,14 +15,20 @@
 	"sync"
 	"time"
 
+	"milletsail/internal/clock"
+	"milletsail/internal/instant"
 	"milletsail/internal/relay/listener"
 	"milletsail/internal/relay/metrics"
 	"milletsail/internal/relay/protocol"
+	"milletsail/internal/relay/socket"
 )
 
 const (
-	// maxConnections bounds the open connections. At the limit, a new one replaces the oldest one that has sent no command.
+	// maxConnections bounds the open connections. At the limit, a new one replaces the oldest one that has sent no command, or waits
+	// until a connection ends.
 	maxConnections = 8
+	// minCommandTime is how long a connection may be open without a command before a new one can replace it.
+	minCommandTime = 5 * time.Millisecond
 	// ioTimeout bounds the reading of a command, and again the writing of the reply.
 	ioTimeout = 2 * time.Second
 	// drainTimeout bounds the reading and discarding of data that follows a command.
@@ -46,6 +52,8 @@
 	metrics  *metrics.Metrics
 	handlers sync.Map // a Handler by the first word of the command
 
+	ended chan bool // signals that a session has ended
+
 	mu   sync.Mutex
 	open []*session // in the order of their connections, the oldest first
 }
@@ -53,6 +61,7 @@
 // session is one connection of an operator.
 type session struct {
 	net.Conn
+	openedAt        instant.Time
 	commandReceived bool // set once the command was read; from then on the session is not evicted
 }
 
@@ -64,7 +73,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("admin endpoint: %w", err)
 	}
-	return &Server{listener: listener.New(socket, "admin endpoint", &m.Reasons), metrics: m}, nil
+	return &Server{listener: listener.New(socket, "admin endpoint", &m.Reasons), metrics: m, ended: make(chan bool, 1)}, nil
 }
 
 // Handle registers the handler of the commands whose first word is name. It is safe for concurrent use with Serve.
@@ -92,9 +101,7 @@
 		if err != nil { // the listener is closed
 			return
 		}
-		if session := s.openSession(conn); session != nil {
-			go s.serveSession(session)
-		}
+		go s.serveSession(s.openSession(conn))
 	}
 }
 
@@ -106,23 +113,38 @@
 	return s.listener.Close()
 }
 
-// openSession opens a session for a connection. At maxConnections it evicts the oldest session that has sent no command; if all
-// sessions have sent theirs, it closes the connection and returns nil.
+// openSession opens a session for a connection. At maxConnections it evicts the oldest session that has sent no command for
+// minCommandTime, or waits until there is one or a session ends, which the deadlines of sessions bound. Callers are served in the
+// order of their connections, so that none of them takes the turns of the others.
 func (s *Server) openSession(conn net.Conn) *session {
+	c := &session{Conn: conn, openedAt: clock.Now()}
+	for !s.add(c) {
+		retry := time.NewTimer(minCommandTime)
+		select {
+		case <-s.ended:
+		case <-retry.C:
+		}
+		retry.Stop()
+	}
+	return c
+}
+
+// add adds a session to the open ones, in place of an evicted one if there are maxConnections. It reports false if it cannot.
+func (s *Server) add(c *session) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.open) >= maxConnections {
-		i := slices.IndexFunc(s.open, func(c *session) bool { return !c.commandReceived })
+		i := slices.IndexFunc(s.open, func(o *session) bool {
+			return !o.commandReceived && clock.Since(o.openedAt) >= minCommandTime && !socket.HasUnread(o.Conn)
+		})
 		if i < 0 {
-			_ = conn.Close()
-			return nil
+			return false
 		}
 		_ = s.open[i].Close()
 		s.open = slices.Delete(s.open, i, i+1)
 	}
-	c := &session{Conn: conn}
 	s.open = append(s.open, c)
-	return c
+	return true
 }
 
 // markReceived records that a session's command was read, and reports whether the session has not been evicted before.
@@ -139,6 +161,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open = slices.DeleteFunc(s.open, func(o *session) bool { return o == c })
+	select {
+	case s.ended <- true:
+	default:
+	}
 }
 
 // serveSession reads a session's command, writes the reply and ends the session.
