Play floods at a relay with half of a core too

Platforms share cores: beside each second flood the relay is held up for 50 ms of each 100 ms (all of them with -half-core).

--- a/internal/lab/overload/flood_test.go
+++ b/internal/lab/overload/flood_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -29,6 +30,30 @@
 // floodTime is how long a client floods.
 var floodTime = 4 * time.Second
 
+// halfCore gives the relay half of a core beside all floods, not beside each second one.
+var halfCore = flag.Bool("half-core", false, "give the relay half of a core beside all floods")
+
+// holdUpTime is for how long a relay with half of a core is held up at a time, and then runs for as long.
+const holdUpTime = 50 * time.Millisecond
+
+// holdUp gives a relay half of a core, as a platform that shares cores does, until the returned function is called.
+func holdUp(b *bed) (release func()) {
+	stop, done := make(chan bool), make(chan bool)
+	go func() {
+		defer close(done)
+		for !isClosed(stop) {
+			b.Process.Signal(syscall.SIGSTOP)
+			time.Sleep(holdUpTime)
+			b.Process.Signal(syscall.SIGCONT)
+			time.Sleep(holdUpTime)
+		}
+	}()
+	return func() {
+		close(stop)
+		<-done
+	}
+}
+
 func init() {
 	flag.DurationVar(&floodTime, "flood-time", floodTime, "time for which TestFloodKeepsClients floods")
 }
@@ -61,11 +86,14 @@
 // TestFloodKeepsClients guards against a client that takes more than its share of the relay: while it sends small or unsound
 // requests at full speed, other clients' messages are answered in time, and the relay keeps within its memory.
 func TestFloodKeepsClients(t *testing.T) {
-	for _, f := range floods {
+	for i, f := range floods {
 		t.Run(f.name, func(t *testing.T) {
 			limits := stand.Limits{MemoryMB: 32, Sockets: 1024}
 			b := startBed(t, limits)
 			watch := watchMemory(b)
+			if i%2 == 0 || *halfCore {
+				defer holdUp(b)()
+			}
 			proper := &clients{bed: b}
 			sent := playFlood(b.Relay.Listen, f, func() { proper.run(floodTime, clientInterval) })
 			proper.pending.Wait()
