Keep a process with only remembered withdrawn messages idle, and its plan through a failed handover

Found while reading the change again: a withdrawn message that is kept for its id alone made a graceful shutdown wait as if a message were pending; a failed handover set the plan of a process alone even while the predecessor's own was still there; the memory was divided again after a handover too; and a list that grows step by step could force a collection each second, where memory is now returned at once only when the soft limit loses a fifth. Frontend, handover, shutdown and soak tests pass.

--- a/cmd/relay/main.go
+++ b/cmd/relay/main.go
@@ -66,10 +66,13 @@
 	return relay.Run(ctx, cfg, state, config.Reloads(context.Background(), configPath, hup))
 }
 
-// setSoftMemoryLimit sets the runtime's soft memory limit. When that shrinks, as in a handover, memory that is no longer used is
-// returned at once, since another process needs it.
+// releasedShare is the share of the soft memory limit that a new limit has to take away for memory to be returned at once.
+const releasedShare = 0.2
+
+// setSoftMemoryLimit sets the runtime's soft memory limit. When that shrinks by much, as in a handover, memory that is no longer used
+// is returned at once, since another process needs it.
 func setSoftMemoryLimit(bytes int64) {
-	if previous := debug.SetMemoryLimit(bytes); bytes < previous {
+	if previous := float64(debug.SetMemoryLimit(bytes)); float64(bytes) < (1-releasedShare)*previous {
 		debug.FreeOSMemory()
 	}
 }
--- a/internal/relay/endedids.go
+++ b/internal/relay/endedids.go
@@ -119,6 +119,16 @@
 	l.complete(m)
 }
 
+// idle reports whether no message is left but those that are kept for their ids alone.
+func (l *loop) idle() bool {
+	for _, m := range l.messages {
+		if m.keptUntil.IsZero() || m.cancel != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // answerEnded answers the submission of a message that has ended before.
 func answerEnded(s *frontend.Submission, ended endedID) {
 	s.Response <- frontend.Response{Status: endedStatus(ended.delivered)}
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -105,7 +105,7 @@
 	l.batch.events = append(l.batch.events, policy.ShutdownStarted{})
 }
 
-func (e idleQuery) apply(l *loop) { e.idle <- len(l.messages) == 0 }
+func (e idleQuery) apply(l *loop) { e.idle <- l.idle() }
 
 // apply does nothing: there is no successor before the handover, and after it handleAfterHandover processes events.
 func (successorMessage) apply(*loop) {}
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -137,12 +137,12 @@
 	l.checkClocks()
 	l.memoryPeak.Check("clients", l.clients.Count(), "messages", len(l.messages))
 	l.clients.LogClosed()
-	l.updatePlan()
 	if l.handover.ownsState() {
 		l.setWritable(l.journal.Retry())
 		l.endpoints.maintainStore()
 		l.checkOverdue()
 		l.releaseKept()
+		l.updatePlan()
 	}
 }
 
@@ -166,9 +166,10 @@
 		return
 	}
 	l.handover.requester = nil
+	previous := l.plannedFor.inHandover
 	l.applyPlan(true)
 	if !l.handOver(ctx, requester) {
-		l.applyPlan(false)
+		l.applyPlan(previous)
 		return
 	}
 	l.releaseTransferred()
