--- a/internal/lab/overload/soak_test.go
+++ b/internal/lab/overload/soak_test.go
@@ -152,12 +152,11 @@
 	s.watch = watchMemory(s.bed)
 	s.expectRunning(s.Process)
 	var all sync.WaitGroup
-	var peers crowd
+	peers := crowd{epoch: &s.epoch}
 	end := time.Now().Add(soakTime)
 	for _, c := range plan.crowds {
 		all.Go(func() {
 			time.Sleep(c.at)
-			peers.epoch = &s.epoch
 			peers.start(s.Relay.Listen, func(i int) form { return c.forms[i%len(c.forms)] }, c.peers, crowdTime)
 		})
 	}
