--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,6 +1,10 @@
-#!/bin/sh
-# Builds the stand-ins of the second review's cases. Needs the Go tool chain only.
+#!/usr/bin/env bash
+# Builds the stand-ins of the second review's cases, 6 to 10, into review/bin.
 set -eu
-cd "$(dirname "$0")/standin-2"
-mkdir -p ../../bin
-CGO_ENABLED=0 go build -o ../../bin/standin-2 .
+cd "$(dirname "$0")/.."
+mkdir -p review/bin
+for case in 6 7 8 9 10; do
+	if [ -d "review/$case" ]; then
+		go build -o "review/bin/$case" "./review/$case"
+	fi
+done
