--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-
+	"log/slog"
 	"slices"
 
 	"milletsail/internal/clock"
@@ -23,6 +23,7 @@
 	}
 	l.watcher.Version = l.endpoints.version
 	inFlight := map[string]handover.Attempt{}
+	restored := restoreSummary{maxAttempts: l.cfg.Policy.MaxAttempts}
 	if offer != nil {
 		for _, attempt := range offer.InFlight {
 			inFlight[attempt.ID] = attempt
@@ -42,14 +43,58 @@
 			}
 			live.Reconcile(entry)
 		}
+		restored.add(entry, inFlight)
 		l.restoreMessage(link, entry, inFlight)
 	}
+	restored.log()
 	for _, attempt := range inFlight {
 		l.restoreEndedInFlight(link, attempt)
 	}
 	l.step(ctx)
 }
 
+// restoreSummary counts what a process finds in the journal of an earlier one, for its log: without these figures nobody can tell from
+// outside whether the two processes agree about the attempts of a message.
+type restoreSummary struct {
+	maxAttempts int
+	messages    int // live messages
+	untried     int // messages without an attempt that may have been executed
+	exhausted   int // messages with as many attempts as the policy allows
+	inFlight    int // messages with a call in flight in the predecessor
+	disagreeing int // of these, the ones for which the journal holds another number of attempts than the predecessor offers
+}
+
+// add counts a message. inFlight are the attempts that the predecessor offers, by message.
+func (s *restoreSummary) add(entry *journal.Entry, inFlight map[string]handover.Attempt) {
+	s.messages++
+	mayHaveExecuted := func(a journal.Attempt) bool { return !a.Ended || !a.NotExecuted }
+	if !slices.ContainsFunc(entry.Attempts, mayHaveExecuted) {
+		s.untried++
+	}
+	if len(entry.Attempts) >= s.maxAttempts {
+		s.exhausted++
+	}
+	offered, ok := inFlight[entry.ID]
+	if !ok {
+		return
+	}
+	s.inFlight++
+	if recorded := len(entry.Attempts); recorded != offered.Attempt+1 {
+		s.disagreeing++
+		slog.Warn("journal and predecessor disagree about a message", "request_id", entry.ID, "attempts_recorded", recorded,
+			"attempts_offered", offered.Attempt+1)
+	}
+}
+
+// log logs the counts, unless there were no messages.
+func (s *restoreSummary) log() {
+	if s.messages == 0 {
+		return
+	}
+	slog.Info("messages restored", "messages", s.messages, "untried", s.untried, "attempts_exhausted", s.exhausted,
+		"calls_in_flight", s.inFlight, "disagreeing", s.disagreeing)
+}
+
 // restoreMessage restores a message from its journal entry. If its last attempt is in inFlight, the attempt is removed there.
 func (l *loop) restoreMessage(link *handover.Link, entry *journal.Entry, inFlight map[string]handover.Attempt) {
 	msg := &message{Entry: entry}
