Record an attempt only once its call has its memory and its connection

Cause: the start of an attempt was recorded before the call had its memory and its connection. If it got neither, the process and its policy took the attempt back (not begun), but its two records stayed in the segment. A successor therefore counted other attempts than the process that offered or left it the message: it took a call in flight for an attempt that had ended, dropped its result, and found messages with all attempts used up.

Change: upstream.Pool.Do is split into Reserve, Connect and Run. The loop reserves in the step in which the policy decides; a call with an idle connection is recorded in the same commit as before, one that has to connect is recorded in the batch after it has connected. An attempt that can't be started leaves no record, so nothing has to be taken back. One that ends before its record and counts (a refused connection, a passed write time) is recorded with its end, as before in two records. After a failed commit an attempt that needs its record is revoked in memory, and the next segment is written without it. Results and cancellations go by the number that the attempt was begun with.

--- a/internal/journal/commit.go
+++ b/internal/journal/commit.go
@@ -38,6 +38,17 @@
 	j.appendRecord(record{op: opAttemptStarted, entrySeq: e.seq, host: host, at: at})
 }
 
+// RevokeAttempt removes the last attempt of an entry, whose start the last Commit failed to write: no call may follow. The next
+// segment is written without it.
+func (j *Journal) RevokeAttempt(e *Entry) {
+	e.Attempts = e.Attempts[:len(e.Attempts)-1]
+	j.RequireSnapshot()
+}
+
+// RequireSnapshot makes the next Commit begin a new segment. It has to be called after a change to an entry for which no record
+// was written, since a process that replays the segment would not know of it.
+func (j *Journal) RequireSnapshot() { j.snapshotRequired = true }
+
 // EndAttempt records the result of the entry's last attempt.
 func (j *Journal) EndAttempt(e *Entry, notExecuted bool) {
 	j.appendRecord(record{op: opAttemptEnded, entrySeq: e.seq, notExecuted: notExecuted})
@@ -102,7 +113,7 @@
 		j.buffered = j.buffered[:0]
 		j.uncommitted = j.uncommitted[:0]
 	}()
-	if len(j.buffered) == 0 && j.writeError == nil {
+	if len(j.buffered) == 0 && j.writeError == nil && !j.snapshotRequired {
 		return nil
 	}
 	if j.writeError != nil && j.options.Clocks.Now().Sub(j.lastRecoveryAttempt) < recoveryInterval {
@@ -119,13 +130,13 @@
 }
 
 // writeOrCompact appends the buffered records to the segment, or replaces the segment if it can't be written, would
-// leave no room for its compaction, or has outgrown its live entries.
+// leave no room for its compaction, has outgrown its live entries, or differs from memory (see RequireSnapshot).
 func (j *Journal) writeOrCompact() error {
 	size := j.segmentSize + len(j.buffered)
 	full := size+j.liveSize > j.sizeLimit
 	outgrown := size > 2*j.liveSize+compactionSlack
 	switch {
-	case j.writeError != nil || full || outgrown:
+	case j.writeError != nil || j.snapshotRequired || full || outgrown:
 		return j.compact()
 	case j.file == nil:
 		return ErrClosed
--- a/internal/journal/compaction.go
+++ b/internal/journal/compaction.go
@@ -88,7 +88,7 @@
 	}
 	j.file, j.segment, j.segmentSize, j.clocks = file, number, len(content), clocks
 	j.lastSequence, j.previousDigest = lastSequence, lastDigest
-	j.writeError = nil
+	j.writeError, j.snapshotRequired = nil, false
 	j.removeObsolete()
 	return nil
 }
--- a/internal/journal/journal.go
+++ b/internal/journal/journal.go
@@ -67,6 +67,8 @@
 	reserved    int      // bytes reserved by Reserve since the last Commit
 	buffered    []byte   // encoded records appended since the last Commit
 	uncommitted []*Entry // entries accepted since the last Commit
+	// snapshotRequired reports that entries differ from what a replay of the current segment and of the buffered records builds.
+	snapshotRequired bool
 
 	writeError          error        // why the journal can't be written; nil if it can
 	lastRecoveryAttempt instant.Time // when a new segment last failed to begin after a failed write
--- a/internal/relay/commit.go
+++ b/internal/relay/commit.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"log/slog"
 	"net/http"
-	"slices"
 
 	"milletsail/internal/clock"
 	"milletsail/internal/instant"
@@ -16,17 +15,21 @@
 )
 
 // commit writes the batch's journal records, and only then answers clients and starts calls: a process that follows a crash must
-// find a record of every message that was answered with 202 and of every attempt that may have been sent.
+// find a record of every message that was answered with 202 and of every attempt that may have been sent. The start of an attempt
+// is recorded once its call has all it needs of this machine, so that no record has to be taken back.
 func (l *loop) commit(ctx context.Context) {
+	ready, unconnected := l.reserveCalls()
+	l.beginAttempts(ready)
 	err := l.journal.Commit()
 	l.setWritable(err == nil)
-	newMessages, sends, afterCommit := l.batch.newMessages, l.batch.sends, l.batch.afterCommit
-	l.batch.newMessages, l.batch.sends, l.batch.afterCommit = nil, nil, nil
+	newMessages, afterCommit := l.batch.newMessages, l.batch.afterCommit
+	l.batch.newMessages, l.batch.afterCommit = nil, nil
 	if err != nil {
 		slog.Debug("journal not written: no message accepted, only attempts of idempotent classes sent", "error", err)
 	}
 	l.respondToNew(newMessages, err == nil)
-	l.startCalls(ctx, sends, err == nil)
+	l.startCalls(ctx, ready, err == nil)
+	l.connectCalls(ctx, unconnected, err == nil)
 	for _, m := range newMessages {
 		if m.responses != nil { // the policy did not reject it, but it was not accepted: its record was not written
 			l.complete(m)
@@ -57,34 +60,6 @@
 	}
 }
 
-// startCalls starts the calls of a batch. The sends of one call are adjacent. If the journal could not be written, it fails the
-// calls that need their record with NotStarted.
-func (l *loop) startCalls(ctx context.Context, sends []send, written bool) {
-	for len(sends) > 0 {
-		n := 1
-		for n < len(sends) && sends[n].call == sends[0].call {
-			n++
-		}
-		call := sends[:n]
-		sends = sends[n:]
-		if written || !slices.ContainsFunc(call, l.needsRecord) {
-			l.startCall(ctx, call)
-			continue
-		}
-		for _, s := range call {
-			l.completeUnsent(s, policy.NotStarted)
-		}
-	}
-}
-
-// needsRecord reports whether an attempt must not be sent before its journal record is written. After a crash, a process that
-// finds no record repeats the attempt, which is harmless only in an idempotent class. A message whose acceptance was not
-// recorded is not sent either.
-func (l *loop) needsRecord(s send) bool {
-	class := l.cfg.Policy.Classes[l.classIndex(s.message.Class)]
-	return class.Effect != policy.Idempotent || s.message.responses != nil
-}
-
 // unrecordedNotification is a notification that is held back until the end of its message is on disk or the message has expired.
 // If the platform received it earlier and the process crashed, the next process would find the message live in the journal and
 // send it.
--- a/internal/relay/completion.go
+++ b/internal/relay/completion.go
@@ -26,6 +26,7 @@
 func (l *loop) completeAttempt(attempt attemptEnded) {
 	msg := l.messages[attempt.id] // not nil: complete keeps a message in the table while a call is in flight
 	msg.cancel = nil
+	l.recordResult(msg, attempt)
 	if attempt.Outcome != policy.OK {
 		l.metrics.Reasons.Increment(failedAttempts, attempt.Outcome)
 		slog.Info("attempt failed", "request_id", attempt.id, "destination", msg.Dest, "endpoint", attempt.endpoint,
@@ -33,14 +34,6 @@
 			"retry_after", attempt.RetryAfter)
 	}
 	l.observeFailure(attempt)
-	if l.journal.Get(msg.ID) == msg.Entry {
-		l.journal.EndAttempt(msg.Entry, attempt.Outcome.ProvesNotExecuted())
-	}
-	if attempt.Outcome == policy.NotStarted {
-		// The attempt was never started, so the message does not count it. The journal's current segment still has it, as an
-		// attempt that was not executed; the next segment leaves it out.
-		msg.Attempts = msg.Attempts[:attempt.attempt]
-	}
 	l.batch.events = append(l.batch.events, policy.AttemptEnded{ID: attempt.id, Endpoint: attempt.endpoint,
 		Attempt: attempt.attempt, Outcome: attempt.Outcome, RetryAfter: attempt.RetryAfter, Latency: attempt.latency,
 		Completed: attempt.Completed, AttemptsExhausted: attempt.AttemptsExhausted, LoadReport: attempt.LoadReport})
@@ -58,6 +51,21 @@
 	}
 }
 
+// recordResult records the result of an attempt. An attempt that ended before its start was recorded is recorded now, as one that
+// was not executed, if the policy counts it: all but those that could not be started.
+func (l *loop) recordResult(msg *message, attempt attemptEnded) {
+	begun := msg.begun
+	msg.begun = false
+	switch {
+	case l.journal.Get(msg.ID) != msg.Entry:
+	case begun:
+		l.journal.EndAttempt(msg.Entry, attempt.Outcome.ProvesNotExecuted())
+	case attempt.Outcome != policy.NotStarted && !msg.ended:
+		l.journal.StartAttempt(msg.Entry, attempt.endpoint, attempt.sentAt)
+		l.journal.EndAttempt(msg.Entry, attempt.Outcome.ProvesNotExecuted())
+	}
+}
+
 // endUndelivered ends a message without delivery. A client that still waits for its response gets response; for a message that
 // was accepted before, the platform gets a notification with status. It does nothing for a message that has ended.
 func (l *loop) endUndelivered(msg *message, response frontend.Response, status string, reason policy.Reason) {
--- a/internal/relay/events.go
+++ b/internal/relay/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"milletsail/internal/fleet/live"
+	"milletsail/internal/instant"
 	"milletsail/internal/relay/discovery"
 	"milletsail/internal/relay/frontend"
 	"milletsail/internal/relay/handover"
@@ -29,10 +30,13 @@
 		id       string // of the message
 		attempt  int    // index in the message's Attempts
 		endpoint string
+		sentAt   instant.Time     // when the policy decided on it; zero for calls of the previous process
 		limit    policy.CallLimit // what limited the call, for logs; unknown for calls of the previous process
 		latency  time.Duration
 		upstream.Result
 	}
+	// callConnected reports that a call has opened its connection and waits for the record of its attempts.
+	callConnected struct{ call *outgoingCall }
 	// batchReceived brings a part of an object that discovery sent.
 	batchReceived struct{ discovery.Batch }
 	// gossipReceived brings a gossip message for the policy.
@@ -70,6 +74,8 @@
 	}
 }
 
+func (e callConnected) apply(l *loop) { l.batch.connected = append(l.batch.connected, e.call) }
+
 func (e batchReceived) apply(l *loop) { l.handleBatch(e.Batch) }
 
 func (e gossipReceived) apply(l *loop) {
--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -7,7 +7,6 @@
 
 	"milletsail/internal/relay/frontend"
 	"milletsail/internal/relay/handover"
-	"milletsail/policy"
 )
 
 // ownership is the state of this process with regard to the state directory. It only changes in the order of the constants.
@@ -79,9 +78,9 @@
 		}
 	}
 	for _, m := range l.messages {
-		if m.cancel != nil {
-			last := m.Attempts[len(m.Attempts)-1]
-			offer.InFlight = append(offer.InFlight, handover.Attempt{ID: m.ID, Attempt: len(m.Attempts) - 1, Call: m.call,
+		if m.begun {
+			last := m.Attempts[m.attempt]
+			offer.InFlight = append(offer.InFlight, handover.Attempt{ID: m.ID, Attempt: m.attempt, Call: m.call,
 				Class: m.Class, Destination: m.Dest, Endpoint: last.Host, StartedAt: link.WallTime(last.StartedAt)})
 		}
 	}
@@ -112,6 +111,8 @@
 		l.withdrawForwarded(e.Submission)
 	case callEnded:
 		l.forwardResults(e)
+	case callConnected:
+		e.call.begin <- false // the successor has its messages and sends them
 	case successorMessage:
 		l.handleSuccessorMessage(e.Message)
 	case successorLost:
@@ -165,10 +166,7 @@
 		if m == nil {
 			continue
 		}
-		m.cancel = nil
-		if a.Outcome == policy.NotStarted { // a successor of an earlier version may not know this outcome
-			a.Outcome = policy.NotSent
-		}
+		m.cancel, m.begun = nil, false
 		results = append(results, handover.CallResult{ID: a.id, Attempt: a.attempt, Endpoint: a.endpoint, Latency: a.latency,
 			Outcome: a.Outcome, RetryAfter: a.RetryAfter, Completed: a.Completed, AttemptsExhausted: a.AttemptsExhausted,
 			LoadReport: a.LoadReport})
@@ -226,9 +224,9 @@
 	return frontend.Response{Status: http.StatusServiceUnavailable, RetryAfter: l.cfg.Policy.MaxRetryAfter}
 }
 
-// inFlight returns the message with an id if its last attempt has this number, from 0, and is in flight; otherwise nil.
+// inFlight returns the message with an id if the attempt with this number, from 0, has a call that has not ended; otherwise nil.
 func (l *loop) inFlight(id string, attempt int) *message {
-	if m := l.messages[id]; m != nil && m.cancel != nil && attempt == len(m.Attempts)-1 {
+	if m := l.messages[id]; m != nil && m.cancel != nil && attempt == m.attempt {
 		return m
 	}
 	return nil
--- a/internal/relay/loop.go
+++ b/internal/relay/loop.go
@@ -33,8 +33,10 @@
 	*journal.Entry
 	responses       []chan frontend.Response // receive the response, one for each submission; nil once answered
 	resubmitted     bool                     // a duplicate submission was answered 202
-	call            int                      // the policy's number of the call in flight
-	cancel          context.CancelFunc       // cancels the message's part of the call in flight; nil if there is none
+	call            int                      // the policy's number of the call that has not ended
+	attempt         int                      // index of the call's attempt in Attempts, once it is begun
+	begun           bool                     // the start of that attempt is recorded, and its call may have been written
+	cancel          context.CancelFunc       // cancels the message's part of the call that has not ended; nil if there is none
 	ended           bool                     // no further attempt follows; a call or notification may be outstanding
 	countedPending  bool                     // counted in the metric of pending messages
 	reportedOverdue bool                     // checkOverdue has reported it
@@ -50,10 +52,11 @@
 
 // batch collects the input of the loop's next step, and the results of the step until they are committed.
 type batch struct {
-	events      []policy.Event // input of the policy
-	newMessages []*message     // messages that clients have submitted, rejected ones included
-	sends       []send         // attempts to start after the commit
-	afterCommit []func()       // other actions to take after the commit
+	events      []policy.Event  // input of the policy
+	newMessages []*message      // messages that clients have submitted, rejected ones included
+	sends       []send          // attempts that the policy has decided on
+	connected   []*outgoingCall // calls that have opened a connection and wait for their record
+	afterCommit []func()        // other actions to take after the commit
 }
 
 // loop is the event loop. It owns the policy, the journal, the endpoint list and the message table: while run is active no other
--- a/internal/relay/memoryplan.go
+++ b/internal/relay/memoryplan.go
@@ -80,10 +80,10 @@
 }
 
 // releaseTransferred frees the messages that a successor now has, apart from those with a call in flight. It runs after the handover,
-// when the journal is closed.
+// when the journal is closed. The successor also has those whose call is not begun yet.
 func (l *loop) releaseTransferred() {
 	for _, m := range l.messages {
-		if m.cancel == nil {
+		if !m.begun {
 			l.removeMessage(m)
 			m.Body = nil // the closed journal still has the entry
 		}
--- a/internal/relay/predecessor.go
+++ b/internal/relay/predecessor.go
@@ -109,6 +109,9 @@
 		if attempt, ok := p.inFlight[r.ID]; ok && attempt == r.Attempt {
 			delete(p.inFlight, r.ID)
 		}
+		if r.Outcome == policy.NotStarted { // it was offered as started, so both processes count it
+			r.Outcome = policy.NotSent
+		}
 		all = append(all, attemptEnded{id: r.ID, attempt: r.Attempt, endpoint: r.Endpoint, latency: r.Latency,
 			Result: upstream.Result{Outcome: r.Outcome, RetryAfter: r.RetryAfter, Completed: r.Completed,
 				AttemptsExhausted: r.AttemptsExhausted, LoadReport: r.LoadReport}})
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -152,6 +152,6 @@
 func (l *loop) resumeInFlight(link *handover.Link, m *message, a handover.Attempt, arrived *policy.Arrived) {
 	last := &arrived.PriorAttempts[a.Attempt]
 	last.InFlight, last.Interrupted, last.Call = true, false, a.Call
-	m.call = a.Call
+	m.call, m.attempt, m.begun = a.Call, a.Attempt, true
 	m.cancel = func() { link.Send(handover.Message{Cancel: &handover.Attempt{ID: a.ID, Attempt: a.Attempt}}) }
 }
--- a/internal/relay/upstream/deadline_test.go
+++ b/internal/relay/upstream/deadline_test.go
@@ -43,7 +43,7 @@
 		ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
 		defer cancel()
 		pool := testPool()
-		connection, err := pool.acquire(ctx, addr)
+		connection, err := pool.dial(ctx, addr)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -86,7 +86,7 @@
 			})
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			connection, err := testPool().acquire(ctx, addr)
+			connection, err := testPool().dial(ctx, addr)
 			if err != nil {
 				t.Fatal(err)
 			}
--- a/internal/relay/upstream/helpers_test.go
+++ b/internal/relay/upstream/helpers_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"milletsail/policy"
 )
 
 // testTimeout bounds every wait of a test; it is far longer than any expected wait.
@@ -69,6 +72,20 @@
 
 func testPool() *Pool { return NewPool(time.Second, 10*time.Second, 4, &atomic.Int64{}) }
 
+// Do makes one call from its reservation to its end, as the relay does, and returns the result of each message.
+func (p *Pool) Do(ctx context.Context, call Call) []Result {
+	reservation := p.Reserve(call)
+	if reservation == nil {
+		return call.resultForAll(Result{Outcome: policy.NotStarted})
+	}
+	if !reservation.Connected() {
+		if failed := reservation.Connect(ctx); failed != nil {
+			return failed
+		}
+	}
+	return reservation.Run(ctx)
+}
+
 func testCall(addr string) Call {
 	return Call{Addr: addr, Messages: []Message{{ID: "m1", Key: "k1", Body: []byte("a\x00b")}}, Timeout: testTimeout}
 }
--- a/internal/relay/upstream/pool.go
+++ b/internal/relay/upstream/pool.go
@@ -18,7 +18,6 @@
 	"milletsail/internal/instant"
 	"milletsail/internal/relay/memory"
 	"milletsail/internal/relay/protocol"
-	"milletsail/internal/relay/resource"
 	"milletsail/policy"
 )
 
@@ -33,7 +32,7 @@
 // errNoMemory reports that the calls in flight take up all memory that calls may have.
 var errNoMemory = errors.New("no memory for another call")
 
-// Pool makes calls to endpoints over connections that carry one call at a time. It does not use http.Transport for two reasons:
+// Pool makes calls to endpoints over connections that carry one call at a time: Reserve begins a call. It does not use http.Transport for two reasons:
 // http.Transport resends a request with an Idempotency-Key when a cached connection breaks, which may execute it twice; and it
 // does not report whether the last byte of a request was written, which separates "not executed" from "may have been executed".
 //
@@ -65,58 +64,6 @@
 		idleTimeout: time.Duration(idleTimeoutShare * float64(endpointIdleTimeout))}
 }
 
-// Do makes one call and returns the result of each message, in the order of call.Messages. When it returns, the call is no longer
-// in flight: it was never written, it has its response, or its connection is closed.
-func (p *Pool) Do(ctx context.Context, call Call) []Result {
-	size := call.memorySize()
-	if !p.Memory.TryAcquire(size) {
-		slog.Warn("call not started", "endpoint", call.Addr, "messages", len(call.Messages), "error", errNoMemory)
-		return call.resultForAll(Result{Outcome: policy.NotStarted})
-	}
-	defer p.Memory.Release(size)
-	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
-	defer cancel()
-	writing := ctx
-	if call.WriteTimeout > 0 {
-		bounded, done := context.WithTimeout(ctx, call.WriteTimeout)
-		defer done()
-		writing = bounded
-	}
-	started := clock.Now()
-	conn, err := p.acquire(writing, call.Addr)
-	if errors.Is(err, errNotSettled) {
-		return call.resultForAll(Result{Outcome: policy.NotSent})
-	}
-	if ctx.Err() == nil && writing.Err() != nil || err == nil && p.canceledSince(call.Addr, started) {
-		if err == nil {
-			p.release(call.Addr, conn)
-		}
-		return call.resultForAll(Result{Outcome: policy.NotSent}) // not written; this says nothing about the endpoint's health
-	}
-	if err != nil && resource.IsLocalFailure(err) {
-		slog.Warn("call not started", "endpoint", call.Addr, "messages", len(call.Messages), "error", err)
-		return call.resultForAll(Result{Outcome: policy.NotStarted}) // a local failure says nothing about the endpoint's health
-	}
-	if err != nil {
-		return call.resultForAll(Result{Outcome: policy.ConnectError})
-	}
-	if deadline, ok := writing.Deadline(); ok {
-		_ = conn.SetWriteDeadline(deadline)
-	}
-	claimed := call.claimMessages()
-	if len(claimed.Messages) == 0 { // all messages ended while the connection was being opened
-		p.release(call.Addr, conn)
-		return call.resultForAll(Result{Outcome: policy.NotSent})
-	}
-	results, reuse := p.roundTripUntilDone(ctx, conn, claimed)
-	if reuse {
-		p.release(call.Addr, conn)
-	} else {
-		_ = conn.Close()
-	}
-	return call.merge(claimed, results)
-}
-
 // roundTripUntilDone writes a request on a connection and reads its response, and interrupts that when ctx ends. reuse reports
 // whether the connection may carry another call.
 func (p *Pool) roundTripUntilDone(ctx context.Context, conn *conn, call Call) (results []Result, reuse bool) {
@@ -178,21 +125,27 @@
 	return results, conn.keepAlive(resp)
 }
 
-// acquire returns the most recently used idle connection to an address that is still usable, or opens a new one. It waits until
-// protocol.ResponseSettleTime has passed since the last response on the connection.
-func (p *Pool) acquire(ctx context.Context, addr string) (*conn, error) {
-	for c := p.popIdle(addr); c != nil; c = p.popIdle(addr) {
-		if unsettled := protocol.ResponseSettleTime - clock.Since(c.idleSince); unsettled > 0 && c.reusable() {
-			if !p.sleep(ctx, unsettled) {
-				p.release(addr, c)
-				return nil, errNotSettled
-			}
+// settle returns a connection once protocol.ResponseSettleTime has passed since its last response. If the endpoint has closed it by
+// then, or has sent more than that response, it returns another idle connection or opens one.
+func (p *Pool) settle(ctx context.Context, addr string, c *conn) (*conn, error) {
+	for ; c != nil; c = p.popReusable(addr) {
+		if !c.reused() {
+			return c, nil
 		}
-		if c.reusable() && clock.Since(c.idleSince) < p.idleTimeout {
+		if unsettled := protocol.ResponseSettleTime - clock.Since(c.idleSince); unsettled > 0 && !p.sleep(ctx, unsettled) {
+			p.release(addr, c)
+			return nil, errNotSettled
+		}
+		if c.reusable() {
 			return c, nil
 		}
 		_ = c.Close()
 	}
+	return p.dial(ctx, addr)
+}
+
+// dial opens a connection to an address.
+func (p *Pool) dial(ctx context.Context, addr string) (*conn, error) {
 	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, fmt.Errorf("connect to %s: %w", addr, err)
@@ -202,6 +155,18 @@
 	return opened, nil
 }
 
+// popReusable removes an idle connection to an address that can still be used from the pool and returns it, or returns nil if there
+// is none. It closes those that can't.
+func (p *Pool) popReusable(addr string) *conn {
+	for c := p.popIdle(addr); c != nil; c = p.popIdle(addr) {
+		if c.reusable() && clock.Since(c.idleSince) < p.idleTimeout {
+			return c
+		}
+		_ = c.Close()
+	}
+	return nil
+}
+
 // popIdle removes an idle connection to an address from the pool and returns it, or returns nil if there is none. It prefers the
 // most recently used one of those that have settled; if none has, the one that settles first.
 func (p *Pool) popIdle(addr string) *conn {
@@ -228,15 +193,20 @@
 	p.closeIdleIf(func(string, *conn) bool { return p.idleCount > capacity })
 }
 
-// release keeps a connection as idle for a later call, or closes it if the pool is full.
+// release keeps a connection as idle from now on for a later call, or closes it if the pool is full.
 func (p *Pool) release(addr string, c *conn) {
+	c.idleSince = clock.Now()
+	p.keep(addr, c)
+}
+
+// keep is release for a connection that no call has used since it was idle.
+func (p *Pool) keep(addr string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.idleCount >= p.capacity {
 		_ = c.Close()
 		return
 	}
-	c.idleSince = clock.Now()
 	p.idle[addr] = append(p.idle[addr], c)
 	p.idleCount++
 }
--- a/internal/relay/upstream/surplus_test.go
+++ b/internal/relay/upstream/surplus_test.go
@@ -114,7 +114,7 @@
 	release := make(chan bool, 1)
 	p, e := testPool(), startSurplusEndpoint(t, emptyOK, emptyOK, release)
 	p.Do(t.Context(), testCall(e.addr))
-	connection, err := p.acquire(t.Context(), e.addr)
+	connection, err := p.settle(t.Context(), e.addr, p.popReusable(e.addr))
 	if err != nil {
 		t.Fatal(err)
 	}
