Build the same attempts in a successor as in its predecessor

What was reconciled existed in memory alone: a kill after the upgrade built something else again.

Change: the attempt in flight that a predecessor offers is always the last one, with the number that it was offered with; surplus records (uncertain ones first, then ones that were not executed) make room for it. A live message whose attempts have all ended has one left, or its end would be recorded with them; where a folder says otherwise, a surplus attempt that was not executed is dropped, so that it is tried. After such a change the next commit begins a new segment.

--- a/internal/relay/handover.go
+++ b/internal/relay/handover.go
@@ -74,7 +74,7 @@
 	if l.journal.WriteError() != nil {
 		offer.JournalIncomplete, offer.Live = true, map[string]handover.LiveMessage{}
 		for _, e := range l.journal.Entries() {
-			offer.Live[e.ID] = handover.LiveMessage{Attempts: len(e.Attempts), PendingNotification: e.PendingNotification}
+			offer.Live[e.ID] = handover.NewLiveMessage(e, link.WallTime)
 		}
 	}
 	for _, m := range l.messages {
--- a/internal/relay/handover/messages.go
+++ b/internal/relay/handover/messages.go
@@ -68,24 +68,79 @@
 type LiveMessage struct {
 	// Attempts is the number of attempts that were started.
 	Attempts int `json:"attempts,omitempty"`
+	// History describes these attempts, in their order. Nil if the predecessor is of a version that does not send it.
+	History []PastAttempt `json:"made,omitempty"`
 	// PendingNotification is the notification of the message's end that has not been delivered; nil for none.
 	PendingNotification *journal.Notification `json:"owed,omitempty"`
 }
 
-// Reconcile updates a message's journal entry to the state that the predecessor reported. Attempts that are missing from the
-// entry are added as uncertain, because an endpoint may have executed them.
-func (m LiveMessage) Reconcile(e *journal.Entry) {
-	addUncertainAttempts(e, m.Attempts)
+// PastAttempt describes an attempt of a message as the predecessor knows it.
+type PastAttempt struct {
+	// Endpoint is the name of the endpoint that was called.
+	Endpoint string `json:"host,omitempty"`
+	// StartedAt is the wall time at which the attempt started, converted by Offer.Clocks.
+	StartedAt time.Time `json:"begun,omitzero"`
+	// Ended reports that the result is known.
+	Ended bool `json:"ended,omitempty"`
+	// NotExecuted reports that the result proves that the endpoint did not execute the message.
+	NotExecuted bool `json:"unrun,omitempty"`
+	// Uncertain reports that the attempt may never have been made.
+	Uncertain bool `json:"unsure,omitempty"`
+}
+
+// NewLiveMessage describes a message that has not ended, whose times wallTime converts.
+func NewLiveMessage(e *journal.Entry, wallTime func(instant.Time) time.Time) LiveMessage {
+	live := LiveMessage{Attempts: len(e.Attempts), PendingNotification: e.PendingNotification}
+	for _, a := range e.Attempts {
+		live.History = append(live.History, PastAttempt{Endpoint: a.Host, StartedAt: wallTime(a.StartedAt), Ended: a.Ended,
+			NotExecuted: a.NotExecuted, Uncertain: a.Uncertain})
+	}
+	return live
+}
+
+// Reconcile updates a message's journal entry to the state that the predecessor reported, whose times toInstant converts. Without
+// a History only the number of attempts is known: those that are missing from the entry are added as uncertain, because an
+// endpoint may have executed them.
+func (m LiveMessage) Reconcile(e *journal.Entry, toInstant func(time.Time) instant.Time) {
+	if len(m.History) == m.Attempts {
+		e.Attempts = nil
+		for _, a := range m.History {
+			e.Attempts = append(e.Attempts, journal.Attempt{Host: a.Endpoint, StartedAt: toInstant(a.StartedAt), Ended: a.Ended,
+				NotExecuted: a.NotExecuted, Uncertain: a.Uncertain})
+		}
+	} else {
+		e.Attempts = fitAttempts(e.Attempts, m.Attempts, e.AcceptedAt)
+	}
 	if m.PendingNotification != nil {
 		e.PendingNotification = m.PendingNotification
 	}
 }
 
-// addUncertainAttempts adds attempts with an unknown endpoint and outcome until the entry has n attempts.
-func addUncertainAttempts(e *journal.Entry, n int) {
-	for len(e.Attempts) < n {
-		e.Attempts = append(e.Attempts, journal.Attempt{StartedAt: e.AcceptedAt, Uncertain: true})
+// fitAttempts returns the attempts of a message that was accepted at a time, changed to n, the number that were made. Missing ones are
+// added with an unknown endpoint and outcome.
+func fitAttempts(attempts []journal.Attempt, n int, acceptedAt instant.Time) []journal.Attempt {
+	fitted := TrimAttempts(attempts, n)
+	for len(fitted) < n {
+		fitted = append(fitted, journal.Attempt{StartedAt: acceptedAt, Uncertain: true})
+	}
+	return fitted[:n]
+}
+
+// TrimAttempts returns the attempts without those that were never made, as far as that can be told, where more than n are recorded.
+// These are uncertain ones, which stand for records that may be lost, and then ones that were not executed: earlier versions
+// recorded attempts that could not be started.
+func TrimAttempts(attempts []journal.Attempt, n int) []journal.Attempt {
+	trimmed := slices.Clone(attempts)
+	uncertain := func(a journal.Attempt) bool { return a.Uncertain }
+	notExecuted := func(a journal.Attempt) bool { return a.Ended && a.NotExecuted }
+	for _, removable := range []func(journal.Attempt) bool{uncertain, notExecuted} {
+		for i := len(trimmed) - 1; i >= 0 && len(trimmed) > n; i-- {
+			if removable(trimmed[i]) {
+				trimmed = slices.Delete(trimmed, i, i+1)
+			}
+		}
 	}
+	return trimmed
 }
 
 // Attempt describes an attempt at delivering a message whose call is in flight in the predecessor.
@@ -107,19 +162,18 @@
 }
 
 // Reconcile updates the attempts in a message's journal entry to the attempt in flight, whose number the predecessor knows for
-// certain. The reader of a damaged journal adds an uncertain attempt in case a record was lost: if the entry has more attempts
-// than were made, uncertain ones are removed. If a record was lost, uncertain attempts are added up to the right number.
+// certain. The reader of a damaged journal adds an uncertain attempt in case a record was lost, and a predecessor of an earlier
+// version has recorded attempts that it does not count. The attempt in flight is the last one afterwards.
 func (a Attempt) Reconcile(e *journal.Entry, startedAt instant.Time) {
-	n := a.Attempt + 1
-	for i := len(e.Attempts) - 1; i >= 0 && len(e.Attempts) > n; i-- {
-		if e.Attempts[i].Uncertain {
-			e.Attempts = slices.Delete(e.Attempts, i, i+1)
+	earlier := slices.Clone(e.Attempts)
+	for i := len(earlier) - 1; i >= 0; i-- { // its own record, unless that is lost
+		if own := earlier[i]; own.Host == a.Endpoint && !own.Ended && !own.Uncertain {
+			earlier = slices.Delete(earlier, i, i+1)
+			break
 		}
 	}
-	addUncertainAttempts(e, n)
-	if len(e.Attempts) == n {
-		e.Attempts[a.Attempt] = journal.Attempt{Host: a.Endpoint, StartedAt: startedAt}
-	}
+	earlier = fitAttempts(earlier, max(0, a.Attempt), e.AcceptedAt)
+	e.Attempts = append(earlier, journal.Attempt{Host: a.Endpoint, StartedAt: startedAt})
 }
 
 // Submission is a message that a client submitted to the predecessor after the handover. The successor decides on it.
--- a/internal/relay/restore.go
+++ b/internal/relay/restore.go
@@ -17,6 +17,12 @@
 // journal and, after a handover, the predecessor's calls in flight and policy state. If there was no handover, link and offer are
 // nil. It runs before the loop.
 func (l *loop) restore(ctx context.Context, link *handover.Link, offer *handover.Offer) {
+	l.restoreState(ctx, link, offer)
+	l.step(ctx)
+}
+
+// restoreState adds the state of an earlier process to the batch, for the first step that sends messages.
+func (l *loop) restoreState(ctx context.Context, link *handover.Link, offer *handover.Offer) {
 	l.announceEndpoints()
 	if l.zones != nil && len(l.zones.pending) > 0 {
 		l.step(ctx) // resumes zone orders before any message is sent
@@ -41,7 +47,8 @@
 				l.journal.Complete(entry)
 				continue
 			}
-			live.Reconcile(entry)
+			live.Reconcile(entry, link.Instant)
+			l.journal.RequireSnapshot()
 		}
 		restored.add(entry, inFlight)
 		l.restoreMessage(link, entry, inFlight)
@@ -50,7 +57,6 @@
 	for _, attempt := range inFlight {
 		l.restoreEndedInFlight(link, attempt)
 	}
-	l.step(ctx)
 }
 
 // restoreSummary counts what a process finds in the journal of an earlier one, for its log: without these figures nobody can tell from
@@ -101,8 +107,14 @@
 	l.addMessage(msg)
 	l.countPending(msg)
 	attempt, hasAttempt := inFlight[entry.ID]
+	recorded := slices.Clone(entry.Attempts)
 	if hasAttempt {
 		attempt.Reconcile(entry, link.Instant(attempt.StartedAt))
+	} else if entry.PendingNotification == nil {
+		entry.Attempts = handover.TrimAttempts(entry.Attempts, l.maxLiveAttempts(entry))
+	}
+	if !slices.Equal(recorded, entry.Attempts) {
+		l.journal.RequireSnapshot()
 	}
 	if entry.PendingNotification != nil {
 		msg.ended = true
@@ -124,20 +136,30 @@
 			SentAt: min(prior.StartedAt, clock.Now()), NotExecuted: prior.Ended && prior.NotExecuted,
 			Interrupted: !prior.Ended})
 	}
-	if hasAttempt && attempt.Attempt == len(entry.Attempts)-1 {
+	if hasAttempt {
 		delete(inFlight, entry.ID)
 		l.resumeInFlight(link, msg, attempt, &arrived)
 	}
 	l.batch.events = append(l.batch.events, arrived)
 }
 
+// maxLiveAttempts returns the most attempts that a message without a call in flight and without a pending notification can have: one
+// whose last attempt ended has another one left, since its end would have been recorded together with that of its last attempt. More
+// of them show that an earlier version has recorded attempts that could not be started.
+func (l *loop) maxLiveAttempts(entry *journal.Entry) int {
+	if n := len(entry.Attempts); n > 0 && entry.Attempts[n-1].Ended {
+		return l.cfg.Policy.MaxAttempts - 1
+	}
+	return l.cfg.Policy.MaxAttempts
+}
+
 // restoreEndedInFlight passes the policy an attempt in flight of a message that has ended, since the attempt occupies a slot
 // until its call ends.
 func (l *loop) restoreEndedInFlight(link *handover.Link, a handover.Attempt) {
 	m := l.messages[a.ID]
 	if m == nil {
-		m = &message{ended: true, Entry: &journal.Entry{ID: a.ID, Class: a.Class, Dest: a.Destination,
-			Attempts: make([]journal.Attempt, a.Attempt+1)}}
+		m = &message{ended: true, Entry: &journal.Entry{ID: a.ID, Class: a.Class, Dest: a.Destination}}
+		a.Reconcile(m.Entry, link.Instant(a.StartedAt))
 		l.addMessage(m)
 	}
 	prior := policy.PriorAttempt{Endpoint: a.Endpoint, SentAt: link.Instant(a.StartedAt)}
--- a/internal/relay/unrecorded_test.go
+++ b/internal/relay/unrecorded_test.go
@@ -92,7 +92,7 @@
 func TestIncompleteJournalIsReconciled(t *testing.T) {
 	e := &journal.Entry{ID: "m", Attempts: []journal.Attempt{{Host: "h1", Ended: true, NotExecuted: true}}}
 	handover.LiveMessage{Attempts: 3, PendingNotification: &journal.Notification{ID: "m",
-		Status: notifier.StatusDeferred}}.Reconcile(e)
+		Status: notifier.StatusDeferred}}.Reconcile(e, nil)
 	if len(e.Attempts) != 3 || !e.Attempts[2].Uncertain || e.Attempts[2].NotExecuted || e.PendingNotification == nil {
 		t.Errorf("reconciled entry is %+v, want three attempts, the last of them uncertain, and a pending notification", e)
 	}
