End a resumed message that has no attempt left

The process that makes the last attempt ends such a message at once.

Change: the policy ends it when it is resumed, with the same answer as after a last attempt.

--- a/policy/handover.go
+++ b/policy/handover.go
@@ -13,7 +13,8 @@
 
 // resumeMessage takes over a message that an earlier process admitted, together with its attempts. It queues
 // the message at once, or, if an attempt is still in flight, when that attempt ends without a final answer. A
-// message that already has its final answer is only completed.
+// message without another attempt ends, as it would have in the earlier process. One that already has its
+// final answer is only completed.
 func (d *Dispatcher) resumeMessage(resumed *message) {
 	for _, prior := range resumed.PriorAttempts {
 		d.resumeAttempt(resumed, prior)
@@ -21,7 +22,10 @@
 	switch {
 	case resumed.Completed:
 		d.complete(resumed)
-	case resumed.openAttempts == 0:
+	case resumed.openAttempts > 0:
+	case len(resumed.attempts) >= d.settings.MaxAttempts:
+		d.abandon(resumed, ReasonAttemptsExhausted)
+	default:
 		d.enqueue(d.selectQueue(resumed), resumed)
 	}
 }
