--- a/internal/relay/equivalence_test.go
+++ b/internal/relay/equivalence_test.go
@@ -30,6 +30,7 @@
 	for id, wanted := range want {
 		m := l.messages[id]
 		if m == nil {
+			h.t.Errorf("%s: message %s is lost", what, id)
 			continue
 		}
 		if known := knowledgeOf(m); known != wanted {
